--- /dev/null
+++ b/internal/call/kqremote/transport.go
@@ -0,0 +1,192 @@
+// Package kqremote carries calls between entries and agents over connect.
+package kqremote
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqadmit"
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqanswer"
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqcaller"
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqretry"
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqroute"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
+	"github.com/kumquatswitch/kumquatswitch/internal/wire/kqwire"
+)
+
+const cancelTimeout = 500 * time.Millisecond
+
+// Client reaches agents over a pool of connections.
+type Client struct {
+	pool *kqlink.Pool
+}
+
+// NewClient returns a Client over p.
+func NewClient(p *kqlink.Pool) *Client { return &Client{pool: p} }
+
+// Transport returns the operations for a Caller.
+func (c *Client) Transport() kqcaller.Transport {
+	return kqcaller.Transport{Send: c.send, Fetch: c.fetch, Cancel: c.cancel}
+}
+
+func (c *Client) send(ctx context.Context, now time.Time, ref kqroute.Ref, attempt uint32, r kqcaller.Request) (kqcaller.Stream, error) {
+	q := &kqwire.CallRequest{CallId: r.ID, Attempt: attempt, Class: r.Class, EndpointId: ref.Endpoint,
+		Idempotent: r.Idempotent, DeadlineLeft: int64(r.Deadline.Sub(now)), Method: r.Method, Path: r.Path,
+		Headers: HeadersToWire(r.Headers), Body: r.Body, ConfigSequence: r.ConfigSequence, AgentBoot: ref.Boot}
+	ctx, cancel := context.WithCancel(ctx)
+	s, err := c.pool.Agent(now, ref.Agent).Call(ctx, connect.NewRequest(q))
+	switch {
+	case err != nil && dialFailed(err):
+		cancel()
+		return kqcaller.Stream{}, err
+	case err != nil:
+		cancel()
+		// Whether the request left this host is not known.
+		return lostStream(err), nil
+	}
+	return stream(r.ID, s, cancel), nil
+}
+
+// dialFailed reports whether no connection was made, so that nothing was sent.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func (c *Client) fetch(ctx context.Context, now time.Time, f kqcaller.Fetch) (kqcaller.Stream, error) {
+	q := &kqwire.FetchRequest{CallId: f.CallID, Attempt: f.Attempt, AgentBoot: f.Ref.Boot, Offset: f.Offset,
+		HeadSeen: f.HeadSeen, Age: int64(f.Age)}
+	ctx, cancel := context.WithCancel(ctx)
+	// The bound is on reaching the agent; the answer may take longer.
+	t := time.AfterFunc(kqretry.FetchTimeout, cancel)
+	s, err := c.pool.Agent(now, f.Ref.Agent).Fetch(ctx, connect.NewRequest(q))
+	if err != nil || !t.Stop() {
+		cancel()
+		return kqcaller.Stream{}, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return stream(f.CallID, s, cancel), nil
+}
+
+// cancelCall is one notice that a caller has left.
+type cancelCall struct {
+	client kqwire.AgentServiceClient
+	call   string
+	number uint32
+}
+
+func (c *Client) cancel(now time.Time, ref kqroute.Ref, callID string, attempt uint32) {
+	x := &cancelCall{client: c.pool.Agent(now, ref.Agent), call: callID, number: attempt}
+	go x.run()
+}
+
+func (x *cancelCall) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_, _ = x.client.Cancel(ctx, connect.NewRequest(&kqwire.CancelRequest{CallId: x.call, Attempt: x.number}))
+}
+
+func lostStream(err error) kqcaller.Stream {
+	return kqcaller.Stream{Next: func() (kqcaller.Part, error) { return kqcaller.Part{}, err }, Close: func() {}}
+}
+
+func stream(callID string, s *connect.ServerStreamForClient[kqwire.CallPart], cancel context.CancelFunc) kqcaller.Stream {
+	return kqcaller.Stream{
+		Next: func() (kqcaller.Part, error) {
+			if !s.Receive() {
+				err := s.Err()
+				switch {
+				case err != nil && dialFailed(err):
+					return kqcaller.Part{CallID: callID, Refusal: kqresult.Errorf(kqresult.NotRunUnreachable, "%v", err).After(time.Second)}, nil
+				case err != nil:
+					return kqcaller.Part{}, err
+				}
+				return kqcaller.Part{}, connect.NewError(connect.CodeUnavailable, context.Canceled)
+			}
+			return PartFromWire(s.Msg()), nil
+		},
+		Close: func() {
+			cancel()
+			_ = s.Close()
+		},
+	}
+}
+
+// HeadersToWire converts headers to their messages.
+func HeadersToWire(hs []kqanswer.Header) []*kqwire.Header {
+	out := make([]*kqwire.Header, 0, len(hs))
+	for _, h := range hs {
+		out = append(out, &kqwire.Header{Name: h.Name, Values: h.Values})
+	}
+	return out
+}
+
+// HeadersFromWire converts messages to headers.
+func HeadersFromWire(hs []*kqwire.Header) []kqanswer.Header {
+	out := make([]kqanswer.Header, 0, len(hs))
+	for _, h := range hs {
+		out = append(out, kqanswer.Header{Name: h.Name, Values: h.Values})
+	}
+	return out
+}
+
+// PartToWire converts a part to its message.
+func PartToWire(callID string, p kqanswer.Piece, l kqadmit.Load) *kqwire.CallPart {
+	m := &kqwire.CallPart{CallId: callID}
+	if p.Chunk == nil && l.Slots > 0 {
+		m.Load = LoadToWire(l)
+	}
+	switch {
+	case p.Head != nil:
+		m.Part = &kqwire.CallPart_Head{Head: &kqwire.AnswerHead{Status: int32(p.Head.Status), Headers: HeadersToWire(p.Head.Headers)}}
+	case p.Failure != nil && p.Failure.Code.NotRun():
+		m.Part = &kqwire.CallPart_Refusal{Refusal: &kqwire.Refusal{Code: uint32(p.Failure.Code), Reason: p.Failure.Reason,
+			RetryAfter: int64(p.Failure.RetryAfter)}}
+	case p.Failure != nil:
+		m.Part = &kqwire.CallPart_End{End: &kqwire.AnswerEnd{Code: uint32(p.Failure.Code), Reason: p.Failure.Reason}}
+	case p.End:
+		m.Part = &kqwire.CallPart_End{End: &kqwire.AnswerEnd{Size: p.Size}}
+	default:
+		m.Part = &kqwire.CallPart_Chunk{Chunk: p.Chunk}
+	}
+	return m
+}
+
+// PartFromWire converts a message to a part.
+func PartFromWire(m *kqwire.CallPart) kqcaller.Part {
+	p := kqcaller.Part{CallID: m.CallId}
+	if m.Load != nil {
+		p.Load, p.HasLoad = LoadFromWire(m.Load), true
+	}
+	switch x := m.Part.(type) {
+	case *kqwire.CallPart_Head:
+		p.Piece.Head = &kqanswer.Head{Status: int(x.Head.Status), Headers: HeadersFromWire(x.Head.Headers)}
+	case *kqwire.CallPart_Refusal:
+		p.Refusal = &kqresult.Error{Code: kqresult.Code(x.Refusal.Code), Reason: x.Refusal.Reason,
+			RetryAfter: time.Duration(x.Refusal.RetryAfter)}
+	case *kqwire.CallPart_Chunk:
+		p.Piece.Chunk = x.Chunk
+	case *kqwire.CallPart_End:
+		if x.End.Code != 0 {
+			p.Piece.Failure = &kqresult.Error{Code: kqresult.Code(x.End.Code), Reason: x.End.Reason}
+			break
+		}
+		p.Piece.End, p.Piece.Size = true, x.End.Size
+	}
+	return p
+}
+
+// LoadToWire converts a load to its message.
+func LoadToWire(l kqadmit.Load) *kqwire.Load {
+	return &kqwire.Load{Running: uint32(l.Running), Queued: uint32(l.Queued), Slots: uint32(l.Slots), ServiceTime: int64(l.ServiceTime)}
+}
+
+// LoadFromWire converts a message to a load.
+func LoadFromWire(l *kqwire.Load) kqadmit.Load {
+	return kqadmit.Load{Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
+		ServiceTime: time.Duration(l.GetServiceTime())}
+}
--- /dev/null
+++ b/internal/call/kqroute/table.go
@@ -0,0 +1,435 @@
+package kqroute
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqadmit"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+)
+
+const (
+	// LivenessBound is how long an unheard agent stays in the choice.
+	LivenessBound = 2500 * time.Millisecond
+	// leaveBound is after which a call to a leaving endpoint is a breach.
+	leaveBound = 3 * time.Second
+	// rampTime is how long a restored endpoint takes to get all its slots.
+	rampTime = 5 * time.Second
+	// sameSpeedTenths is the ratio to the median, in tenths, within which
+	// endpoints count as equally fast.
+	sameSpeedTenths = 14
+	// probes is how many endpoints are compared for a call.
+	probes = 12
+	// nearLoadPercent is the use of slots below which a near endpoint is
+	// preferred.
+	nearLoadPercent = 75
+	// shortestRetryAfter and longestRetryAfter bound the advice to a caller.
+	shortestRetryAfter = 50 * time.Millisecond
+	longestRetryAfter  = 2 * time.Second
+)
+
+// Policy orders the candidates for a call.
+type Policy string
+
+// Policies. All but PolicyExpected are baselines for the bench.
+const (
+	PolicyExpected      Policy = "expected"
+	PolicyRandom        Policy = "random"
+	PolicyRoundRobin    Policy = "round_robin"
+	PolicyLeastInFlight Policy = "least_in_flight"
+)
+
+// Config sets up a Table.
+type Config struct {
+	// Zone is the entry's own availability zone.
+	Zone string
+	// FarDelay is the extra time of a call to another availability zone.
+	FarDelay time.Duration
+	// Seed draws the candidates.
+	Seed uint64
+	// Policy orders the candidates; empty means PolicyExpected.
+	Policy Policy
+	// Counter receives breaches; nil counts none.
+	Counter *kqinvariant.Counter
+	// Notice is told of changes of endpoints; nil is told nothing.
+	Notice func(now time.Time, c Change)
+}
+
+// Change is a change of an endpoint that operators may ask about.
+type Change struct {
+	// Kind is announced, leaving, gone, ejected or restored.
+	Kind ChangeKind
+	// Worker is the host of the endpoint.
+	Worker string
+	// Endpoint names the endpoint.
+	Endpoint string
+	// Reason says why.
+	Reason string
+}
+
+// ChangeKind is the sort of a Change.
+type ChangeKind int
+
+// Kinds of changes.
+const (
+	ChangeAnnounced ChangeKind = iota
+	ChangeLeaving
+	ChangeGone
+	ChangeEjected
+	ChangeRestored
+)
+
+// Ref names an endpoint of one agent process.
+type Ref struct {
+	// Agent is the agent's address.
+	Agent netip.AddrPort
+	// Boot is the agent process.
+	Boot string
+	// Endpoint is the endpoint's name.
+	Endpoint string
+}
+
+// Pick is a chosen endpoint.
+type Pick struct {
+	// Ref names it.
+	Ref Ref
+	// Worker is its host.
+	Worker string
+	// Wait is the expected time in the queue.
+	Wait time.Duration
+	// Service is the expected time in the endpoint.
+	Service time.Duration
+	// Probe is true if the call tests an endpoint that was ejected.
+	Probe bool
+}
+
+// Request is a call to be routed.
+type Request struct {
+	// Class is the class of the call.
+	Class string
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Target is the class's latency target; 0 means none.
+	Target time.Duration
+	// Exclude is the endpoints already tried.
+	Exclude []Ref
+	// Idle asks for an endpoint with a free slot.
+	Idle bool
+	// MayProbe is true if the call may test an ejected endpoint.
+	MayProbe bool
+}
+
+// group is the endpoints of one class.
+type group struct {
+	targets []*target
+	median  time.Duration
+	turn    int
+}
+
+// Table is the endpoints known to one entry. It is not safe for concurrent
+// use.
+type Table struct {
+	config  Config
+	rng     *rand.Rand
+	targets map[Ref]*target
+	groups  map[string]*group
+}
+
+// New returns an empty Table.
+func New(c Config) *Table {
+	if c.Policy == "" {
+		c.Policy = PolicyExpected
+	}
+	return &Table{config: c, rng: rand.New(rand.NewPCG(c.Seed, c.Seed)),
+		targets: map[Ref]*target{}, groups: map[string]*group{}}
+}
+
+func (t *Table) notice(now time.Time, k ChangeKind, x *target, reason string) {
+	if t.config.Notice != nil {
+		t.config.Notice(now, Change{Kind: k, Worker: x.worker, Endpoint: x.endpoint.ID, Reason: reason})
+	}
+}
+
+// Announce takes over what an agent says; endpoints it no longer names and
+// those of its earlier processes are dropped.
+func (t *Table) Announce(now time.Time, a Announcement) {
+	named := map[Ref]bool{}
+	for _, e := range a.Endpoints {
+		e.Leaving = e.Leaving || a.Draining
+		r := Ref{a.Address, a.Boot, e.ID}
+		named[r] = true
+		t.announceOne(now, a, r, e)
+	}
+	for r, x := range t.targets {
+		if x.worker == a.Worker && !named[r] {
+			t.remove(now, r, "the agent no longer names it")
+		}
+	}
+	t.index()
+}
+
+func (t *Table) announceOne(now time.Time, a Announcement, r Ref, e Endpoint) {
+	x, known := t.targets[r]
+	if !known {
+		x = newTarget(now)
+		t.targets[r] = x
+	}
+	x.worker, x.boot, x.address, x.zone, x.heardAt = a.Worker, a.Boot, a.Address, a.Zone, now
+	x.endpoint = e
+	x.learn(e.Load)
+	if !known {
+		t.notice(now, ChangeAnnounced, x, "announced by its agent")
+	}
+	switch {
+	case e.Leaving && x.step(eventLeave):
+		x.leftAt = now
+		t.notice(now, ChangeLeaving, x, "announced as leaving")
+	case !e.Leaving && x.state == stateLeaving:
+		x.state = chart.Initial()
+	}
+}
+
+func (t *Table) remove(now time.Time, r Ref, reason string) {
+	t.notice(now, ChangeGone, t.targets[r], reason)
+	delete(t.targets, r)
+}
+
+// index lists the targets of each class in a fixed order.
+func (t *Table) index() {
+	groups := map[string]*group{}
+	for _, x := range t.targets {
+		for _, c := range x.endpoint.Classes {
+			g := groups[c]
+			if g == nil {
+				g = &group{}
+				groups[c] = g
+			}
+			g.targets = append(g.targets, x)
+		}
+	}
+	for c, g := range groups {
+		slices.SortFunc(g.targets, func(a, b *target) int { return a.compare(b) })
+		g.median = medianService(g.targets)
+		if old := t.groups[c]; old != nil {
+			g.turn = old.turn
+		}
+	}
+	t.groups = groups
+}
+
+func (t *target) compare(o *target) int {
+	if t.worker != o.worker {
+		if t.worker < o.worker {
+			return -1
+		}
+		return 1
+	}
+	if t.endpoint.ID < o.endpoint.ID {
+		return -1
+	}
+	return 1
+}
+
+func medianService(ts []*target) time.Duration {
+	s := make([]time.Duration, 0, len(ts))
+	for _, x := range ts {
+		s = append(s, x.endpoint.Load.ServiceTime)
+	}
+	slices.Sort(s)
+	return s[len(s)/2]
+}
+
+// Tick drops the agents not heard within the liveness bound.
+func (t *Table) Tick(now time.Time) {
+	changed := false
+	for r, x := range t.targets {
+		if now.Sub(x.heardAt) > LivenessBound {
+			t.remove(now, r, "its agent was not heard for "+now.Sub(x.heardAt).Round(time.Millisecond).String())
+			changed = true
+		}
+	}
+	if changed {
+		t.index()
+	}
+}
+
+// Choose picks an endpoint, or says why the call cannot run now.
+func (t *Table) Choose(now time.Time, r Request) (Pick, *kqresult.Error) {
+	g := t.groups[r.Class]
+	if g == nil {
+		return Pick{}, kqresult.Errorf(kqresult.NotRunNoEndpoint, "no endpoint of class %q is known", r.Class).After(longestRetryAfter)
+	}
+	if r.MayProbe {
+		if p, ok := t.probe(now, g); ok {
+			return p, nil
+		}
+	}
+	best, found := t.best(now, g, r)
+	if !found {
+		return Pick{}, kqresult.Errorf(kqresult.NotRunNoEndpoint, "no endpoint of class %q takes calls", r.Class).After(t.jitter(shortestRetryAfter * 4))
+	}
+	if e := t.tooLate(now, best, r); e != nil {
+		return Pick{}, e
+	}
+	return best, nil
+}
+
+// tooLate says why even the best choice would miss the deadline or the target.
+func (t *Table) tooLate(now time.Time, p Pick, r Request) *kqresult.Error {
+	if t.config.Policy != PolicyExpected || p.Wait == 0 {
+		return nil
+	}
+	after := t.jitter(p.Wait)
+	if now.Add(p.Wait + p.Service).After(r.Deadline) {
+		return kqresult.Errorf(kqresult.NotRunDeadline, "the shortest wait would be %s, past the deadline", p.Wait.Round(time.Millisecond)).After(after)
+	}
+	if r.Target > 0 && p.Wait+p.Service > r.Target {
+		return kqresult.Errorf(kqresult.NotRunOverloaded, "the shortest wait would be %s, past the target of %s", p.Wait.Round(time.Millisecond), r.Target).After(after)
+	}
+	return nil
+}
+
+// jitter spreads the callers that were refused together over one to two times
+// the wait.
+func (t *Table) jitter(d time.Duration) time.Duration {
+	d += time.Duration(t.rng.Int64N(int64(d) + 1))
+	return min(max(d, shortestRetryAfter), longestRetryAfter)
+}
+
+// best compares some candidates by the policy.
+func (t *Table) best(now time.Time, g *group, r Request) (Pick, bool) {
+	n := len(g.targets)
+	var best Pick
+	bestCost, found := time.Duration(0), false
+	count := t.candidates(n)
+	first := t.first(g, n)
+	for i := range count {
+		x := g.targets[(first+i)%n]
+		if n > probes && t.config.Policy == PolicyExpected {
+			x = g.targets[t.rng.IntN(n)]
+		}
+		if !x.takes(r) {
+			continue
+		}
+		p, cost := t.cost(now, g, x)
+		if r.Idle && p.Wait > 0 {
+			continue
+		}
+		if !found || cost < bestCost {
+			best, bestCost, found = p, cost, true
+		}
+		if found && t.firstFits() {
+			break
+		}
+	}
+	return best, found
+}
+
+func (t *Table) firstFits() bool {
+	return t.config.Policy == PolicyRandom || t.config.Policy == PolicyRoundRobin
+}
+
+func (t *Table) candidates(n int) int {
+	if t.config.Policy == PolicyExpected && n > probes {
+		return probes * 2
+	}
+	return n
+}
+
+// first returns where the search begins: at a random place, or in turn.
+func (t *Table) first(g *group, n int) int {
+	if t.config.Policy == PolicyRoundRobin {
+		g.turn++
+		return g.turn % n
+	}
+	return t.rng.IntN(n)
+}
+
+// takes reports whether the target may get the call.
+func (t *target) takes(r Request) bool {
+	if t.state != stateReady || t.open() >= t.endpoint.Connections {
+		return false
+	}
+	return !slices.Contains(r.Exclude, t.ref())
+}
+
+func (t *target) ref() Ref { return Ref{t.address, t.boot, t.endpoint.ID} }
+
+// cost estimates when the call would be answered, plus a charge for a far
+// endpoint while a near one is not busy.
+func (t *Table) cost(now time.Time, g *group, x *target) (Pick, time.Duration) {
+	s := x.service(g.median)
+	w := x.wait(now, s)
+	p := Pick{Ref: x.ref(), Worker: x.worker, Wait: w, Service: s}
+	if t.config.Policy == PolicyLeastInFlight {
+		return p, time.Duration(x.own)
+	}
+	c := s + w
+	if x.zone != t.config.Zone {
+		c += t.config.FarDelay
+	} else if x.open()*100 >= x.slots(now)*nearLoadPercent {
+		c += t.config.FarDelay
+	}
+	// A small charge for use spreads equal choices over the slots.
+	return p, c + s*time.Duration(x.open())/time.Duration(useCharge*x.slots(now))
+}
+
+// useCharge is the share of the service time, as a divisor, that a fully used
+// endpoint is charged.
+const useCharge = 16
+
+// Begin counts a call sent to an endpoint.
+func (t *Table) Begin(now time.Time, r Ref) {
+	x, ok := t.targets[r]
+	if !ok {
+		return
+	}
+	x.own++
+	t.config.Counter.Check(x.leftAt.IsZero() || x.state != stateLeaving || now.Sub(x.leftAt) < leaveBound,
+		kqinvariant.CallToLeaving, "%s has been leaving for %s", r.Endpoint, now.Sub(x.leftAt))
+}
+
+// Learn takes over a load report that came with an answer.
+func (t *Table) Learn(r Ref, l kqadmit.Load) {
+	if x, ok := t.targets[r]; ok {
+		x.learn(l)
+	}
+}
+
+// View is what the entry knows of an endpoint, for operators.
+type View struct {
+	// Worker is the host.
+	Worker string `json:"worker"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// Endpoint is the name.
+	Endpoint string `json:"endpoint"`
+	// Classes is what it answers.
+	Classes []string `json:"classes"`
+	// State is a state of the endpoint chart.
+	State string `json:"state"`
+	// Open is the calls open as far as known.
+	Open int `json:"open"`
+	// Slots is how many run at one time.
+	Slots int `json:"slots"`
+	// ServiceSeconds is the smoothed time of a call.
+	ServiceSeconds float64 `json:"service_seconds"`
+}
+
+// Views lists every known endpoint in order.
+func (t *Table) Views() []View {
+	var xs []*target
+	for _, x := range t.targets {
+		xs = append(xs, x)
+	}
+	slices.SortFunc(xs, func(a, b *target) int { return a.compare(b) })
+	var out []View
+	for _, x := range xs {
+		out = append(out, View{x.worker, x.zone, x.endpoint.ID, x.endpoint.Classes, x.state, x.open(),
+			x.endpoint.Load.Slots, x.endpoint.Load.ServiceTime.Seconds()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cell/kqcell/worker.go
@@ -0,0 +1,237 @@
+package kqcell
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqhealth"
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqruntime"
+)
+
+// Pressure is how a service on a worker does against its target.
+type Pressure struct {
+	// Class is the class of service.
+	Class string
+	// Slowdown is the measured stretch of its calls: 0.2 is a fifth.
+	Slowdown float64
+	// Pressed is true if the service misses its target.
+	Pressed bool
+	// Calls is how many calls were measured.
+	Calls int
+}
+
+// Heartbeat is what an agent tells the owner of its cell.
+type Heartbeat struct {
+	// Worker is the agent's host.
+	Worker kqmodel.Worker
+	// AgentBoot names the agent process.
+	AgentBoot string
+	// HostBoot names the boot of the host.
+	HostBoot string
+	// Draining is true if the worker takes no new tasks.
+	Draining bool
+	// Full is true if Tasks is the whole inventory; otherwise it is unchanged.
+	Full bool
+	// Tasks is the attempts on the worker.
+	Tasks []kqruntime.Report
+	// Pressures is how the services on the worker do.
+	Pressures []Pressure
+	// Services is the classes of service on the worker.
+	Services []string
+	// OrdersSeen is the version of the orders that the agent follows.
+	OrdersSeen uint64
+}
+
+// Reply is the owner's answer to a Heartbeat.
+type Reply struct {
+	// Epoch is the owner's epoch.
+	Epoch uint64
+	// Version is the version of the orders.
+	Version uint64
+	// Changed is true if Orders is given.
+	Changed bool
+	// Orders is every attempt that the owner wants on the worker.
+	Orders []kqruntime.Order
+	// Members is the workers heard of late.
+	Members []Member
+	// LeaseLeft is how long the leases last from when the agent asked.
+	LeaseLeft time.Duration
+	// NeedFull asks for the whole inventory.
+	NeedFull bool
+	// StoreAge is how long the owner has not heard from the table.
+	StoreAge time.Duration
+}
+
+// Member is a worker of the cell.
+type Member struct {
+	// ID names the worker.
+	ID string
+	// Address is where its agent listens.
+	Address netip.AddrPort
+}
+
+// worker is what the owner knows of a worker.
+type worker struct {
+	id          string
+	info        kqmodel.Worker
+	agentBoot   string
+	hostBoot    string
+	registered  bool
+	draining    bool
+	heardAt     time.Time
+	grantedTill time.Time
+	reports     map[kqmodel.AttemptID]kqruntime.Report
+	services    []string
+	pressed     bool
+	version     uint64
+	ordersSeen  uint64
+	health      kqhealth.Worker
+}
+
+const memberSilence = 5 * time.Second
+
+// Heartbeat takes over what an agent says and returns what the owner wants of
+// it. A lease is granted from now on, as far as the ownership is confirmed.
+func (k *Cell) Heartbeat(now time.Time, h Heartbeat) Reply {
+	w := k.workers[h.Worker.ID]
+	if w == nil {
+		w = &worker{id: h.Worker.ID, version: 1}
+		k.workers[h.Worker.ID] = w
+	}
+	fresh := !w.registered || w.agentBoot != h.AgentBoot || w.hostBoot != h.HostBoot
+	if fresh && !h.Full {
+		return Reply{Epoch: k.row.Epoch, NeedFull: true, StoreAge: now.Sub(k.storeAt)}
+	}
+	k.take(now, w, h)
+	if fresh {
+		w.version++
+		k.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.id), "host boot %s with %d attempts", w.hostBoot, len(w.reports))
+	}
+	left := LeaseTime - now.Sub(k.confirmedAt)
+	w.grantedTill = now.Add(max(0, left))
+	r := Reply{Epoch: k.row.Epoch, Version: w.version, LeaseLeft: max(0, left), Members: k.members(now), StoreAge: now.Sub(k.storeAt)}
+	if h.OrdersSeen != w.version {
+		r.Changed, r.Orders = true, k.orders(w)
+	}
+	return r
+}
+
+func (k *Cell) take(now time.Time, w *worker, h Heartbeat) {
+	w.info, w.agentBoot, w.hostBoot = h.Worker, h.AgentBoot, h.HostBoot
+	w.registered, w.draining, w.heardAt, w.services = true, h.Draining, now, h.Services
+	w.ordersSeen = h.OrdersSeen
+	if h.Full {
+		w.reports = make(map[kqmodel.AttemptID]kqruntime.Report, len(h.Tasks))
+		for _, r := range h.Tasks {
+			w.reports[r.ID] = r
+		}
+		k.measure(w)
+	}
+	w.pressed = false
+	for _, p := range h.Pressures {
+		w.pressed = w.pressed || p.Pressed
+		k.learn(w, p)
+	}
+}
+
+// measure learns sizes from the usage in the reports.
+func (k *Cell) measure(w *worker) {
+	for id, r := range w.reports {
+		j := k.jobs[id.Task.Job]
+		if j != nil && r.Phase == kqruntime.PhaseRunning && r.Throttle == 1 {
+			k.sizes.Use(j.Spec.FamilyName(), j.Spec.Resources, r.Usage)
+		}
+	}
+}
+
+// learn attributes a service's slowdown to the work on its host.
+func (k *Cell) learn(w *worker, p Pressure) {
+	if p.Calls == 0 {
+		return
+	}
+	k.pairs.Learn(p.Class, p.Slowdown, k.present(w))
+}
+
+// present lists the families at work on a worker.
+func (k *Cell) present(w *worker) []kqlearn.Presence {
+	var out []kqlearn.Presence
+	for id, r := range w.reports {
+		j := k.jobs[id.Task.Job]
+		if j == nil || r.Phase != kqruntime.PhaseRunning {
+			continue
+		}
+		out = append(out, kqlearn.Presence{Family: j.Spec.FamilyName(),
+			Processors: float64(j.Spec.Resources.MilliProcessors) / 1000 * r.Throttle})
+	}
+	return out
+}
+
+func (k *Cell) members(now time.Time) []Member {
+	var out []Member
+	for _, w := range k.workers {
+		if w.registered && now.Sub(w.heardAt) < memberSilence {
+			out = append(out, Member{ID: w.id, Address: w.info.Address})
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// goals says what the owner wants of an attempt in each state of the chart.
+var goals = map[string]kqruntime.Goal{
+	stateAssigned:   kqruntime.GoalRun,
+	stateRunning:    kqruntime.GoalRun,
+	stateSuspended:  kqruntime.GoalRun,
+	stateEvicting:   kqruntime.GoalEvict,
+	stateCancelling: kqruntime.GoalStop,
+}
+
+// orders lists every committed attempt on a worker.
+func (k *Cell) orders(w *worker) []kqruntime.Order {
+	var out []kqruntime.Order
+	var sum kqmodel.Resources
+	for _, t := range k.tasks {
+		goal, ok := goals[t.State]
+		if !ok || t.Worker != w.id || t.HostBoot != w.hostBoot {
+			continue
+		}
+		out = append(out, k.order(t, goal, w))
+		sum = sum.Add(t.Reserved)
+	}
+	k.config.Counter.Check(sum.Fits(w.info.Capacity), kqinvariant.CapacityExceeded,
+		"worker %s: %s of %s ordered", w.id, sum, w.info.Capacity)
+	slices.SortFunc(out, func(a, b kqruntime.Order) int { return strings.Compare(a.ID.String(), b.ID.String()) })
+	return out
+}
+
+func (k *Cell) order(t *kqmodel.Task, goal kqruntime.Goal, w *worker) kqruntime.Order {
+	o := kqruntime.Order{ID: t.AttemptID(), Token: k.token(t), Resources: t.Reserved, Checkpoint: t.Checkpoint, Goal: goal, HostBoot: t.HostBoot}
+	j := k.jobs[t.ID.Job]
+	if j == nil {
+		return o
+	}
+	o.RunTime, o.Family, o.Watcher, o.Command = j.Spec.RunTime.Std(), j.Spec.FamilyName(), j.Watcher, j.Spec.Command
+	for _, c := range w.services {
+		o.Interference += k.pairs.PerProcessor(c, o.Family) * float64(j.Spec.Resources.MilliProcessors) / 1000
+	}
+	return o
+}
+
+const tokenAttemptShift = 32
+
+// token orders the orders for a task: by attempt, then by epoch.
+func (k *Cell) token(t *kqmodel.Task) uint64 {
+	return uint64(t.Attempt)<<tokenAttemptShift | k.row.Epoch
+}
+
+// Superseded is the answer of a process that does not own the cell.
+func Superseded(cell string) *kqresult.Error {
+	return kqresult.Errorf(kqresult.NotOwner, "this process does not own %s", cell)
+}
--- /dev/null
+++ b/internal/core/kqevent/catalogue.go
@@ -0,0 +1,128 @@
+// Package kqevent holds the numbered events that the processes log and
+// remember. docs/EVENTS.md is checked against the catalogue.
+package kqevent
+
+// Number identifies a kind of event.
+type Number uint32
+
+// Events of processes and settings (1xx), membership (2xx), calls (3xx),
+// tasks (4xx), ownership and leases (5xx) and configuration (6xx).
+const (
+	ProcessStarted       Number = 101
+	ProcessStopped       Number = 102
+	DrainStarted         Number = 103
+	DrainFinished        Number = 104
+	LoopFailed           Number = 105
+	StoreOut             Number = 110
+	StoreBack            Number = 111
+	EndpointAnnounced    Number = 201
+	EndpointLeaving      Number = 202
+	EndpointGone         Number = 203
+	EndpointEjected      Number = 204
+	EndpointRestored     Number = 205
+	AgentSilent          Number = 206
+	ConnectionReplaced   Number = 207
+	CallRouted           Number = 301
+	CallRefused          Number = 302
+	CallRetried          Number = 303
+	CallHedged           Number = 304
+	CallOutcomeUnknown   Number = 305
+	CallAnswerFetched    Number = 306
+	CallAdmissionRefused Number = 307
+	JobAccepted          Number = 401
+	JobCancelled         Number = 402
+	TaskPlaced           Number = 403
+	TaskStarted          Number = 404
+	TaskFinished         Number = 405
+	TaskFailed           Number = 406
+	TaskEvicted          Number = 407
+	TaskResumed          Number = 408
+	TaskSuspended        Number = 409
+	TaskThrottled        Number = 410
+	TaskWaiting          Number = 411
+	TaskLost             Number = 412
+	CheckpointFailed     Number = 413
+	WorkerQuarantined    Number = 414
+	WorkerRestored       Number = 415
+	TaskStopped          Number = 416
+	OwnerTaken           Number = 501
+	OwnerLost            Number = 502
+	OwnerSilent          Number = 503
+	WorkerRegistered     Number = 504
+	WorkerGivenUp        Number = 505
+	CommitUnknown        Number = 506
+	ClassAccepted        Number = 601
+	ConfigInForce        Number = 602
+	QuotaAccepted        Number = 603
+)
+
+// Info describes an event for operators.
+type Info struct {
+	// Number identifies the event.
+	Number Number
+	// Name is the snake case name.
+	Name string
+	// Meaning says when the event is emitted.
+	Meaning string
+}
+
+// Catalogue lists every event in order of number.
+var Catalogue = []Info{
+	{ProcessStarted, "process_started", "A process has started and serves."},
+	{ProcessStopped, "process_stopped", "A process has ended its work."},
+	{DrainStarted, "drain_started", "A process was told to stop and takes no new work."},
+	{DrainFinished, "drain_finished", "The last work of a stopping process has ended."},
+	{LoopFailed, "loop_failed", "A background loop met an error and goes on."},
+	{StoreOut, "store_out", "The platform's table does not answer."},
+	{StoreBack, "store_back", "The platform's table answers again."},
+	{EndpointAnnounced, "endpoint_announced", "An endpoint is new to this process."},
+	{EndpointLeaving, "endpoint_leaving", "An endpoint gets no new calls from now on."},
+	{EndpointGone, "endpoint_gone", "An endpoint is no longer known."},
+	{EndpointEjected, "endpoint_ejected", "An endpoint fails or is much slower than its peers and is left out."},
+	{EndpointRestored, "endpoint_restored", "An endpoint that was left out answered a probe."},
+	{AgentSilent, "agent_silent", "An agent has not been heard for the liveness bound."},
+	{ConnectionReplaced, "connection_replaced", "A connection went silent and a new one was dialled."},
+	{CallRouted, "call_routed", "A call was sent to an endpoint."},
+	{CallRefused, "call_refused", "A call was refused and did not run."},
+	{CallRetried, "call_retried", "A call that did not run is sent to another endpoint."},
+	{CallHedged, "call_hedged", "A late idempotent call was sent to a second endpoint."},
+	{CallOutcomeUnknown, "call_outcome_unknown", "A dispatched call's answer is lost."},
+	{CallAnswerFetched, "call_answer_fetched", "An answer was fetched again after its connection died."},
+	{CallAdmissionRefused, "call_admission_refused", "An agent refused a call before it reached the endpoint."},
+	{JobAccepted, "job_accepted", "A job is durable."},
+	{JobCancelled, "job_cancelled", "A cancellation of a job is durable."},
+	{TaskPlaced, "task_placed", "An attempt of a task was given to a worker."},
+	{TaskStarted, "task_started", "An attempt runs on its worker."},
+	{TaskFinished, "task_finished", "A task ended well."},
+	{TaskFailed, "task_failed", "An attempt or a whole task failed."},
+	{TaskEvicted, "task_evicted", "A task was taken off its worker after its checkpoint was committed."},
+	{TaskResumed, "task_resumed", "An evicted task was given to a worker with its checkpoint."},
+	{TaskSuspended, "task_suspended", "A task is paused in place."},
+	{TaskThrottled, "task_throttled", "The processor share of a task was changed for a service's sake."},
+	{TaskWaiting, "task_waiting", "A task cannot be placed yet."},
+	{TaskLost, "task_lost", "A worker with a running attempt is gone."},
+	{CheckpointFailed, "checkpoint_failed", "A checkpoint could not be stored."},
+	{WorkerQuarantined, "worker_quarantined", "A worker fails what it starts and gets only probes."},
+	{WorkerRestored, "worker_restored", "A quarantined worker finished a probe."},
+	{TaskStopped, "task_stopped", "A task that is no longer wanted was stopped."},
+	{OwnerTaken, "owner_taken", "This process became the owner of a cell."},
+	{OwnerLost, "owner_lost", "This process is no longer the owner of a cell."},
+	{OwnerSilent, "owner_silent", "The owner of a cell does not answer."},
+	{WorkerRegistered, "worker_registered", "A worker told the owner its inventory."},
+	{WorkerGivenUp, "worker_given_up", "A silent worker's leases have run out."},
+	{CommitUnknown, "commit_unknown", "A write's answer was lost and is being read back."},
+	{ClassAccepted, "class_accepted", "A change of a class was accepted."},
+	{ConfigInForce, "config_in_force", "A configuration sequence is in force in this process."},
+	{QuotaAccepted, "quota_accepted", "A change of a team's quota was accepted."},
+}
+
+var names = func() map[Number]string {
+	m := make(map[Number]string, len(Catalogue))
+	for _, i := range Catalogue {
+		m[i.Number] = i.Name
+	}
+	return m
+}()
+
+// String returns the name of n.
+func (n Number) String() string { return names[n] }
--- /dev/null
+++ b/internal/core/kqmodel/resources.go
@@ -0,0 +1,42 @@
+package kqmodel
+
+import "fmt"
+
+// Resources is an amount of what a worker has.
+type Resources struct {
+	// MilliProcessors is processors in thousandths.
+	MilliProcessors int64 `json:"milli_processors" yaml:"milli_processors"`
+	// MemoryBytes is memory in bytes.
+	MemoryBytes int64 `json:"memory_bytes" yaml:"memory_bytes"`
+	// Accelerators is whole accelerators.
+	Accelerators int64 `json:"accelerators" yaml:"accelerators"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliProcessors + o.MilliProcessors, r.MemoryBytes + o.MemoryBytes, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliProcessors - o.MilliProcessors, r.MemoryBytes - o.MemoryBytes, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r is no more than o in each part.
+func (r Resources) Fits(o Resources) bool {
+	return r.MilliProcessors <= o.MilliProcessors && r.MemoryBytes <= o.MemoryBytes && r.Accelerators <= o.Accelerators
+}
+
+// Negative reports whether any part is below zero.
+func (r Resources) Negative() bool {
+	return r.MilliProcessors < 0 || r.MemoryBytes < 0 || r.Accelerators < 0
+}
+
+// IsZero reports whether every part is zero.
+func (r Resources) IsZero() bool { return r == Resources{} }
+
+// String returns the amount in processors, mebibytes and accelerators.
+func (r Resources) String() string {
+	return fmt.Sprintf("%.2f processors, %d MiB, %d accelerators",
+		float64(r.MilliProcessors)/1000, r.MemoryBytes>>20, r.Accelerators)
+}
--- /dev/null
+++ b/internal/entry/kqentry/operator.go
@@ -0,0 +1,299 @@
+package kqentry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqconfig"
+	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqmember"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqevents"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
+	"github.com/kumquatswitch/kumquatswitch/internal/wire/kqwire"
+)
+
+const (
+	maxConfigBody  = 1 << 20
+	headerAuthor   = "Kq-Author"
+	defaultAuthor  = "unknown"
+	explainTimeout = 2 * time.Second
+)
+
+// routes adds what callers and operators use.
+func (e *Entry) routes(r *bunrouter.Router) {
+	for _, m := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions} {
+		r.Handle(m, "/v1/call/:class/*path", e.serveCall)
+	}
+	r.POST("/v1/jobs", e.postJob)
+	r.GET("/v1/jobs", e.listJobs)
+	r.GET("/v1/jobs/:id", e.getJob)
+	r.DELETE("/v1/jobs/:id", e.cancelJob)
+	r.POST("/v1/config", e.postConfig)
+	r.GET("/v1/config", e.getConfig)
+	r.GET("/v1/config/status", e.configStatus)
+	r.GET("/v1/config/:kind/:name", e.getConfigRow)
+	r.GET("/v1/config/:kind/:name/history", e.configHistory)
+	r.GET("/v1/workers", e.listWorkers)
+	r.GET("/v1/endpoints", e.listEndpoints)
+	r.GET("/v1/status", e.status)
+	r.GET("/v1/explain/:kind/*id", e.explain)
+}
+
+// postConfig serves POST /v1/config: documents that are accepted whole.
+func (e *Entry) postConfig(w http.ResponseWriter, q bunrouter.Request) error {
+	text, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxConfigBody))
+	if err != nil {
+		return kqresult.WriteHTTP(w, kqresult.Errorf(kqresult.TooLarge, "the documents are larger than %d bytes", maxConfigBody))
+	}
+	docs, err := kqconfig.Parse(text)
+	if err != nil {
+		return kqresult.WriteHTTP(w, failure(err))
+	}
+	dryRun, err := boolQuery(q.Request, "dry_run")
+	if err != nil {
+		return kqresult.WriteHTTP(w, failure(err))
+	}
+	if cerr := ifMatch(q.Request, docs); cerr != nil {
+		return kqresult.WriteHTTP(w, cerr)
+	}
+	author := q.Header.Get(headerAuthor)
+	if author == "" {
+		author = defaultAuthor
+	}
+	now := e.config.Now()
+	res, err := e.store.Apply(q.Context(), now, kqconfig.Request{Documents: docs, Author: author, DryRun: dryRun})
+	if err != nil {
+		return kqresult.WriteHTTP(w, failure(err))
+	}
+	if !dryRun {
+		e.accepted(now, res, author)
+	}
+	return writeJSON(w, http.StatusOK, res)
+}
+
+// ifMatch takes the version of a single document from the If-Match header.
+func ifMatch(q *http.Request, docs []kqconfig.Checked) *kqresult.Error {
+	text := q.Header.Get("If-Match")
+	if text == "" {
+		return nil
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || len(docs) != 1 {
+		return kqresult.Errorf(kqresult.BadRequest, "If-Match: %q is no version, or there is more than one document", text)
+	}
+	docs[0].Document.IfVersion = &v
+	return nil
+}
+
+func boolQuery(q *http.Request, name string) (bool, error) {
+	text := q.URL.Query().Get(name)
+	if text == "" {
+		return false, nil
+	}
+	v, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, kqresult.Errorf(kqresult.BadRequest, "%s: %q is neither true nor false", name, text)
+	}
+	return v, nil
+}
+
+// accepted brings a change into force here at once.
+func (e *Entry) accepted(now time.Time, res kqconfig.Result, author string) {
+	for _, c := range res.Changes {
+		if c.Unchanged {
+			continue
+		}
+		n, s := kqevent.ClassAccepted, kqevent.Class(c.Key)
+		if c.After.Quota != nil {
+			n = kqevent.QuotaAccepted
+		} else {
+			s = kqevent.Class(c.After.Class.Name)
+		}
+		e.config.Events.Emit(now, n, s, "%s version %d, sequence %d, by %s", c.Key, c.After.Version, c.After.Sequence, author)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	_ = e.store.Follow(ctx, e.config.Now, e.holder)
+}
+
+// getConfig serves GET /v1/config: everything in force here.
+func (e *Entry) getConfig(w http.ResponseWriter, _ bunrouter.Request) error {
+	return writeJSON(w, http.StatusOK, e.holder.All())
+}
+
+func (e *Entry) getConfigRow(w http.ResponseWriter, q bunrouter.Request) error {
+	a, err := e.store.Get(q.Context(), q.Param("kind")+"/"+q.Param("name"))
+	if err != nil {
+		return kqresult.WriteHTTP(w, failure(err))
+	}
+	return writeJSON(w, http.StatusOK, a)
+}
+
+func (e *Entry) configHistory(w http.ResponseWriter, q bunrouter.Request) error {
+	all, err := e.store.History(q.Context(), q.Param("kind")+"/"+q.Param("name"))
+	if err != nil {
+		return kqresult.WriteHTTP(w, failure(err))
+	}
+	return writeJSON(w, http.StatusOK, all)
+}
+
+// ConfigStatus is how far the configuration has come.
+type ConfigStatus struct {
+	// Lowest is the lowest sequence in force in a live process.
+	Lowest uint64 `json:"lowest_sequence"`
+	// Highest is the highest sequence in force in a live process.
+	Highest uint64 `json:"highest_sequence"`
+	// Slowest names a live process with the lowest sequence.
+	Slowest string `json:"slowest_process"`
+	// Processes is how many processes are live.
+	Processes int `json:"processes"`
+	// MostSeconds is the longest time that a sequence took to be in force
+	// everywhere.
+	MostSeconds float64 `json:"in_force_max_seconds"`
+	// Latest is how the latest sequences spread.
+	Latest []kqmember.InForce `json:"latest"`
+}
+
+func (e *Entry) configStatus(w http.ResponseWriter, _ bunrouter.Request) error {
+	return writeJSON(w, http.StatusOK, e.ConfigStatus(e.config.Now()))
+}
+
+// ConfigStatus returns how far the configuration has come.
+func (e *Entry) ConfigStatus(now time.Time) ConfigStatus {
+	var s ConfigStatus
+	for _, p := range e.roster.Live(now) {
+		if s.Processes == 0 || p.Sequence < s.Lowest {
+			s.Lowest, s.Slowest = p.Sequence, p.ID
+		}
+		s.Highest = max(s.Highest, p.Sequence)
+		s.Processes++
+	}
+	s.Latest, s.MostSeconds = e.roster.Spread()
+	return s
+}
+
+func (e *Entry) listWorkers(w http.ResponseWriter, _ bunrouter.Request) error {
+	out := []kqmember.Process{}
+	for _, p := range e.roster.Live(e.config.Now()) {
+		if !p.Entry {
+			out = append(out, p)
+		}
+	}
+	return writeJSON(w, http.StatusOK, out)
+}
+
+func (e *Entry) listEndpoints(w http.ResponseWriter, _ bunrouter.Request) error {
+	return writeJSON(w, http.StatusOK, e.caller.Views())
+}
+
+// ExplainEvent is one event of an explanation.
+type ExplainEvent struct {
+	// At is when it happened.
+	At time.Time `json:"at"`
+	// Number identifies the kind of event.
+	Number uint32 `json:"event"`
+	// Name is the kind of event.
+	Name string `json:"name"`
+	// Process is who saw it.
+	Process string `json:"process"`
+	// Text gives the reasons.
+	Text string `json:"text"`
+}
+
+// explainKinds is what can be explained.
+var explainKinds = []string{"call", "task", "worker", "class", "process"}
+
+// explain serves GET /v1/explain/:kind/*id: the events of every process about
+// a subject.
+func (e *Entry) explain(w http.ResponseWriter, q bunrouter.Request) error {
+	kind, id := q.Param("kind"), q.Param("id")
+	if !slices.Contains(explainKinds, kind) {
+		return kqresult.WriteHTTP(w, kqresult.Errorf(kqresult.BadRequest, "kind: %q is none of call, task, worker, class, process", kind))
+	}
+	x := &explanation{entry: e, subject: kqevent.Subject{Kind: kind, ID: id}}
+	events := x.gather(q.Context())
+	if len(events) == 0 {
+		return kqresult.WriteHTTP(w, kqresult.Errorf(kqresult.NotFound, "no process remembers an event about %s %q", kind, id))
+	}
+	return writeJSON(w, http.StatusOK, events)
+}
+
+// explanation gathers the events of all processes about a subject.
+type explanation struct {
+	entry   *Entry
+	subject kqevent.Subject
+
+	mu     sync.Mutex
+	events []kqevent.Event
+}
+
+func (x *explanation) add(es []kqevent.Event) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.events = append(x.events, es...)
+}
+
+// question asks one process.
+type question struct {
+	explanation *explanation
+	process     kqmember.Process
+}
+
+func (x *explanation) gather(ctx context.Context) []ExplainEvent {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	x.add(x.entry.config.Events.About(x.subject))
+	var g sync.WaitGroup
+	for _, p := range x.entry.roster.Live(x.entry.config.Now()) {
+		if p.ID == x.entry.config.ID {
+			continue
+		}
+		a := &question{explanation: x, process: p}
+		g.Go(func() { a.run(ctx) })
+	}
+	g.Wait()
+	slices.SortStableFunc(x.events, func(a, b kqevent.Event) int { return a.At.Compare(b.At) })
+	var out []ExplainEvent
+	for i, v := range x.events {
+		if i > 0 && v == x.events[i-1] {
+			continue
+		}
+		out = append(out, ExplainEvent{v.At.UTC(), uint32(v.Number), v.Number.String(), v.Process, v.Text})
+	}
+	return out
+}
+
+func (a *question) run(ctx context.Context) {
+	q := connect.NewRequest(&kqwire.ExplainRequest{Kind: a.explanation.subject.Kind, Id: a.explanation.subject.ID})
+	e := a.explanation.entry
+	if a.process.Entry {
+		client := kqwire.NewEntryServiceClient(http.DefaultClient, kqlink.URL(a.process.Address))
+		if r, err := client.ExplainLocal(ctx, q); err == nil {
+			a.explanation.add(kqevents.FromWire(r.Msg.Events))
+		}
+		return
+	}
+	if r, err := e.pool.Agent(e.config.Now(), a.process.Address).Explain(ctx, q); err == nil {
+		a.explanation.add(kqevents.FromWire(r.Msg.Events))
+	}
+}
+
+// ReadyEndpoints returns how many endpoints take calls.
+func (e *Entry) ReadyEndpoints() int {
+	n := 0
+	for _, v := range e.caller.Views() {
+		if v.State == "ready" {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/host/kqagent/convert.go
@@ -0,0 +1,91 @@
+package kqagent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqremote"
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqcell"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqruntime"
+	"github.com/kumquatswitch/kumquatswitch/internal/wire/kqwire"
+)
+
+func heartbeatToWire(h kqcell.Heartbeat) *kqwire.HeartbeatRequest {
+	q := &kqwire.HeartbeatRequest{WorkerId: h.Worker.ID, AgentBoot: h.AgentBoot, HostBoot: h.HostBoot,
+		Address: h.Worker.Address.String(), Zone: h.Worker.Zone, Rack: h.Worker.Rack,
+		Capacity: kqruntime.ResourcesToWire(h.Worker.Capacity), Draining: h.Draining, OrdersSeen: h.OrdersSeen,
+		Full: h.Full, Services: h.Services}
+	for _, t := range h.Tasks {
+		q.Tasks = append(q.Tasks, kqruntime.ReportToWire(t))
+	}
+	for _, p := range h.Pressures {
+		q.Pressures = append(q.Pressures, &kqwire.Pressure{Class: p.Class, Slowdown: p.Slowdown, Pressed: p.Pressed, Calls: uint32(p.Calls)})
+	}
+	return q
+}
+
+func heartbeatFromWire(q *kqwire.HeartbeatRequest) (kqcell.Heartbeat, error) {
+	address, err := netip.ParseAddrPort(q.Address)
+	if err != nil {
+		return kqcell.Heartbeat{}, kqresult.Errorf(kqresult.BadRequest, "address %q: %v", q.Address, err)
+	}
+	h := kqcell.Heartbeat{AgentBoot: q.AgentBoot, HostBoot: q.HostBoot, Draining: q.Draining, OrdersSeen: q.OrdersSeen,
+		Full: q.Full, Services: q.Services,
+		Worker: kqmodel.Worker{ID: q.WorkerId, Zone: q.Zone, Rack: q.Rack, Address: address, Capacity: kqruntime.ResourcesFromWire(q.Capacity)}}
+	for _, t := range q.Tasks {
+		h.Tasks = append(h.Tasks, kqruntime.ReportFromWire(t))
+	}
+	for _, p := range q.Pressures {
+		h.Pressures = append(h.Pressures, kqcell.Pressure{Class: p.Class, Slowdown: p.Slowdown, Pressed: p.Pressed, Calls: int(p.Calls)})
+	}
+	return h, nil
+}
+
+func replyToWire(r kqcell.Reply) *kqwire.HeartbeatReply {
+	m := &kqwire.HeartbeatReply{Epoch: r.Epoch, OrdersVersion: r.Version, OrdersChanged: r.Changed,
+		LeaseLeft: int64(r.LeaseLeft), NeedFull: r.NeedFull, StoreAge: int64(r.StoreAge)}
+	for _, o := range r.Orders {
+		m.Orders = append(m.Orders, kqruntime.OrderToWire(o))
+	}
+	for _, x := range r.Members {
+		m.Members = append(m.Members, &kqwire.Member{WorkerId: x.ID, Address: x.Address.String()})
+	}
+	return m
+}
+
+func replyFromWire(m *kqwire.HeartbeatReply) (kqcell.Reply, error) {
+	if m.Code != 0 {
+		return kqcell.Reply{}, kqresult.Errorf(kqresult.Code(m.Code), "the heartbeat was refused")
+	}
+	r := kqcell.Reply{Epoch: m.Epoch, Version: m.OrdersVersion, Changed: m.OrdersChanged,
+		LeaseLeft: time.Duration(m.LeaseLeft), NeedFull: m.NeedFull, StoreAge: time.Duration(m.StoreAge)}
+	for _, o := range m.Orders {
+		r.Orders = append(r.Orders, kqruntime.OrderFromWire(o))
+	}
+	for _, x := range m.Members {
+		address, err := netip.ParseAddrPort(x.Address)
+		if err != nil {
+			return r, kqresult.Errorf(kqresult.BadRequest, "address %q: %v", x.Address, err)
+		}
+		r.Members = append(r.Members, kqcell.Member{ID: x.WorkerId, Address: address})
+	}
+	return r, nil
+}
+
+func announcement(a *Agent, row kqcell.Row, inv kqruntime.Inventory, draining bool) *kqwire.AnnounceRequest {
+	q := &kqwire.AnnounceRequest{WorkerId: a.config.Worker, AgentBoot: a.boot, Address: a.address.String(),
+		Zone: a.config.Zone, Rack: a.config.Rack, Draining: draining, Cell: a.cell, Owner: row.Owner, OwnerEpoch: row.Epoch,
+		Capacity: kqruntime.ResourcesToWire(inv.Capacity)}
+	for _, t := range inv.Tasks {
+		if !t.Phase.Ended() {
+			q.Tasks++
+		}
+	}
+	for _, e := range a.dispatcher.Views() {
+		q.Endpoints = append(q.Endpoints, &kqwire.EndpointStatus{EndpointId: e.ID, Classes: e.Classes,
+			Connections: uint32(e.Connections), Leaving: e.Leaving, Load: kqremote.LoadToWire(e.Load)})
+	}
+	return q
+}
--- /dev/null
+++ b/internal/host/kqworker/driver.go
@@ -0,0 +1,261 @@
+package kqworker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqcell"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/host/kqladder"
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqruntime"
+)
+
+const (
+	driveInterval  = 200 * time.Millisecond
+	commandTimeout = 3 * time.Second
+	// usageInterval is between two full reports that nothing else calls for.
+	usageInterval = 5 * time.Second
+)
+
+// Config sets up a Driver.
+type Config struct {
+	// Runtime is the host's task runtime.
+	Runtime kqruntime.Runtime
+	// Services measures the latency-critical classes on the host.
+	Services func(now time.Time) []kqladder.Service
+	// Pressures measures how far services are slowed.
+	Pressures func(now time.Time) []kqcell.Pressure
+	// Worker describes the host; its Capacity is filled in from the runtime.
+	Worker kqmodel.Worker
+	// AgentBoot names the agent process.
+	AgentBoot string
+	// Throttling switches the ladder off if false.
+	Throttling bool
+	// Now is the clock.
+	Now func() time.Time
+	// Events remembers what was decided; may be nil.
+	Events *kqevent.Log
+}
+
+// Driver drives the runtime of one worker.
+type Driver struct {
+	config Config
+	tomb   tomb.Tomb
+
+	mu         sync.Mutex
+	reconciler *Reconciler
+	ladder     kqladder.Ladder
+	inventory  kqruntime.Inventory
+	haveInv    bool
+	reported   []phase
+	reportedAt time.Time
+	draining   bool
+}
+
+// phase is the part of a report whose change calls for a full report.
+type phase struct {
+	id         kqmodel.AttemptID
+	phase      kqruntime.Phase
+	checkpoint string
+}
+
+// Start begins to drive the runtime.
+func Start(c Config) *Driver {
+	d := &Driver{config: c, reconciler: New()}
+	d.tomb.Go(d.loop)
+	return d
+}
+
+// Stop ends the driving; what runs goes on under its lease.
+func (d *Driver) Stop() {
+	d.tomb.Kill(nil)
+	_ = d.tomb.Wait()
+}
+
+// Drain asks the owner to take every task away.
+func (d *Driver) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = true
+}
+
+// Idle reports whether nothing runs that would have to be handed over.
+func (d *Driver) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.inventory.Tasks {
+		if !t.Phase.Ended() {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready reports whether the runtime has answered.
+func (d *Driver) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.haveInv
+}
+
+// Inventory returns the last inventory.
+func (d *Driver) Inventory() kqruntime.Inventory {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inventory
+}
+
+// Report makes the next heartbeat. The inventory is left out where no phase or
+// checkpoint has changed since the last one.
+func (d *Driver) Report(now time.Time, full bool) kqcell.Heartbeat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.config.Worker
+	w.Capacity = d.inventory.Capacity
+	h := kqcell.Heartbeat{Worker: w, AgentBoot: d.config.AgentBoot, HostBoot: d.inventory.HostBoot, Draining: d.draining,
+		OrdersSeen: d.reconciler.Version()}
+	h.Pressures = d.config.Pressures(now)
+	for _, p := range h.Pressures {
+		h.Services = append(h.Services, p.Class)
+	}
+	reports := d.reconciler.Reports(d.inventory)
+	phases := phasesOf(reports)
+	h.Full = full || now.Sub(d.reportedAt) >= usageInterval || !equal(phases, d.reported)
+	if h.Full {
+		h.Tasks, d.reported, d.reportedAt = reports, phases, now
+	}
+	return h
+}
+
+func phasesOf(rs []kqruntime.Report) []phase {
+	out := make([]phase, 0, len(rs))
+	for _, r := range rs {
+		out = append(out, phase{r.ID, r.Phase, r.Checkpoint})
+	}
+	return out
+}
+
+// equal compares two lists as sets; each attempt stands once in a list.
+func equal(a, b []phase) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	seen := make(map[phase]bool, len(a))
+	for _, p := range a {
+		seen[p] = true
+	}
+	for _, p := range b {
+		if !seen[p] {
+			return false
+		}
+	}
+	return true
+}
+
+// Obey takes over the answer of the owner. The lease counts from before the
+// owner was asked.
+func (d *Driver) Obey(_, sent time.Time, r kqcell.Reply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reconciler.Obey(r.Epoch, r.Version, r.Changed, r.Orders, sent.Add(r.LeaseLeft))
+}
+
+func (d *Driver) loop() error {
+	t := time.NewTicker(driveInterval)
+	defer t.Stop()
+	for {
+		d.drive()
+		select {
+		case <-d.tomb.Dying():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// drive carries out one round of commands.
+func (d *Driver) drive() {
+	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), commandTimeout)
+	defer cancel()
+	inv, err := d.config.Runtime.Inventory(ctx)
+	if err != nil {
+		return
+	}
+	now := d.config.Now()
+	d.mu.Lock()
+	if d.haveInv && inv.HostBoot != d.inventory.HostBoot {
+		d.reconciler.Reset()
+	}
+	d.inventory, d.haveInv = inv, true
+	actions := d.reconciler.Plan(now, inv, d.settings(now, inv))
+	d.mu.Unlock()
+	for _, a := range actions {
+		d.carryOut(ctx, a)
+	}
+}
+
+// settings steps the ladder for the batch tasks that run.
+func (d *Driver) settings(now time.Time, inv kqruntime.Inventory) map[kqmodel.AttemptID]kqladder.Setting {
+	if !d.config.Throttling {
+		return nil
+	}
+	var tasks []kqladder.Task
+	for _, t := range inv.Tasks {
+		o, ok := d.reconciler.orders[t.ID]
+		if ok && !o.Watcher && !t.Phase.Ended() {
+			tasks = append(tasks, kqladder.Task{ID: t.ID, Interference: o.Interference,
+				Processors: float64(o.Resources.MilliProcessors) / 1000})
+		}
+	}
+	return d.ladder.Step(now, d.config.Services(now), tasks)
+}
+
+// carryOut gives one command to the runtime.
+func (d *Driver) carryOut(ctx context.Context, a Action) {
+	now := d.config.Now()
+	d.mu.Lock()
+	valid := d.reconciler.Valid(now, a)
+	d.mu.Unlock()
+	if !valid {
+		return
+	}
+	checkpoint, err := d.command(ctx, a)
+	now = d.config.Now()
+	d.mu.Lock()
+	d.reconciler.Done(now, a, checkpoint, err)
+	d.mu.Unlock()
+	d.tell(now, a, err)
+}
+
+func (d *Driver) command(ctx context.Context, a Action) (checkpoint string, err error) {
+	rt, o := d.config.Runtime, a.Order
+	switch a.Kind {
+	case ActionStart:
+		return "", rt.Start(ctx, o, a.Until)
+	case ActionRenew:
+		return "", rt.Renew(ctx, o.ID, o.Token, a.Until)
+	case ActionCheckpoint:
+		return rt.Checkpoint(ctx, o.ID, o.Token)
+	case ActionSuspend:
+		return "", rt.Suspend(ctx, o.ID, o.Token)
+	case ActionThrottle:
+		return "", rt.Throttle(ctx, o.ID, o.Token, a.Share)
+	}
+	return "", rt.Stop(ctx, o.ID, o.Token)
+}
+
+func (d *Driver) tell(now time.Time, a Action, err error) {
+	task := kqevent.Task(a.Order.ID.Task.String())
+	switch {
+	case a.Kind == ActionCheckpoint && err != nil:
+		d.config.Events.Emit(now, kqevent.CheckpointFailed, task, "%v", err)
+	case a.Kind == ActionThrottle && err == nil:
+		d.config.Events.Emit(now, kqevent.TaskThrottled, task, "attempt %d gets %.0f%% of its processors for a service's sake", a.Order.ID.Attempt, a.Share*100)
+	case a.Kind == ActionStop && err == nil:
+		d.config.Events.Emit(now, kqevent.TaskStopped, task, "attempt %d was stopped by order", a.Order.ID.Attempt)
+	}
+}
--- /dev/null
+++ b/internal/plumb/kqserver/server.go
@@ -0,0 +1,106 @@
+// Package kqserver serves HTTP/1.1 and unencrypted HTTP/2 on one address.
+package kqserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	readHeaderTimeout    = 5 * time.Second
+	idleTimeout          = 2 * time.Minute
+	maxHeaderBytes       = 64 << 10
+	maxConcurrentStreams = 4096
+	pingAfter            = 2 * time.Second
+	pingTimeout          = 2 * time.Second
+)
+
+// Config sets up a Server.
+type Config struct {
+	// Listen is the address to serve on; port 0 takes a free one.
+	Listen netip.AddrPort
+}
+
+// Server is an HTTP server. Connections wait from Listen until Serve.
+type Server struct {
+	tomb     tomb.Tomb
+	server   *http.Server
+	listener net.Listener
+}
+
+// Start listens on an address and serves h.
+func Start(listen netip.AddrPort, h http.Handler) (*Server, error) {
+	s, err := Listen(Config{Listen: listen})
+	if err == nil {
+		s.Serve(h)
+	}
+	return s, err
+}
+
+// Listen takes an address without serving yet.
+func Listen(c Config) (*Server, error) {
+	l, err := net.Listen("tcp", c.Listen.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", c.Listen)
+	}
+	var p http.Protocols
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	s := &Server{listener: l, server: &http.Server{
+		Protocols:         &p,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxConcurrentStreams,
+			SendPingTimeout:      pingAfter,
+			PingTimeout:          pingTimeout,
+		},
+	}}
+	return s, nil
+}
+
+// Serve begins to answer requests.
+func (s *Server) Serve(h http.Handler) {
+	s.server.Handler = h
+	s.tomb.Go(s.run)
+}
+
+func (s *Server) run() error {
+	err := s.server.Serve(s.listener)
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// Addr returns the address served.
+func (s *Server) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Drain takes no new connections, waits for open requests and ends.
+func (s *Server) Drain(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.server.Close()
+	}
+	s.tomb.Kill(nil)
+	return err
+}
+
+// Kill ends at once and cuts every connection.
+func (s *Server) Kill() {
+	s.listener.Close()
+	s.server.Close()
+	s.tomb.Kill(nil)
+	if s.server.Handler != nil {
+		_ = s.tomb.Wait()
+	}
+}
--- /dev/null
+++ b/internal/plumb/kqsettings/settings.go
@@ -0,0 +1,186 @@
+// Package kqsettings declares settings that come from flags and environment
+// variables and checks each at start.
+package kqsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+)
+
+const envPrefix = "KUMQUATSWITCH_"
+
+// Setting describes one setting for the documentation.
+type Setting struct {
+	// Name is the flag without dashes.
+	Name string
+	// Env is the environment variable.
+	Env string
+	// Default is the value in force when none is given.
+	Default string
+	// Expected says which values are accepted, with their unit.
+	Expected string
+	// Usage says what the setting does.
+	Usage string
+}
+
+// Set collects the settings of one command.
+type Set struct {
+	flags    *pflag.FlagSet
+	settings []Setting
+	lookup   func(string) (string, bool)
+}
+
+// New returns a Set that adds its flags to a command.
+func New(c *cobra.Command) *Set {
+	return &Set{flags: c.Flags(), lookup: os.LookupEnv}
+}
+
+// EnvName returns the environment variable of a flag.
+func EnvName(flag string) string {
+	return envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Settings lists what was declared.
+func (s *Set) Settings() []Setting { return s.settings }
+
+// value checks a text and stores it.
+type value struct {
+	text     string
+	expected string
+	parse    func(string) error
+}
+
+func (v *value) String() string { return v.text }
+func (v *value) Type() string   { return v.expected }
+func (v *value) Set(t string) error {
+	if err := v.parse(t); err != nil {
+		return fmt.Errorf("expected %s", v.expected)
+	}
+	v.text = t
+	return nil
+}
+
+func (s *Set) add(name, def, expected, usage string, parse func(string) error) {
+	v := &value{text: def, expected: expected, parse: parse}
+	if def != "" {
+		if err := parse(def); err != nil {
+			panic(fmt.Sprintf("setting %s: default %q: %v", name, def, err))
+		}
+	}
+	s.flags.Var(v, name, usage+" ("+EnvName(name)+")")
+	s.settings = append(s.settings, Setting{name, EnvName(name), def, expected, usage})
+}
+
+// Text declares a text setting.
+func (s *Set) Text(p *string, name, def, usage string) {
+	*p = def
+	s.add(name, def, "text", usage, func(t string) error { *p = t; return nil })
+}
+
+// Choice declares a text setting with a closed list of values.
+func (s *Set) Choice(p *string, name, def string, choices []string, usage string) {
+	expected := "one of " + strings.Join(choices, ", ")
+	s.add(name, def, expected, usage, func(t string) error {
+		for _, c := range choices {
+			if c == t {
+				*p = t
+				return nil
+			}
+		}
+		return fmt.Errorf("no such choice")
+	})
+}
+
+// Bool declares a switch.
+func (s *Set) Bool(p *bool, name string, def bool, usage string) {
+	s.add(name, strconv.FormatBool(def), "true or false", usage, func(t string) (err error) {
+		*p, err = strconv.ParseBool(t)
+		return err
+	})
+	s.flags.Lookup(name).NoOptDefVal = "true"
+}
+
+// Int declares a whole number between low and high.
+func (s *Set) Int(p *int, name string, def, low, high int, usage string) {
+	expected := fmt.Sprintf("a whole number from %d to %d", low, high)
+	s.add(name, strconv.Itoa(def), expected, usage, func(t string) error {
+		n, err := strconv.Atoi(t)
+		if err != nil || n < low || n > high {
+			return fmt.Errorf("out of range")
+		}
+		*p = n
+		return nil
+	})
+}
+
+// Duration declares a time span between low and high.
+func (s *Set) Duration(p *time.Duration, name string, def, low, high time.Duration, usage string) {
+	expected := fmt.Sprintf("a duration from %s to %s", low, high)
+	s.add(name, def.String(), expected, usage, func(t string) error {
+		d, err := time.ParseDuration(t)
+		if err != nil || d < low || d > high {
+			return fmt.Errorf("out of range")
+		}
+		*p = d
+		return nil
+	})
+}
+
+// AddrPort declares an IP number with a port.
+func (s *Set) AddrPort(p *netip.AddrPort, name, def, usage string) {
+	s.add(name, def, "an IP number and port such as 127.0.0.1:7000", usage, func(t string) (err error) {
+		*p, err = netip.ParseAddrPort(t)
+		return err
+	})
+}
+
+// AddrPorts declares a list of IP numbers with ports, separated by commas.
+func (s *Set) AddrPorts(p *[]netip.AddrPort, name, def, usage string) {
+	s.add(name, def, "IP numbers and ports separated by commas", usage, func(t string) error {
+		var out []netip.AddrPort
+		for _, part := range strings.Split(t, ",") {
+			a, err := netip.ParseAddrPort(strings.TrimSpace(part))
+			if err != nil {
+				return err
+			}
+			out = append(out, a)
+		}
+		*p = out
+		return nil
+	})
+}
+
+// Load applies the environment to every flag that was not given and reports
+// the first wrong value by name.
+func (s *Set) Load() error {
+	for _, d := range s.settings {
+		t, ok := s.lookup(d.Env)
+		if !ok || s.flags.Changed(d.Name) {
+			continue
+		}
+		if err := s.flags.Lookup(d.Name).Value.Set(t); err != nil {
+			return kqresult.Errorf(kqresult.BadSettings, "%s=%q: %v", d.Env, t, err)
+		}
+	}
+	return nil
+}
+
+// Require reports a setting that must be given and is empty.
+func (s *Set) Require(names ...string) error {
+	for _, n := range names {
+		f := s.flags.Lookup(n)
+		if f.Value.String() == "" {
+			return kqresult.Errorf(kqresult.BadSettings, "--%s (%s) is not set: expected %s", n, EnvName(n), f.Value.Type())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/kqstore/table.go
@@ -0,0 +1,191 @@
+// Package kqstore is the stand-in of the platform's transactional table and
+// object store, in memory.
+package kqstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqtable"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
+	"github.com/kumquatswitch/kumquatswitch/internal/wire/kqwire"
+)
+
+// Counts is how many operations a table has served.
+type Counts struct {
+	// Reads is gets and scans.
+	Reads uint64
+	// Writes is transactions.
+	Writes uint64
+}
+
+// Table is a transactional table in memory.
+type Table struct {
+	// Faults is the switches of this stand-in.
+	Faults *kqfault.Switches
+
+	mu      sync.Mutex
+	rows    map[string]kqtable.Row
+	keys    []string
+	version uint64
+	counts  Counts
+}
+
+// NewTable returns an empty table.
+func NewTable(f *kqfault.Switches) *Table {
+	return &Table{Faults: f, rows: map[string]kqtable.Row{}}
+}
+
+// Seam returns the operations for callers in the same process.
+func (t *Table) Seam() kqtable.Table {
+	return kqtable.Table{Get: t.get, Scan: t.scan, Transact: t.transact}
+}
+
+// Counts returns how many operations were served.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+func (t *Table) get(ctx context.Context, key string) (kqtable.Row, bool, error) {
+	if err := t.Faults.Before(ctx); err != nil {
+		return kqtable.Row{}, false, kqtable.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	r, ok := t.rows[key]
+	return r, ok, nil
+}
+
+func (t *Table) scan(ctx context.Context, prefix, after string, limit int) ([]kqtable.Row, error) {
+	if err := t.Faults.Before(ctx); err != nil {
+		return nil, kqtable.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Reads++
+	from := sort.SearchStrings(t.keys, max(prefix, after))
+	var out []kqtable.Row
+	for _, k := range t.keys[from:] {
+		if !strings.HasPrefix(k, prefix) || len(out) == limit {
+			break
+		}
+		if k > after {
+			out = append(out, t.rows[k])
+		}
+	}
+	return out, nil
+}
+
+func (t *Table) transact(ctx context.Context, x kqtable.Transaction) (kqtable.Outcome, error) {
+	switch err := t.Faults.Before(ctx); err {
+	case nil:
+	case kqfault.ErrDown:
+		return kqtable.Outcome{}, kqtable.ErrUnavailable
+	default:
+		return kqtable.Outcome{}, kqtable.ErrUnknown
+	}
+	o := t.apply(x)
+	if err := t.Faults.After(); err != nil {
+		return kqtable.Outcome{}, kqtable.ErrUnknown
+	}
+	return o, nil
+}
+
+func (t *Table) apply(x kqtable.Transaction) kqtable.Outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts.Writes++
+	for _, c := range x.Conditions {
+		if t.rows[c.Key].Version != c.Version {
+			return kqtable.Outcome{FailedKey: c.Key}
+		}
+	}
+	t.version++
+	for _, w := range x.Writes {
+		if w.Delete {
+			t.remove(w.Key)
+			continue
+		}
+		t.insert(w.Key)
+		t.rows[w.Key] = kqtable.Row{Key: w.Key, Version: t.version, Value: append([]byte(nil), w.Value...)}
+	}
+	return kqtable.Outcome{Committed: true, Version: t.version}
+}
+
+func (t *Table) insert(key string) {
+	if _, ok := t.rows[key]; ok {
+		return
+	}
+	i := sort.SearchStrings(t.keys, key)
+	t.keys = append(t.keys, "")
+	copy(t.keys[i+1:], t.keys[i:])
+	t.keys[i] = key
+}
+
+func (t *Table) remove(key string) {
+	if _, ok := t.rows[key]; !ok {
+		return
+	}
+	delete(t.rows, key)
+	i := sort.SearchStrings(t.keys, key)
+	t.keys = append(t.keys[:i], t.keys[i+1:]...)
+}
+
+// TableService serves a Table over connect.
+type TableService struct {
+	// Table is what is served.
+	Table *Table
+}
+
+// Get serves a read of one row.
+func (s TableService) Get(ctx context.Context, q *connect.Request[kqwire.GetRequest]) (*connect.Response[kqwire.GetReply], error) {
+	r, ok, err := s.Table.get(ctx, q.Msg.Key)
+	if err != nil {
+		return nil, kqfault.Connect(kqfault.ErrDown)
+	}
+	return connect.NewResponse(&kqwire.GetReply{Found: ok, Row: toWire(r)}), nil
+}
+
+// Scan serves a read by prefix.
+func (s TableService) Scan(ctx context.Context, q *connect.Request[kqwire.ScanRequest]) (*connect.Response[kqwire.ScanReply], error) {
+	rows, err := s.Table.scan(ctx, q.Msg.Prefix, q.Msg.After, int(q.Msg.Limit))
+	if err != nil {
+		return nil, kqfault.Connect(kqfault.ErrDown)
+	}
+	out := &kqwire.ScanReply{}
+	for _, r := range rows {
+		out.Rows = append(out.Rows, toWire(r))
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Transact serves a conditional write.
+func (s TableService) Transact(ctx context.Context, q *connect.Request[kqwire.TransactRequest]) (*connect.Response[kqwire.TransactReply], error) {
+	var x kqtable.Transaction
+	for _, c := range q.Msg.Conditions {
+		x.Conditions = append(x.Conditions, kqtable.Condition{Key: c.Key, Version: c.Version})
+	}
+	for _, w := range q.Msg.Writes {
+		x.Writes = append(x.Writes, kqtable.Write{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	o, err := s.Table.transact(ctx, x)
+	switch err {
+	case nil:
+		return connect.NewResponse(&kqwire.TransactReply{Committed: o.Committed, FailedKey: o.FailedKey, Version: o.Version}), nil
+	case kqtable.ErrUnavailable:
+		return nil, kqfault.Connect(kqfault.ErrDown)
+	default:
+		return nil, kqfault.Connect(kqfault.ErrLost)
+	}
+}
+
+func toWire(r kqtable.Row) *kqwire.Row {
+	return &kqwire.Row{Key: r.Key, Version: r.Version, Value: r.Value}
+}
--- /dev/null
+++ b/internal/trial/kqfleet/path_test.go
@@ -0,0 +1,270 @@
+package kqfleet_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqfleet"
+)
+
+var ctx = context.Background()
+
+// small returns a user with a few workers and a slow enough service to be
+// caught in the middle of a call.
+func small(workers int, service time.Duration) kqfleet.User {
+	u, err := kqfleet.FindUser("kaluvi")
+	Expect(err).NotTo(HaveOccurred())
+	u.Workers, u.ServiceTime = workers, service
+	return u
+}
+
+// start starts a fleet and waits until every entry is ready for calls.
+func start(u kqfleet.User, entries int) *kqfleet.Fleet {
+	f, err := kqfleet.Start(kqfleet.Config{Users: []kqfleet.User{u}, Entries: entries, Seed: 1, Relays: true})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Close)
+	Expect(client(f).Apply(ctx, u.Documents())).To(Succeed())
+	Eventually(func() bool {
+		for _, e := range f.Entries() {
+			if !e.Ready() || e.ReadyEndpoints() < u.Workers || e.ConfigSequence() == 0 {
+				return false
+			}
+		}
+		for _, w := range f.Workers {
+			row, _ := w.Agent().Owner()
+			if row.Epoch == 0 || w.Agent().ConfigSequence() == 0 {
+				return false
+			}
+		}
+		return true
+	}).Should(BeTrue())
+	DeferCleanup(func() { Expect(f.Counter.Breaches()).To(BeEmpty()) })
+	return f
+}
+
+func client(f *kqfleet.Fleet) kqclient.Client {
+	return kqclient.Client{Entry: f.Entries()[0].Addr()}
+}
+
+// call sends one call to the first entry.
+func call(f *kqfleet.Fleet, method, path string, header map[string]string, body io.Reader) (*http.Response, error) {
+	q, err := http.NewRequest(method, "http://"+f.Entries()[0].Addr().String()+"/v1/call/lockdesk/"+path, body)
+	Expect(err).NotTo(HaveOccurred())
+	for n, v := range header {
+		q.Header.Set(n, v)
+	}
+	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+}
+
+func read(a *http.Response) string {
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(b)
+}
+
+var _ = Describe("the whole path", Ordered, func() {
+	var f *kqfleet.Fleet
+	BeforeAll(func() { f = start(small(3, 5*time.Millisecond), 2) })
+
+	It("answers a call with body, status and headers whole", func() {
+		a, err := call(f, http.MethodGet, "unlock", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(http.StatusOK))
+		Expect(a.Header.Values("X-Many")).To(Equal([]string{"one", "two"}))
+		Expect(read(a)).To(Equal("done " + a.Header.Get("Kq-Call-Id")))
+	})
+
+	DescribeTable("brings large answers back whole", func(size int) {
+		a, err := call(f, http.MethodGet, fmt.Sprintf("report?bytes=%d", size), nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		body := read(a)
+		Expect(body).To(HaveLen(size))
+		want := sha256.Sum256(bytes.Repeat([]byte("0123456789abcdef"), size/16))
+		Expect(sha256.Sum256([]byte(body))).To(Equal(want))
+	}, Entry("1 MB", 1<<20), Entry("50 MB", 50<<20))
+
+	It("refuses malformed and oversized requests and runs nothing", func() {
+		before := f.Records["kaluvi"].Tally().Started
+		for _, x := range []struct {
+			header map[string]string
+			body   io.Reader
+			status int
+		}{
+			{map[string]string{"Kq-Deadline": "soon"}, nil, http.StatusBadRequest},
+			{map[string]string{"Kq-Idempotent": "perhaps"}, nil, http.StatusBadRequest},
+			{map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, nil, http.StatusBadRequest},
+			{nil, bytes.NewReader(make([]byte, 9<<20)), http.StatusRequestEntityTooLarge},
+		} {
+			a, err := call(f, http.MethodPost, "unlock", x.header, x.body)
+			Expect(err).NotTo(HaveOccurred())
+			a.Body.Close()
+			Expect(a.StatusCode).To(Equal(x.status))
+		}
+		Expect(f.Records["kaluvi"].Tally().Started).To(Equal(before))
+	})
+
+	It("runs a keyed call once and returns its answer to the caller's retry", func() {
+		header := map[string]string{"Idempotency-Key": "charge-17"}
+		first, err := call(f, http.MethodPost, "charge", header, strings.NewReader("7 NAD"))
+		Expect(err).NotTo(HaveOccurred())
+		again, err := call(f, http.MethodPost, "charge", header, strings.NewReader("7 NAD"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(again)).To(Equal(read(first)))
+		other, err := call(f, http.MethodPost, "charge", header, strings.NewReader("9 NAD"))
+		Expect(err).NotTo(HaveOccurred())
+		other.Body.Close()
+		Expect(other.StatusCode).To(Equal(http.StatusConflict))
+		Expect(f.Records["kaluvi"].Tally().RunTwice).To(BeZero())
+	})
+
+	It("refuses a keyed call as not run while the store is out, and answers others", func() {
+		f.Store.Set(kqfault.State{Down: true})
+		DeferCleanup(func() { f.Store.Set(kqfault.State{}) })
+		a, err := call(f, http.MethodPost, "charge", map[string]string{"Idempotency-Key": "charge-18"}, nil)
+		Expect(err).NotTo(HaveOccurred())
+		a.Body.Close()
+		Expect(a.Header.Get("Kq-Result")).To(Equal("105"))
+		Expect(a.Header.Get("Retry-After")).NotTo(BeEmpty())
+		b, err := call(f, http.MethodPost, "charge", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(b)).To(HavePrefix("done "))
+	})
+
+	It("takes a job to its end and refuses what could never run", func() {
+		size := kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}
+		spec := kqmodel.JobSpec{ID: "settle-1", Team: "kaluvi", Class: "night-settlement", Tasks: 6, Resources: size, RunTime: kqmodel.Duration(200 * time.Millisecond)}
+		_, err := client(f).Submit(ctx, spec)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = client(f).Submit(ctx, spec)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() string {
+			v, err := client(f).Job(ctx, "settle-1")
+			Expect(err).NotTo(HaveOccurred())
+			return v.State
+		}).Should(Equal("finished"))
+		spec.Tasks = 7
+		_, err = client(f).Submit(ctx, spec)
+		Expect(code(err)).To(Equal(kqresult.JobDiffers))
+		spec.ID, spec.Resources.MilliProcessors = "huge", 1_000_000
+		_, err = client(f).Submit(ctx, spec)
+		Expect(code(err)).To(Equal(kqresult.NeverFits))
+		Expect(f.Ledger.Tally().RunTwice).To(BeZero())
+	})
+
+	It("tells operators who race which version won", func() {
+		doc := "class: lockdesk\nkind: latency_critical\nlatency: 200ms\npercentile: 99\nif_version: 1\n"
+		Expect(client(f).Apply(ctx, doc)).To(Succeed())
+		err := client(f).Apply(ctx, strings.Replace(doc, "200ms", "100ms", 1))
+		Expect(code(err)).To(Equal(kqresult.VersionConflict))
+		Expect(err.Error()).To(ContainSubstring("version 2 is in force"))
+	})
+})
+
+func code(err error) kqresult.Code {
+	var e *kqresult.Error
+	Expect(errors.As(err, &e)).To(BeTrue(), "%v", err)
+	return e.Code
+}
+
+var _ = Describe("failures on real sockets", func() {
+	It("brings an answer back whole after its connection went silent", func() {
+		f := start(small(2, 300*time.Millisecond), 1)
+		var g sync.WaitGroup
+		var whole atomic.Int32
+		for range 6 {
+			g.Go(func() {
+				defer GinkgoRecover()
+				a, err := call(f, http.MethodPost, "unlock", map[string]string{"Kq-Deadline": "30s"}, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(read(a)).To(Equal("done " + a.Header.Get("Kq-Call-Id")))
+				whole.Add(1)
+			})
+		}
+		Eventually(func() uint64 { return f.Records["kaluvi"].Tally().Started }).Should(BeNumerically(">=", 6))
+		for _, w := range f.Workers {
+			w.Relay().Silence()
+		}
+		g.Wait()
+		Expect(whole.Load()).To(BeEquivalentTo(6))
+		Expect(f.Records["kaluvi"].Tally().RunTwice).To(BeZero())
+	})
+
+	It("never runs a non-idempotent call twice when its agent is killed", func() {
+		f := start(small(2, 300*time.Millisecond), 1)
+		results := make(chan string, 8)
+		for range cap(results) {
+			go func() {
+				a, err := call(f, http.MethodPost, "unlock", map[string]string{"Kq-Deadline": "20s"}, nil)
+				if err != nil {
+					results <- "cut"
+					return
+				}
+				a.Body.Close()
+				results <- a.Header.Get("Kq-Result")
+			}()
+		}
+		Eventually(func() uint64 { return f.Records["kaluvi"].Tally().Started }).Should(BeNumerically(">=", 8))
+		f.Workers[0].KillAgent()
+		for range cap(results) {
+			Expect(<-results).To(BeElementOf("", "201"))
+		}
+		Expect(f.Records["kaluvi"].Tally().RunTwice).To(BeZero())
+		Expect(f.Workers[0].RestartAgent()).To(Succeed())
+	})
+
+	It("cuts off nothing when an entry and an agent are drained", func() {
+		f := start(small(3, 200*time.Millisecond), 2)
+		var g sync.WaitGroup
+		for range 12 {
+			g.Go(func() {
+				defer GinkgoRecover()
+				a, err := call(f, http.MethodPost, "unlock", map[string]string{"Kq-Deadline": "20s"}, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(a.Header.Get("Kq-Result")).To(BeEmpty())
+				Expect(read(a)).To(HavePrefix("done "))
+			})
+		}
+		Eventually(func() uint64 { return f.Records["kaluvi"].Tally().Started }).Should(BeNumerically(">=", 12))
+		Expect(f.Workers[1].Agent().Drain(ctx)).To(Succeed())
+		Expect(f.TakeEntry(0).Drain(ctx)).To(Succeed())
+		g.Wait()
+	})
+
+	It("resumes the work of a host that came back with a new boot, once", func() {
+		f := start(small(3, 5*time.Millisecond), 1)
+		size := kqmodel.Resources{MilliProcessors: 30_000, MemoryBytes: 1 << 30}
+		_, err := client(f).Submit(ctx, kqmodel.JobSpec{ID: "long", Team: "kaluvi", Class: "night-settlement", Tasks: 6, Resources: size, RunTime: kqmodel.Duration(3 * time.Second)})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() uint64 { return f.Ledger.Tally().Starts }).Should(BeNumerically(">=", 6))
+		f.Workers[0].Kill()
+		Expect(f.Workers[0].Boot()).To(Succeed())
+		Eventually(func() string {
+			v, err := client(f).Job(ctx, "long")
+			if err != nil {
+				return err.Error()
+			}
+			return v.State
+		}).Should(Equal("finished"))
+		t := f.Ledger.Tally()
+		Expect(t.RunTwice).To(BeZero())
+		Expect(t.CapacityExceeded).To(BeZero())
+		Expect(t.Finished).To(BeEquivalentTo(6))
+	})
+})
--- /dev/null
+++ b/internal/trial/kqfleet/suite_test.go
@@ -0,0 +1,16 @@
+package kqfleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(60 * time.Second)
+	SetDefaultEventuallyPollingInterval(50 * time.Millisecond)
+	RunSpecs(t, "fleet on loopback")
+}
