--- a/internal/cell/kqcell/cell.go
+++ b/internal/cell/kqcell/cell.go
@@ -78,6 +78,7 @@
 	pairs      kqlearn.Interference
 	waiting    map[string]string
 	planned    *Batch
+	sessions   uint64
 }
 
 // Loaded is what a new owner reads from the table.
@@ -192,3 +193,8 @@
 
 // Waiting returns why a task is not placed, if it waits.
 func (k *Cell) Waiting(id kqmodel.TaskID) string { return k.waiting[id.String()] }
+
+// Reserve returns what is reserved for a task of a family with a declared size.
+func (k *Cell) Reserve(family string, declared kqmodel.Resources) kqmodel.Resources {
+	return k.sizes.Reserve(family, declared, kqmodel.Resources{})
+}
--- a/internal/cell/kqcell/placing.go
+++ b/internal/cell/kqcell/placing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqplace"
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqquota"
@@ -143,9 +144,13 @@
 	p.wait(t, why)
 }
 
-// avoid returns where the task failed before, unless that is everywhere.
+// avoidFor is how long a task stays away from the workers on which it failed.
+const avoidFor = 30 * time.Second
+
+// avoid returns where the task failed before, unless that is everywhere or
+// long ago: the only room may be there.
 func (p *planner) avoid(r *room, t kqmodel.Task) []string {
-	if len(t.FailedOn) >= len(r.workers) {
+	if len(t.FailedOn) >= len(r.workers) || p.now.Sub(t.ChangedAt) > avoidFor {
 		return nil
 	}
 	return t.FailedOn
--- a/internal/cell/kqcell/worker.go
+++ b/internal/cell/kqcell/worker.go
@@ -47,6 +47,10 @@
 	Services []string
 	// OrdersSeen is the version of the orders that the agent follows.
 	OrdersSeen uint64
+	// Session is the session that the owner offered last.
+	Session uint64
+	// Sequence counts the heartbeats of the agent process.
+	Sequence uint64
 }
 
 // Reply is the owner's answer to a Heartbeat.
@@ -65,6 +69,8 @@
 	LeaseLeft time.Duration
 	// NeedFull asks for the whole inventory.
 	NeedFull bool
+	// Session is to be sent with the next heartbeat.
+	Session uint64
 	// StoreAge is how long the owner has not heard from the table.
 	StoreAge time.Duration
 }
@@ -81,8 +87,10 @@
 type worker struct {
 	id          string
 	info        kqmodel.Worker
-	agentBoot   string
 	hostBoot    string
+	session     uint64
+	offered     uint64
+	sequence    uint64
 	registered  bool
 	draining    bool
 	heardAt     time.Time
@@ -95,36 +103,54 @@
 	health      kqhealth.Worker
 }
 
-const memberSilence = 5 * time.Second
+const (
+	memberSilence     = 5 * time.Second
+	versionEpochShift = 32
+)
 
 // Heartbeat takes over what an agent says and returns what the owner wants of
 // it. A lease is granted from now on, as far as the ownership is confirmed.
 func (k *Cell) Heartbeat(now time.Time, h Heartbeat) Reply {
 	w := k.workers[h.Worker.ID]
 	if w == nil {
-		w = &worker{id: h.Worker.ID, version: 1}
+		w = &worker{id: h.Worker.ID}
 		k.workers[h.Worker.ID] = w
 	}
-	fresh := !w.registered || w.agentBoot != h.AgentBoot || w.hostBoot != h.HostBoot
-	if fresh && !h.Full {
-		return Reply{Epoch: k.row.Epoch, NeedFull: true, StoreAge: now.Sub(k.storeAt)}
+	// The version begins with the epoch, so that an agent that followed an
+	// earlier owner never takes its orders for the present ones.
+	w.version = max(w.version, k.row.Epoch<<versionEpochShift)
+	fresh := w.session == 0 || h.Session != w.session
+	if fresh && (h.Session != w.offered || w.offered == 0 || !h.Full) {
+		return k.offer(now, w)
+	}
+	if fresh || h.Sequence > w.sequence {
+		k.take(now, w, h)
 	}
-	k.take(now, w, h)
 	if fresh {
 		w.version++
 		k.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.id), "host boot %s with %d attempts", w.hostBoot, len(w.reports))
 	}
 	left := LeaseTime - now.Sub(k.confirmedAt)
 	w.grantedTill = now.Add(max(0, left))
-	r := Reply{Epoch: k.row.Epoch, Version: w.version, LeaseLeft: max(0, left), Members: k.members(now), StoreAge: now.Sub(k.storeAt)}
+	r := Reply{Epoch: k.row.Epoch, Session: w.session, Version: w.version, LeaseLeft: max(0, left), Members: k.members(now), StoreAge: now.Sub(k.storeAt)}
 	if h.OrdersSeen != w.version {
 		r.Changed, r.Orders = true, k.orders(w)
 	}
 	return r
 }
 
+// offer begins a new session with a worker. A process joins it by sending it
+// back with its whole inventory, which a delayed heartbeat of an earlier
+// process or boot cannot do; the present session goes on until then.
+func (k *Cell) offer(now time.Time, w *worker) Reply {
+	k.sessions++
+	w.offered = k.row.Epoch<<versionEpochShift | k.sessions
+	return Reply{Epoch: k.row.Epoch, NeedFull: true, Session: w.offered, StoreAge: now.Sub(k.storeAt)}
+}
+
 func (k *Cell) take(now time.Time, w *worker, h Heartbeat) {
-	w.info, w.agentBoot, w.hostBoot = h.Worker, h.AgentBoot, h.HostBoot
+	w.info, w.hostBoot = h.Worker, h.HostBoot
+	w.session, w.sequence = h.Session, h.Sequence
 	w.registered, w.draining, w.heardAt, w.services = true, h.Draining, now, h.Services
 	w.ordersSeen = h.OrdersSeen
 	if h.Full {
@@ -217,6 +243,7 @@
 	if j == nil {
 		return o
 	}
+	o.Declared = j.Spec.Resources
 	o.RunTime, o.Family, o.Watcher, o.Command = j.Spec.RunTime.Std(), j.Spec.FamilyName(), j.Watcher, j.Spec.Command
 	for _, c := range w.services {
 		o.Interference += k.pairs.PerProcessor(c, o.Family) * float64(j.Spec.Resources.MilliProcessors) / 1000
--- a/internal/cell/kqlearn/size.go
+++ b/internal/cell/kqlearn/size.go
@@ -91,6 +91,18 @@
 	return r
 }
 
+// rightWithin is the use, as a share of the declared size, up to which the
+// declared size stands.
+const rightWithin = 1.02
+
+// wanted is the share of the declared size that the largest use calls for.
+func (r ratio) wanted() float64 {
+	if w := r.most * headroom; w < 1 || r.most > rightWithin {
+		return w
+	}
+	return 1
+}
+
 // corrected moves a declared figure toward the largest measured one with the
 // weight of the observations.
 func corrected(r ratio, declared, most int64) int64 {
@@ -98,7 +110,7 @@
 		return declared
 	}
 	seen := r.weight - priorWeight
-	want := (priorWeight + seen*r.most*headroom) / r.weight
+	want := (priorWeight + seen*r.wanted()) / r.weight
 	v := int64(float64(declared) * want)
 	if most > 0 {
 		v = min(v, max(most, declared))
--- a/internal/cell/kqowner/runner.go
+++ b/internal/cell/kqowner/runner.go
@@ -65,6 +65,9 @@
 	follower *Follower
 	cell     *kqcell.Cell
 	needFull bool
+	session  uint64
+	sequence uint64
+	taking   bool
 }
 
 // Start begins the heartbeats.
@@ -128,12 +131,15 @@
 	r.mu.Lock()
 	row, _, found := r.follower.Owner()
 	local, full := r.cell != nil, r.needFull
+	r.sequence++
+	session, sequence := r.session, r.sequence
 	r.mu.Unlock()
 	if !found && !local {
 		return
 	}
 	sent := r.config.Now()
 	h := r.config.Report(sent, full)
+	h.Session, h.Sequence = session, sequence
 	reply, err := r.send(local, row.Address, sent, h)
 	now := r.config.Now()
 	if err != nil {
@@ -141,7 +147,9 @@
 	}
 	r.mu.Lock()
 	obey := r.follower.Heard(now, reply.Epoch, reply.Members, reply.StoreAge)
-	r.needFull = reply.NeedFull
+	if obey {
+		r.needFull, r.session = reply.NeedFull, reply.Session
+	}
 	r.mu.Unlock()
 	if obey && !reply.NeedFull {
 		r.config.Obey(now, sent, reply)
@@ -169,16 +177,27 @@
 		act = r.next()
 	}
 	if act == ActTake {
-		r.take()
+		r.setTaking(true)
+		r.tomb.Go((&candidacy{runner: r}).run)
 	}
 }
 
+// next asks the follower, unless a candidacy is under way.
 func (r *Runner) next() Action {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.taking {
+		return ActNone
+	}
 	return r.follower.Next(r.config.Now())
 }
 
+func (r *Runner) setTaking(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.taking = on
+}
+
 func (r *Runner) readRow() {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
@@ -194,49 +213,3 @@
 	defer r.mu.Unlock()
 	r.follower.Row(r.config.Now(), owner, row.Version, found)
 }
-
-// take tries to take the ownership and to load the cell.
-func (r *Runner) take() {
-	r.mu.Lock()
-	row, version := r.follower.Candidacy(kqcell.Row{Owner: r.config.Self, Boot: r.config.Boot,
-		Address: r.config.Address, WriteID: kqtable.NewWriteID()})
-	r.mu.Unlock()
-	sent := r.config.Now()
-	key := kqcell.RowKey(r.config.Cell)
-	ctx := r.tomb.Context(context.Background())
-	o, err := r.resolver.Commit(ctx, kqtable.Transaction{
-		Conditions: []kqtable.Condition{{Key: key, Version: version}},
-		Writes:     []kqtable.Write{{Key: key, Value: kqtable.Encode(row)}}}, key)
-	if err != nil || !o.Committed {
-		r.mu.Lock()
-		r.follower.LostRace(r.config.Now())
-		r.mu.Unlock()
-		return
-	}
-	loaded, err := load(ctx, r.config.Table, r.config.Cell)
-	if err != nil {
-		r.mu.Lock()
-		r.follower.LostRace(r.config.Now())
-		r.mu.Unlock()
-		return
-	}
-	loaded.Row, loaded.RowVersion = row, o.Version
-	r.own(sent, loaded)
-}
-
-// own begins to act as the owner.
-func (r *Runner) own(taken time.Time, l kqcell.Loaded) {
-	c := r.config
-	cell := kqcell.New(taken, kqcell.Config{ID: c.Cell, Owner: c.Self, Boot: c.Boot, Address: c.Address, Quota: c.Quota,
-		Interference: c.Interference, Events: c.Events, Counter: c.Counter, NewWriteID: kqtable.NewWriteID}, l)
-	now := c.Now()
-	r.mu.Lock()
-	r.cell = cell
-	r.needFull = true
-	r.follower.Won(now, l.Row, l.RowVersion)
-	r.mu.Unlock()
-	c.Events.Emit(now, kqevent.OwnerTaken, kqevent.Process(c.Self), "%s with epoch %d: %d jobs, %d tasks, %s after the write",
-		c.Cell, l.Row.Epoch, len(l.Jobs), len(l.Tasks), now.Sub(taken).Round(time.Millisecond))
-	t := &tenure{runner: r, cell: cell}
-	r.tomb.Go(t.run)
-}
--- a/internal/host/kqagent/convert.go
+++ b/internal/host/kqagent/convert.go
@@ -16,7 +16,7 @@
 	q := &kqwire.HeartbeatRequest{WorkerId: h.Worker.ID, AgentBoot: h.AgentBoot, HostBoot: h.HostBoot,
 		Address: h.Worker.Address.String(), Zone: h.Worker.Zone, Rack: h.Worker.Rack,
 		Capacity: kqruntime.ResourcesToWire(h.Worker.Capacity), Draining: h.Draining, OrdersSeen: h.OrdersSeen,
-		Full: h.Full, Services: h.Services}
+		Full: h.Full, Services: h.Services, Session: h.Session, Sequence: h.Sequence}
 	for _, t := range h.Tasks {
 		q.Tasks = append(q.Tasks, kqruntime.ReportToWire(t))
 	}
@@ -32,7 +32,7 @@
 		return kqcell.Heartbeat{}, kqresult.Errorf(kqresult.BadRequest, "address %q: %v", q.Address, err)
 	}
 	h := kqcell.Heartbeat{AgentBoot: q.AgentBoot, HostBoot: q.HostBoot, Draining: q.Draining, OrdersSeen: q.OrdersSeen,
-		Full: q.Full, Services: q.Services,
+		Full: q.Full, Services: q.Services, Session: q.Session, Sequence: q.Sequence,
 		Worker: kqmodel.Worker{ID: q.WorkerId, Zone: q.Zone, Rack: q.Rack, Address: address, Capacity: kqruntime.ResourcesFromWire(q.Capacity)}}
 	for _, t := range q.Tasks {
 		h.Tasks = append(h.Tasks, kqruntime.ReportFromWire(t))
@@ -45,7 +45,7 @@
 
 func replyToWire(r kqcell.Reply) *kqwire.HeartbeatReply {
 	m := &kqwire.HeartbeatReply{Epoch: r.Epoch, OrdersVersion: r.Version, OrdersChanged: r.Changed,
-		LeaseLeft: int64(r.LeaseLeft), NeedFull: r.NeedFull, StoreAge: int64(r.StoreAge)}
+		LeaseLeft: int64(r.LeaseLeft), NeedFull: r.NeedFull, StoreAge: int64(r.StoreAge), Session: r.Session}
 	for _, o := range r.Orders {
 		m.Orders = append(m.Orders, kqruntime.OrderToWire(o))
 	}
@@ -60,7 +60,7 @@
 		return kqcell.Reply{}, kqresult.Errorf(kqresult.Code(m.Code), "the heartbeat was refused")
 	}
 	r := kqcell.Reply{Epoch: m.Epoch, Version: m.OrdersVersion, Changed: m.OrdersChanged,
-		LeaseLeft: time.Duration(m.LeaseLeft), NeedFull: m.NeedFull, StoreAge: time.Duration(m.StoreAge)}
+		LeaseLeft: time.Duration(m.LeaseLeft), NeedFull: m.NeedFull, StoreAge: time.Duration(m.StoreAge), Session: m.Session}
 	for _, o := range m.Orders {
 		r.Orders = append(r.Orders, kqruntime.OrderFromWire(o))
 	}
--- a/internal/host/kqworker/driver.go
+++ b/internal/host/kqworker/driver.go
@@ -203,15 +203,7 @@
 	if !d.config.Throttling {
 		return nil
 	}
-	var tasks []kqladder.Task
-	for _, t := range inv.Tasks {
-		o, ok := d.reconciler.orders[t.ID]
-		if ok && !o.Watcher && !t.Phase.Ended() {
-			tasks = append(tasks, kqladder.Task{ID: t.ID, Interference: o.Interference,
-				Processors: float64(o.Resources.MilliProcessors) / 1000})
-		}
-	}
-	return d.ladder.Step(now, d.config.Services(now), tasks)
+	return d.ladder.Step(now, d.config.Services(now), d.reconciler.BatchTasks(inv))
 }
 
 // carryOut gives one command to the runtime.
--- a/internal/host/kqworker/reconciler.go
+++ b/internal/host/kqworker/reconciler.go
@@ -81,7 +81,7 @@
 
 // Obey takes over the orders of an owner whose epoch is the highest seen.
 func (r *Reconciler) Obey(epoch, version uint64, changed bool, orders []kqruntime.Order, leaseUntil time.Time) {
-	if epoch < r.epoch {
+	if epoch < r.epoch || version < r.version {
 		return
 	}
 	if leaseUntil.After(r.leaseUntil) || epoch > r.epoch {
@@ -302,3 +302,16 @@
 	}
 	return rep
 }
+
+// BatchTasks lists the live attempts that a ladder may throttle.
+func (r *Reconciler) BatchTasks(inv kqruntime.Inventory) []kqladder.Task {
+	var out []kqladder.Task
+	for _, t := range inv.Tasks {
+		o, ok := r.orders[t.ID]
+		if ok && !o.Watcher && !t.Phase.Ended() {
+			out = append(out, kqladder.Task{ID: t.ID, Interference: o.Interference,
+				Processors: float64(o.Resources.MilliProcessors) / 1000})
+		}
+	}
+	return out
+}
--- a/internal/platform/kqruntime/convert.go
+++ b/internal/platform/kqruntime/convert.go
@@ -31,14 +31,14 @@
 func OrderToWire(o Order) *kqwire.TaskOrder {
 	return &kqwire.TaskOrder{Key: KeyToWire(o.ID), Token: o.Token, Resources: ResourcesToWire(o.Resources),
 		RunTime: int64(o.RunTime), Family: o.Family, Checkpoint: o.Checkpoint, Watcher: o.Watcher,
-		Command: o.Command, Goal: string(o.Goal), Interference: o.Interference, HostBoot: o.HostBoot}
+		Command: o.Command, Goal: string(o.Goal), Interference: o.Interference, HostBoot: o.HostBoot, Declared: ResourcesToWire(o.Declared)}
 }
 
 // OrderFromWire converts a message to an order.
 func OrderFromWire(o *kqwire.TaskOrder) Order {
 	return Order{ID: KeyFromWire(o.GetKey()), Token: o.GetToken(), Resources: ResourcesFromWire(o.GetResources()),
 		RunTime: time.Duration(o.GetRunTime()), Family: o.GetFamily(), Checkpoint: o.GetCheckpoint(),
-		Watcher: o.GetWatcher(), Command: o.GetCommand(), Goal: Goal(o.GetGoal()), Interference: o.GetInterference(), HostBoot: o.GetHostBoot()}
+		Watcher: o.GetWatcher(), Command: o.GetCommand(), Goal: Goal(o.GetGoal()), Interference: o.GetInterference(), HostBoot: o.GetHostBoot(), Declared: ResourcesFromWire(o.GetDeclared())}
 }
 
 // ReportToWire converts a report to its message.
--- a/internal/platform/kqruntime/runtime.go
+++ b/internal/platform/kqruntime/runtime.go
@@ -51,6 +51,8 @@
 	Token uint64
 	// Resources is the reservation.
 	Resources kqmodel.Resources
+	// Declared is what the job declared for the task.
+	Declared kqmodel.Resources
 	// RunTime is the declared run time.
 	RunTime time.Duration
 	// Family groups tasks that behave alike.
--- /dev/null
+++ b/internal/platform/kqtable/resolver.go
@@ -0,0 +1,125 @@
+package kqtable
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// StepKind is what a Commitment does next.
+type StepKind int
+
+// Kinds of steps.
+const (
+	// StepSend sends the transaction, again or for the first time.
+	StepSend StepKind = iota
+	// StepReadBack reads the marker row.
+	StepReadBack
+	// StepDone ends the commitment.
+	StepDone
+)
+
+// Commitment follows one transaction until its outcome is certain. The
+// transaction must both have a condition on the row Marker and write it with a
+// value that no other write has: then it can be sent again unchanged after a
+// lost answer, since at most one of its copies can find the condition true.
+type Commitment struct {
+	// Transaction is what is sent.
+	Transaction Transaction
+	// Marker is the row that tells the write from others.
+	Marker string
+
+	unsure  bool
+	outcome Outcome
+	err     error
+}
+
+// Unsure reports whether a copy may have taken effect already.
+func (c *Commitment) Unsure() bool { return c.unsure }
+
+// Result returns the outcome after StepDone.
+func (c *Commitment) Result() (Outcome, error) { return c.outcome, c.err }
+
+func (c *Commitment) done(o Outcome, err error) StepKind {
+	c.outcome, c.err = o, err
+	return StepDone
+}
+
+// Sent follows the answer to the transaction.
+func (c *Commitment) Sent(o Outcome, err error) StepKind {
+	switch {
+	case err == nil && (o.Committed || !c.unsure):
+		return c.done(o, nil)
+	case err == nil:
+		return StepReadBack
+	case eris.Is(err, ErrUnknown):
+		c.unsure = true
+	case !c.unsure:
+		return c.done(Outcome{}, err)
+	}
+	return StepSend
+}
+
+// ReadBack follows the marker row: it tells whether an earlier copy is what
+// moved it.
+func (c *Commitment) ReadBack(row Row, found bool, err error) StepKind {
+	if err != nil {
+		return StepReadBack
+	}
+	for _, w := range c.Transaction.Writes {
+		if w.Key == c.Marker && found && bytes.Equal(row.Value, w.Value) {
+			return c.done(Outcome{Committed: true, Version: row.Version}, nil)
+		}
+	}
+	return c.done(Outcome{FailedKey: c.Marker}, nil)
+}
+
+const (
+	tryTimeout = 10 * time.Second
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 2 * time.Second
+)
+
+// Resolver carries commitments to their end.
+type Resolver struct {
+	// Table is where the transactions go.
+	Table Table
+	// Wait pauses between tries; it returns early if ctx ends.
+	Wait func(ctx context.Context, d time.Duration)
+}
+
+// Commit applies t and returns only once its outcome is certain, or ErrUnknown
+// when ctx ends first. See Commitment for what marker must be.
+func (r Resolver) Commit(ctx context.Context, t Transaction, marker string) (Outcome, error) {
+	c := &Commitment{Transaction: t, Marker: marker}
+	step := StepSend
+	for d := retryFirst; ctx.Err() == nil; d = min(2*d, retryMost) {
+		step = r.step(ctx, c, step)
+		if step == StepDone {
+			return c.Result()
+		}
+		if step == StepReadBack {
+			continue
+		}
+		r.Wait(ctx, d)
+	}
+	if !c.Unsure() {
+		return Outcome{}, ErrUnavailable
+	}
+	return Outcome{}, ErrUnknown
+}
+
+func (r Resolver) step(ctx context.Context, c *Commitment, step StepKind) StepKind {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if step == StepReadBack {
+		next := c.ReadBack(r.Table.Get(ctx, c.Marker))
+		if next == StepReadBack {
+			r.Wait(ctx, retryFirst)
+		}
+		return next
+	}
+	return c.Sent(r.Table.Transact(ctx, c.Transaction))
+}
--- a/internal/platform/kqtable/table.go
+++ b/internal/platform/kqtable/table.go
@@ -2,7 +2,6 @@
 package kqtable
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -93,69 +92,6 @@
 	}
 }
 
-// Resolver applies transactions whose answers may be lost.
-type Resolver struct {
-	// Table is where the transactions go.
-	Table Table
-	// Wait pauses between tries; it returns early if ctx ends.
-	Wait func(ctx context.Context, d time.Duration)
-}
-
-const (
-	tryTimeout = 10 * time.Second
-	retryFirst = 50 * time.Millisecond
-	retryMost  = 2 * time.Second
-)
-
-// Commit applies t and returns only once its outcome is certain, or
-// ErrUnknown when ctx ends first. The transaction must both have a condition
-// on the row marker and write it with a value that no other write has: then a
-// transaction whose answer was lost can be sent again unchanged, since at most
-// one of its copies can find the condition true.
-func (r Resolver) Commit(ctx context.Context, t Transaction, marker string) (Outcome, error) {
-	unsure := false
-	for d := retryFirst; ctx.Err() == nil; d = min(2*d, retryMost) {
-		o, err := r.try(ctx, t)
-		switch {
-		case err == nil && (o.Committed || !unsure):
-			return o, nil
-		case err == nil:
-			if o, err = r.readBack(ctx, t, marker); err == nil {
-				return o, nil
-			}
-		case eris.Is(err, ErrUnknown):
-			unsure = true
-		case !unsure:
-			return Outcome{}, err
-		}
-		r.Wait(ctx, d)
-	}
-	if !unsure {
-		return Outcome{}, ErrUnavailable
-	}
-	return Outcome{}, ErrUnknown
-}
-
-func (r Resolver) try(ctx context.Context, t Transaction) (Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
-	defer cancel()
-	return r.Table.Transact(ctx, t)
-}
-
-// readBack tells whether an earlier copy of t is what moved the marker.
-func (r Resolver) readBack(ctx context.Context, t Transaction, marker string) (Outcome, error) {
-	row, found, err := r.Table.Get(ctx, marker)
-	if err != nil {
-		return Outcome{}, err
-	}
-	for _, w := range t.Writes {
-		if w.Key == marker && found && bytes.Equal(row.Value, w.Value) {
-			return Outcome{Committed: true, Version: row.Version}, nil
-		}
-	}
-	return Outcome{FailedKey: marker}, nil
-}
-
 // NewWriteID returns an identifier that no other write has.
 func NewWriteID() string { return uuid.NewString() }
 
--- a/internal/standin/kqhost/host.go
+++ b/internal/standin/kqhost/host.go
@@ -213,7 +213,7 @@
 		startedAt: now, checkpoint: o.Checkpoint,
 		willFail: h.config.Faults.Chance(h.config.Faults.State().FailTasks)}
 	h.tasks[o.ID] = r
-	h.config.Ledger.started(h.config.ID, o.ID, o.Watcher, from)
+	h.config.Ledger.started(h.config.ID, o, from)
 	if !h.used().Fits(h.config.Capacity) {
 		h.config.Ledger.overCapacity()
 	}
@@ -358,7 +358,7 @@
 		return kqmodel.Resources{}
 	}
 	f := factor(h.config.Behaviours[r.order.Family].SizeFactor)
-	d := r.order.Resources
+	d := r.order.Declared
 	return kqmodel.Resources{MilliProcessors: int64(float64(d.MilliProcessors) * f * r.throttle),
 		MemoryBytes: int64(float64(d.MemoryBytes) * f), Accelerators: d.Accelerators}
 }
@@ -372,7 +372,7 @@
 	for _, r := range h.tasks {
 		if r.phase == kqruntime.PhaseRunning {
 			b := h.config.Behaviours[r.order.Family]
-			s += b.Interference[class] * r.throttle * float64(r.order.Resources.MilliProcessors) / 1000
+			s += b.Interference[class] * r.throttle * float64(r.order.Declared.MilliProcessors) / 1000
 		}
 	}
 	return s
--- a/internal/standin/kqhost/ledger.go
+++ b/internal/standin/kqhost/ledger.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqruntime"
 )
 
 // Tally is what really ran on all hosts that share a Ledger.
@@ -31,6 +32,9 @@
 
 // Ledger is the record shared by all hosts of a trial.
 type Ledger struct {
+	// Started is told of each start; may be nil.
+	Started func(host string, o kqruntime.Order)
+
 	mu       sync.Mutex
 	tally    Tally
 	running  map[kqmodel.TaskID]map[string]kqmodel.AttemptID
@@ -59,7 +63,11 @@
 	return l.finished[t]
 }
 
-func (l *Ledger) started(host string, id kqmodel.AttemptID, watcher bool, from float64) {
+func (l *Ledger) started(host string, o kqruntime.Order, from float64) {
+	id, watcher := o.ID, o.Watcher
+	if l.Started != nil {
+		l.Started(host, o)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tally.Starts++
--- /dev/null
+++ b/internal/trial/kqrig/fault_test.go
@@ -0,0 +1,243 @@
+package kqrig_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqhost"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqrig"
+)
+
+func job(id string, tasks uint32, processors int64, run time.Duration) kqmodel.JobSpec {
+	return kqmodel.JobSpec{ID: id, Team: "team-0", Class: "batch", Tasks: tasks, RunTime: kqmodel.Duration(run),
+		Urgency: kqmodel.UrgencyNormal, Resources: kqmodel.Resources{MilliProcessors: processors * 1000, MemoryBytes: 1 << 30}}
+}
+
+// busy returns a rig whose six workers run twelve tasks.
+func busy(seed uint64, run time.Duration) *kqrig.Rig {
+	r := newRig(seed, 6)
+	Expect(r.RunUntil(10*time.Second, func() bool { return r.Owner() != nil })).To(BeTrue())
+	r.Submit(job("busy", 12, 8, run), false)
+	Expect(r.RunUntil(10*time.Second, func() bool { return r.Running() == 12 })).To(BeTrue())
+	return r
+}
+
+var _ = Describe("a single fault", func() {
+	It("of ten minutes without the store stops no running work", func() {
+		r := busy(1, 20*time.Minute)
+		r.Store.Down = true
+		r.Run(10 * time.Minute)
+		Expect(r.Running()).To(Equal(12))
+		r.Store.Down = false
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+		Expect(r.Ledger.Tally().LostProgress).To(BeZero())
+		Expect(r.Ledger.Tally().Starts).To(BeEquivalentTo(12))
+	})
+
+	It("of a store out for longer than a lease suspends work in place and goes on there", func() {
+		r := busy(1, 30*time.Minute)
+		r.Store.Down = true
+		r.Run(20 * time.Minute)
+		Expect(r.Running()).To(BeZero())
+		r.Store.Down = false
+		Expect(r.RunUntil(time.Minute, func() bool { return r.Running() == 12 })).To(BeTrue())
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+		Expect(r.Ledger.Tally().Starts).To(BeEquivalentTo(12))
+	})
+
+	It("of an owner's death leaves the cell without an owner for less than an urgent start", func() {
+		for seed := uint64(1); seed <= 20; seed++ {
+			r := busy(seed, time.Hour)
+			r.Run(time.Duration(seed) * 100 * time.Millisecond)
+			r.Owner().KillAgent()
+			urgent := job("urgent", 1, 1, time.Second)
+			urgent.Urgency = kqmodel.UrgencyUrgent
+			r.Submit(urgent, false)
+			Expect(r.RunUntil(3400*time.Millisecond, func() bool { return len(r.Starts("urgent")) == 1 })).To(BeTrue(), "seed %d", seed)
+			Expect(r.Breaches()).To(BeEmpty())
+		}
+	})
+
+	It("of an owner that sleeps past its lease makes it do nothing when it wakes", func() {
+		r := busy(3, 40*time.Minute)
+		old := r.Owner()
+		old.Pause(20 * time.Minute)
+		r.Run(5 * time.Minute)
+		Expect(r.Owner()).NotTo(Equal(old))
+		r.Submit(job("later", 6, 2, time.Minute), false)
+		r.Run(16 * time.Minute)
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+	})
+
+	It("of two candidates that race leaves one owner", func() {
+		r := busy(4, time.Hour)
+		first := r.Owner()
+		first.KillAgent()
+		r.Network.Loss = 0.5
+		r.Run(30 * time.Second)
+		r.Network.Loss = 0
+		r.Run(10 * time.Second)
+		owners := 0
+		for _, n := range r.Nodes {
+			if n.Owning() {
+				owners++
+			}
+		}
+		Expect(owners).To(Equal(1))
+		Expect(r.Breaches()).To(BeEmpty())
+	})
+
+	It("of a lost answer, at each write there is, neither loses nor doubles anything", func() {
+		for nth := 1; nth <= 60; nth++ {
+			r := newRig(5, 4)
+			r.Store.LoseNth = nth
+			r.Run(5 * time.Second)
+			r.Submit(job("first", 6, 4, 3*time.Second), false)
+			r.Run(2 * time.Second)
+			r.Submit(job("second", 6, 4, 3*time.Second), false)
+			r.Cancel("second")
+			Expect(r.Verdict(settleBound)).To(BeEmpty(), "write %d", nth)
+			Expect(r.Summary("first").Finished).To(Equal(6), "write %d", nth)
+		}
+	})
+
+	It("of an agent's death lets its tasks go on", func() {
+		r := busy(6, 5*time.Minute)
+		for _, n := range r.Nodes {
+			if !n.Owning() {
+				n.KillAgent()
+				r.Run(time.Minute)
+				n.StartAgent()
+			}
+		}
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+		Expect(r.Ledger.Tally().Starts).To(BeEquivalentTo(12))
+	})
+
+	It("of a host's loss resumes its tasks once, when it is back with a new boot", func() {
+		r := busy(7, 10*time.Minute)
+		r.Run(6 * time.Minute)
+		r.Nodes[0].KillHost()
+		r.Run(10 * time.Second)
+		r.Nodes[0].BootHost()
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+		t := r.Ledger.Tally()
+		Expect(t.Starts).To(BeEquivalentTo(14))
+		// The last checkpoint is at most five minutes old.
+		Expect(t.LostProgress).To(BeNumerically("<=", 2*5*60))
+	})
+
+	It("of a host that never comes back gives its tasks up after the lease, and watchers at once", func() {
+		r := busy(8, time.Minute)
+		w := job("watch", 6, 0, 0)
+		w.Resources.MilliProcessors = 100
+		r.Submit(w, true)
+		Expect(r.RunUntil(10*time.Second, func() bool { return r.Running() == 18 })).To(BeTrue())
+		r.Nodes[0].KillHost()
+		Expect(r.RunUntil(20*time.Second, func() bool {
+			for i := range w.Tasks {
+				t, ok := r.Task(kqmodel.TaskID{Job: "watch", Index: i})
+				if !ok || t.Worker == r.Nodes[0].ID() || t.State != "running" {
+					return false
+				}
+			}
+			return true
+		})).To(BeTrue())
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+	})
+
+	It("of a checkpoint that cannot be stored loses no task", func() {
+		r := busy(9, 3*time.Minute)
+		r.ObjectFaults.Set(kqfault.State{Down: true})
+		r.Nodes[1].Drain()
+		r.Run(30 * time.Second)
+		r.ObjectFaults.Set(kqfault.State{})
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+	})
+
+	It("of one worker that fails everything fails no job", func() {
+		r := newRig(10, 6)
+		r.Nodes[2].Faults.Set(kqfault.State{FailTasks: 1})
+		for i := range 20 {
+			r.Submit(job(fmt.Sprintf("job-%d", i), 4, 2, 5*time.Second), false)
+			r.Run(2 * time.Second)
+		}
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+		for i := range 20 {
+			Expect(r.Summary(fmt.Sprintf("job-%d", i)).Finished).To(Equal(4))
+		}
+	})
+
+	It("of a job that fails everywhere is not put down to the workers", func() {
+		r := newRig(11, 6)
+		for _, n := range r.Nodes {
+			n.Faults.Set(kqfault.State{FailTasks: 1})
+		}
+		r.Submit(job("bad", 3, 1, time.Second), false)
+		Expect(r.RunUntil(time.Minute, func() bool { return r.Summary("bad") != nil })).To(BeTrue())
+		Expect(r.Summary("bad").Failed).To(Equal(3))
+		for _, n := range r.Nodes {
+			n.Faults.Set(kqfault.State{})
+		}
+		r.Submit(job("good", 6, 10, time.Second), false)
+		Expect(r.RunUntil(30*time.Second, func() bool { return r.Summary("good") != nil })).To(BeTrue())
+	})
+})
+
+var _ = Describe("cancellations", func() {
+	It("in waves race starts, ends and evictions without a start after the end", func() {
+		r := newRig(12, 6)
+		r.Run(3 * time.Second)
+		for i := range 60 {
+			r.Submit(job(fmt.Sprintf("job-%d", i), 5, 3, 2*time.Second), false)
+			if i%10 == 5 {
+				r.Nodes[i/10%6].Drain()
+			}
+			r.Run(time.Duration(i*37%500) * time.Millisecond)
+			r.Cancel(fmt.Sprintf("job-%d", i*7%(i+1)))
+		}
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("declared sizes that are wrong tenfold", func() {
+	It("are learned, and the work ends", func() {
+		r := kqrig.New(kqrig.Config{Seed: 13, Workers: 4, Capacity: kqmodel.Resources{MilliProcessors: 32_000, MemoryBytes: 64 << 30},
+			Behaviours: map[string]kqhost.Behaviour{"big": {SizeFactor: 10, TimeFactor: 10}, "small": {SizeFactor: 0.1, TimeFactor: 0.1}}})
+		for i := range 12 {
+			b, s := job(fmt.Sprintf("big-%d", i), 4, 1, 3*time.Second), job(fmt.Sprintf("small-%d", i), 4, 16, 60*time.Second)
+			b.Family, s.Family = "big", "small"
+			r.Submit(b, false)
+			r.Submit(s, false)
+			r.Run(10 * time.Second)
+		}
+		Expect(r.Verdict(settleBound)).To(BeEmpty())
+		Expect(r.Reserved("big", kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}).MilliProcessors).To(BeNumerically(">", 8000))
+		Expect(r.Reserved("small", kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 1 << 30}).MilliProcessors).To(BeNumerically("<", 4000))
+	})
+})
+
+var _ = Describe("any two faults together", func() {
+	for i, a := range kqrig.Faults {
+		for _, b := range kqrig.Faults[i:] {
+			It(a.Name+" and "+b.Name, func() {
+				r := busy(uint64(100+i), 2*time.Minute)
+				endA := a.Begin(r)
+				r.Run(3 * time.Second)
+				endB := b.Begin(r)
+				r.Submit(job("during", 6, 2, 10*time.Second), false)
+				r.Run(30 * time.Second)
+				endA()
+				r.Run(2 * time.Second)
+				endB()
+				Expect(r.Verdict(settleBound)).To(BeEmpty())
+				Expect(r.Summary("during").Finished).To(Equal(6))
+			})
+		}
+	}
+})
--- /dev/null
+++ b/internal/trial/kqrig/suite_test.go
@@ -0,0 +1,13 @@
+package kqrig_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRig(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cell in virtual time")
+}
