Orders reach workers as they are committed; takeover within an urgent start

Cause: after an owner's death an urgent task on a full cell was not started within 3.4 s: the ownership row was only watched once the owner was already given up, sessions and orders waited for the next heartbeat, and an eviction took three of them.

Now the row is watched from the first missed heartbeat, owners hold answers back until there is news, phases that change are reported at once, and commits keep a shortest spacing of 400 ms so that writes follow cells.

--- a/internal/cell/kqcell/cell.go
+++ b/internal/cell/kqcell/cell.go
@@ -21,7 +21,10 @@
 	// WatcherGiveUp is after how much silence a watcher is started elsewhere.
 	WatcherGiveUp = 10 * time.Second
 	// RenewInterval is the longest time between two commits of an owner.
-	RenewInterval = 1 * time.Second
+	RenewInterval = 600 * time.Millisecond
+	// CommitSpacing is the shortest time between two commits of an owner, so
+	// that the writes to the table follow the cells and not the starts.
+	CommitSpacing = 400 * time.Millisecond
 	// MaxAttemptFailures is after how many failures a task is given up.
 	MaxAttemptFailures = 5
 )
--- a/internal/cell/kqcell/plan.go
+++ b/internal/cell/kqcell/plan.go
@@ -46,7 +46,7 @@
 // Plan returns the next batch to commit, or nil if there is nothing to write
 // yet. Until the batch is committed, rejected or dropped, no other is planned.
 func (k *Cell) Plan(now time.Time) *Batch {
-	if k.planned != nil {
+	if k.planned != nil || now.Sub(k.confirmedAt) < CommitSpacing {
 		return nil
 	}
 	row := k.row
--- a/internal/cell/kqcell/worker.go
+++ b/internal/cell/kqcell/worker.go
@@ -130,15 +130,37 @@
 		w.version++
 		k.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.id), "host boot %s with %d attempts", w.hostBoot, len(w.reports))
 	}
-	left := LeaseTime - now.Sub(k.confirmedAt)
-	w.grantedTill = now.Add(max(0, left))
-	r := Reply{Epoch: k.row.Epoch, Session: w.session, Version: w.version, LeaseLeft: max(0, left), Members: k.members(now), StoreAge: now.Sub(k.storeAt)}
-	if h.OrdersSeen != w.version {
+	return k.answer(now, w, h.OrdersSeen)
+}
+
+// answer grants a lease and gives the orders, if the agent has older ones.
+func (k *Cell) answer(now time.Time, w *worker, seen uint64) Reply {
+	left := max(0, LeaseTime-now.Sub(k.confirmedAt))
+	w.grantedTill = now.Add(left)
+	r := Reply{Epoch: k.row.Epoch, Session: w.session, Version: w.version, LeaseLeft: left, Members: k.members(now), StoreAge: now.Sub(k.storeAt)}
+	if seen != w.version {
 		r.Changed, r.Orders = true, k.orders(w)
 	}
 	return r
 }
 
+// Later answers a heartbeat that was held back. Where the worker has begun
+// another session since, it is told to ask again.
+func (k *Cell) Later(now time.Time, h Heartbeat) Reply {
+	w := k.workers[h.Worker.ID]
+	if w == nil || w.session != h.Session {
+		return Reply{Epoch: k.row.Epoch, NeedFull: true, Session: h.Session, StoreAge: now.Sub(k.storeAt)}
+	}
+	return k.answer(now, w, h.OrdersSeen)
+}
+
+// Pending reports whether there are orders that the sender of a held heartbeat
+// does not have.
+func (k *Cell) Pending(h Heartbeat) bool {
+	w := k.workers[h.Worker.ID]
+	return w == nil || w.session != h.Session || w.version != h.OrdersSeen
+}
+
 // offer begins a new session with a worker. A process joins it by sending it
 // back with its whole inventory, which a delayed heartbeat of an earlier
 // process or boot cannot do; the present session goes on until then.
--- a/internal/cell/kqowner/follower.go
+++ b/internal/cell/kqowner/follower.go
@@ -14,8 +14,13 @@
 )
 
 const (
+	// ownerDoubt is after how much silence the ownership row is watched.
+	ownerDoubt = 700 * time.Millisecond
 	// ownerSilence is after how much silence an owner may be replaced.
 	ownerSilence = 1200 * time.Millisecond
+	// rowSilence is how long the row must stand still meanwhile; a live owner
+	// moves it more often.
+	rowSilence = 800 * time.Millisecond
 	// storeSilence is how long an owner may be cut off from the table before
 	// others that reach it replace the owner.
 	storeSilence = 6 * time.Second
@@ -123,6 +128,9 @@
 	if !f.read || version != f.version {
 		f.movedAt = now
 	}
+	if row.Epoch != f.row.Epoch {
+		f.heardAt = now
+	}
 	f.row, f.version, f.found, f.read, f.readAt = row, version, found, true, now
 	f.highest = max(f.highest, row.Epoch)
 }
@@ -141,16 +149,22 @@
 	if !f.doubtful(now) {
 		return ActNone
 	}
-	if f.state == stateFollower {
-		f.step(eventOwnerSilent)
-	}
 	if now.Sub(f.readAt) >= readInterval {
 		return f.readRow(now)
 	}
-	if f.orphaned() || now.Sub(f.movedAt) >= ownerSilence+f.delay() {
-		return ActTake
+	if !f.orphaned() && (!f.silent(now) || now.Sub(f.movedAt) < rowSilence+f.delay()) {
+		return ActNone
+	}
+	if f.state == stateFollower {
+		f.step(eventOwnerSilent)
 	}
-	return ActNone
+	return ActTake
+}
+
+// silent reports whether the owner has not been heard for so long, or is cut
+// off from the table for so long, that it is to be replaced.
+func (f *Follower) silent(now time.Time) bool {
+	return !f.found || f.storeBad || now.Sub(f.heardAt) >= ownerSilence
 }
 
 func (f *Follower) readRow(now time.Time) Action {
@@ -160,7 +174,7 @@
 
 // doubtful reports whether the owner may have to be replaced.
 func (f *Follower) doubtful(now time.Time) bool {
-	return !f.found || f.orphaned() || f.storeBad || now.Sub(f.heardAt) >= ownerSilence
+	return !f.found || f.orphaned() || f.storeBad || now.Sub(f.heardAt) >= ownerDoubt
 }
 
 // orphaned reports whether the row names an earlier process of this worker.
--- a/internal/cell/kqowner/tenure.go
+++ b/internal/cell/kqowner/tenure.go
@@ -44,6 +44,7 @@
 	now := r.config.Now()
 	r.mu.Lock()
 	r.cell = nil
+	r.wake()
 	r.follower.Superseded(now)
 	r.mu.Unlock()
 	r.config.Events.Emit(now, kqevent.OwnerLost, kqevent.Process(r.config.Self), "%s is owned by another process", r.config.Cell)
@@ -130,6 +131,7 @@
 		return false
 	case o.Committed:
 		t.cell.Committed(now, sent, b, o.Version)
+		r.wake()
 		return false
 	}
 	return t.cell.Rejected(now, o.FailedKey)
--- a/internal/host/kqagent/agent.go
+++ b/internal/host/kqagent/agent.go
@@ -77,15 +77,28 @@
 	c := a.config
 	info := kqmodel.Worker{ID: c.Worker, Zone: c.Zone, Rack: c.Rack, Address: a.address}
 	a.driver = kqworker.Start(kqworker.Config{Runtime: c.Runtime, Services: a.pressure.services, Pressures: a.pressure.pressures,
-		Worker: info, AgentBoot: a.boot, Throttling: c.Throttling, Now: c.Now, Events: c.Events})
-	a.runner = kqowner.Start(kqowner.Config{Cell: a.cell, Self: c.Worker, Boot: a.boot, Address: a.address, Table: c.Table,
+		Worker: info, AgentBoot: a.boot, Throttling: c.Throttling, Changed: a.poke, Now: c.Now, Events: c.Events})
+	runner := kqowner.Start(kqowner.Config{Cell: a.cell, Self: c.Worker, Boot: a.boot, Address: a.address, Table: c.Table,
 		Send: a.owners.send, Report: a.report, Obey: a.driver.Obey, Quota: a.holder.Quota, Interference: c.Interference,
 		Now: c.Now, Events: c.Events, Counter: c.Counter})
+	a.mu.Lock()
+	a.runner = runner
+	a.mu.Unlock()
 	a.announcer = kqmember.Start(kqmember.Config{Seeds: c.Seeds, Table: c.Table, Announcement: a.announcement,
 		Holder: a.holder, Now: c.Now})
 	a.tomb.Go(a.loop)
 }
 
+// poke makes the next heartbeat come at once.
+func (a *Agent) poke() {
+	a.mu.Lock()
+	r := a.runner
+	a.mu.Unlock()
+	if r != nil {
+		r.Poke()
+	}
+}
+
 // configInterval is between two reads of the configuration while no entry
 // passes it on.
 const configInterval = 2 * time.Second
--- a/internal/host/kqagent/service.go
+++ b/internal/host/kqagent/service.go
@@ -59,12 +59,12 @@
 }
 
 // Heartbeat answers a worker of the cell that this process owns.
-func (s *service) Heartbeat(_ context.Context, q *connect.Request[kqwire.HeartbeatRequest]) (*connect.Response[kqwire.HeartbeatReply], error) {
+func (s *service) Heartbeat(ctx context.Context, q *connect.Request[kqwire.HeartbeatRequest]) (*connect.Response[kqwire.HeartbeatReply], error) {
 	h, err := heartbeatFromWire(q.Msg)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	r, refused := s.agent.runner.Heartbeat(s.agent.config.Now(), h)
+	r, refused := s.agent.runner.Heartbeat(ctx, h)
 	if refused != nil {
 		return connect.NewResponse(&kqwire.HeartbeatReply{Code: uint32(refused.Code)}), nil
 	}
--- a/internal/host/kqworker/driver.go
+++ b/internal/host/kqworker/driver.go
@@ -35,6 +35,9 @@
 	AgentBoot string
 	// Throttling switches the ladder off if false.
 	Throttling bool
+	// Changed is told when a phase has changed, so that the owner hears of it
+	// at once.
+	Changed func()
 	// Now is the clock.
 	Now func() time.Time
 	// Events remembers what was decided; may be nil.
@@ -54,6 +57,7 @@
 	reported   []phase
 	reportedAt time.Time
 	draining   bool
+	wake       chan struct{}
 }
 
 // phase is the part of a report whose change calls for a full report.
@@ -65,7 +69,7 @@
 
 // Start begins to drive the runtime.
 func Start(c Config) *Driver {
-	d := &Driver{config: c, reconciler: New()}
+	d := &Driver{config: c, reconciler: New(), wake: make(chan struct{}, 1)}
 	d.tomb.Go(d.loop)
 	return d
 }
@@ -162,6 +166,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.reconciler.Obey(r.Epoch, r.Version, r.Changed, r.Orders, sent.Add(r.LeaseLeft))
+	if r.Changed {
+		d.rouse()
+	}
+}
+
+// rouse makes the next round come at once.
+func (d *Driver) rouse() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (d *Driver) loop() error {
@@ -172,12 +187,14 @@
 		select {
 		case <-d.tomb.Dying():
 			return nil
+		case <-d.wake:
 		case <-t.C:
 		}
 	}
 }
 
-// drive carries out one round of commands.
+// drive carries out one round of commands; the next one follows at once where
+// there were any.
 func (d *Driver) drive() {
 	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), commandTimeout)
 	defer cancel()
@@ -192,9 +209,15 @@
 	}
 	d.inventory, d.haveInv = inv, true
 	actions := d.reconciler.Plan(now, inv, d.settings(now, inv))
+	news := !equal(phasesOf(d.reconciler.Reports(d.inventory)), d.reported)
 	d.mu.Unlock()
 	for _, a := range actions {
-		d.carryOut(ctx, a)
+		if d.carryOut(ctx, a) && a.Kind != ActionRenew {
+			d.rouse()
+		}
+	}
+	if news {
+		d.config.Changed()
 	}
 }
 
@@ -206,14 +229,14 @@
 	return d.ladder.Step(now, d.config.Services(now), d.reconciler.BatchTasks(inv))
 }
 
-// carryOut gives one command to the runtime.
-func (d *Driver) carryOut(ctx context.Context, a Action) {
+// carryOut gives one command to the runtime and reports whether it was taken.
+func (d *Driver) carryOut(ctx context.Context, a Action) bool {
 	now := d.config.Now()
 	d.mu.Lock()
 	valid := d.reconciler.Valid(now, a)
 	d.mu.Unlock()
 	if !valid {
-		return
+		return false
 	}
 	checkpoint, err := d.command(ctx, a)
 	now = d.config.Now()
@@ -221,6 +244,7 @@
 	d.reconciler.Done(now, a, checkpoint, err)
 	d.mu.Unlock()
 	d.tell(now, a, err)
+	return err == nil
 }
 
 func (d *Driver) command(ctx context.Context, a Action) (checkpoint string, err error) {
--- a/internal/standin/kqservice/endpoint.go
+++ b/internal/standin/kqservice/endpoint.go
@@ -75,6 +75,19 @@
 // Addr returns the address served.
 func (e *Endpoint) Addr() netip.AddrPort { return e.server.Addr() }
 
+// SetAgent changes the agent that the endpoint announces itself to.
+func (e *Endpoint) SetAgent(a netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.config.Agent = a
+}
+
+func (e *Endpoint) agent() netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.config.Agent
+}
+
 // SetFailing makes every call answer 500 at once while on is true.
 func (e *Endpoint) SetFailing(on bool) {
 	e.mu.Lock()
@@ -106,7 +119,7 @@
 func (e *Endpoint) announce(ctx context.Context, leaving bool) error {
 	c := e.config
 	body, _ := json.Marshal(announcement{Classes: c.Classes, Address: e.Addr().String(), Slots: c.Slots, Connections: c.Connections, Leaving: leaving})
-	url := "http://" + c.Agent.String() + "/v1/endpoints/" + c.ID
+	url := "http://" + e.agent().String() + "/v1/endpoints/" + c.ID
 	q, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -135,6 +148,7 @@
 
 // ServeHTTP runs one call. The query may ask for a body of ?bytes=N.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	from := time.Now()
 	id := q.Header.Get("Kq-Call-Id")
 	d, failing := e.begin()
 	e.config.Record.started(id, q.Header.Get("Kq-Idempotent") == "true", e.busy(), e.config.Slots)
@@ -151,6 +165,7 @@
 		return
 	}
 	e.config.Record.finished(id)
+	w.Header().Set("X-Service-Time", time.Since(from).String())
 	w.Header().Set("X-Echo-Id", id)
 	w.Header().Add("X-Many", "one")
 	w.Header().Add("X-Many", "two")
--- a/internal/trial/kqfleet/worker.go
+++ b/internal/trial/kqfleet/worker.go
@@ -58,11 +58,11 @@
 func (w *Worker) startAgentOnly() error {
 	f := w.fleet
 	zone, rack := w.user.zone(w.index)
-	listen, advertise := loopback, netip.AddrPort{}
+	var advertise netip.AddrPort
 	if w.relay != nil {
-		listen, advertise = w.agentAddr(), w.relay.Addr()
+		advertise = w.relay.Addr()
 	}
-	a, err := kqagent.Start(kqagent.Config{Worker: w.Name, Zone: zone, Rack: rack, Listen: listen, Advertise: advertise, Cells: f.config.Cells,
+	a, err := kqagent.Start(kqagent.Config{Worker: w.Name, Zone: zone, Rack: rack, Listen: loopback, Advertise: advertise, Cells: f.config.Cells,
 		Seeds: f.seeds(), Table: kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()))),
 		Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(f.storeClient, kqlink.URL(w.server.Addr()))),
 		Throttling: !f.config.Uncontrolled, Interference: !f.config.Uncontrolled, DrainBound: f.config.DrainBound,
@@ -71,13 +71,12 @@
 		return err
 	}
 	w.agent = a
+	if w.relay != nil {
+		w.relay.SetTarget(a.Addr())
+	}
 	return nil
 }
 
-// agentAddr returns the address behind the relay, which stays the same over
-// restarts of the agent.
-func (w *Worker) agentAddr() netip.AddrPort { return w.relay.Target() }
-
 // StartEndpoint starts the service of the worker.
 func (w *Worker) StartEndpoint() error {
 	f, u := w.fleet, w.user
@@ -124,7 +123,13 @@
 }
 
 // RestartAgent starts the agent again beside an endpoint that went on.
-func (w *Worker) RestartAgent() error { return w.startAgentOnly() }
+func (w *Worker) RestartAgent() error {
+	err := w.startAgentOnly()
+	if err == nil {
+		w.endpoint.SetAgent(w.agent.Addr())
+	}
+	return err
+}
 
 func (w *Worker) close() {
 	if w.agent != nil {
--- a/internal/trial/kqrig/owner.go
+++ b/internal/trial/kqrig/owner.go
@@ -95,6 +95,7 @@
 			cell.Dropped()
 		case o.Committed:
 			cell.Committed(n.rig.now, sent, b, o.Version)
+			n.wake()
 		case cell.Rejected(n.rig.now, o.FailedKey):
 			n.cell = nil
 			n.follower.Superseded(n.rig.now)
