--- a/internal/call/kqadmit/gate.go
+++ b/internal/call/kqadmit/gate.go
@@ -29,6 +29,9 @@
 	Deadline time.Time
 	// Target is the latency target of the call's class; 0 means none.
 	Target time.Duration
+	// NoQueue is true if the call is to be refused rather than queued, since
+	// its sender believes that a slot is free elsewhere.
+	NoQueue bool
 	// Background is true for calls of classes that are not latency-critical.
 	Background bool
 }
@@ -64,6 +67,8 @@
 	Slots int
 	// ServiceTime is the smoothed time of a call in the endpoint.
 	ServiceTime time.Duration
+	// TailTime is the time that few calls take longer than.
+	TailTime time.Duration
 }
 
 // Gate admits the calls of one endpoint. It is not safe for concurrent use.
@@ -73,6 +78,7 @@
 	urgent  []Request
 	later   []Request
 	service time.Duration
+	spread  time.Duration
 	leaving bool
 }
 
@@ -81,9 +87,13 @@
 	return &Gate{config: c, running: map[string]time.Time{}, service: c.FirstServiceTime}
 }
 
-// smoothing is the weight of one call in the smoothed service time: a
-// sixteenth.
-const smoothing = 16
+const (
+	// smoothing is the weight of one call in the smoothed service time: a
+	// sixteenth.
+	smoothing = 16
+	// tailSpreads is how many mean deviations above the mean the tail begins.
+	tailSpreads = 3
+)
 
 // Arrive decides on a new call.
 func (g *Gate) Arrive(now time.Time, r Request) Decision {
@@ -114,13 +124,16 @@
 		return kqresult.Errorf(kqresult.NotRunNoConnection, "all %d connections are in use", g.config.Connections).After(g.service)
 	}
 	wait := g.wait(r.Background)
-	if wait == 0 {
+	switch {
+	case wait == 0:
 		return nil
+	case r.NoQueue:
+		return kqresult.Errorf(kqresult.NotRunBusy, "all %d slots are busy", g.config.Slots).After(wait)
 	}
 	if now.Add(wait + g.service).After(r.Deadline) {
 		return kqresult.Errorf(kqresult.NotRunDeadline, "the wait would be %s, past the deadline", wait.Round(time.Millisecond)).After(wait)
 	}
-	if r.Target > 0 && wait+g.service > r.Target {
+	if r.Target > 0 && wait+g.tail() > r.Target {
 		return kqresult.Errorf(kqresult.NotRunOverloaded, "the wait would be %s, past the target of %s", wait.Round(time.Millisecond), r.Target).After(wait)
 	}
 	return nil
@@ -153,11 +166,20 @@
 func (g *Gate) Finish(now time.Time, id string) (next []string, expired []string) {
 	if from, ok := g.running[id]; ok {
 		delete(g.running, id)
-		g.service += (now.Sub(from) - g.service) / smoothing
+		g.measure(now.Sub(from))
 	}
 	return g.fill(now)
 }
 
+// measure smooths the service time and its mean deviation.
+func (g *Gate) measure(d time.Duration) {
+	miss := d - g.service
+	g.service += miss / smoothing
+	g.spread += (miss.Abs() - g.spread) / smoothing
+}
+
+func (g *Gate) tail() time.Duration { return g.service + tailSpreads*g.spread }
+
 func (g *Gate) fill(now time.Time) (next []string, expired []string) {
 	for len(g.running) < g.config.Slots && g.queued() > 0 {
 		q := &g.urgent
@@ -205,5 +227,5 @@
 
 // Load returns the state for routers.
 func (g *Gate) Load() Load {
-	return Load{Running: len(g.running), Queued: g.queued(), Slots: g.config.Slots, ServiceTime: g.service}
+	return Load{Running: len(g.running), Queued: g.queued(), Slots: g.config.Slots, ServiceTime: g.service, TailTime: g.tail()}
 }
--- a/internal/call/kqcaller/attempt.go
+++ b/internal/call/kqcaller/attempt.go
@@ -19,6 +19,7 @@
 	number   uint32
 	pick     kqroute.Pick
 	sentAt   time.Time
+	noQueue  bool
 	ctx      context.Context
 	cancel   context.CancelFunc
 	once     sync.Once
@@ -55,7 +56,7 @@
 // run sends the attempt and waits for its head.
 func (a *attempt) run() {
 	c := a.exchange.caller
-	s, err := c.config.Transport.Send(a.ctx, c.config.Now(), a.pick.Ref, a.number, a.exchange.request)
+	s, err := c.config.Transport.Send(a.ctx, c.config.Now(), a.pick.Ref, Try{Attempt: a.number, NoQueue: a.noQueue}, a.exchange.request)
 	if err != nil {
 		a.close(kqroute.OutcomeLost)
 		a.tell(event{refusal: kqresult.Errorf(kqresult.NotRunUnreachable, "agent of worker %s: %v", a.pick.Worker, err).After(time.Second)})
@@ -112,9 +113,6 @@
 	if err == nil && !a.exchange.check(p) {
 		err = context.Canceled
 	}
-	if p.HasLoad {
-		a.exchange.caller.learn(a.pick.Ref, p.Load)
-	}
 	switch {
 	case err != nil:
 		s.Close()
@@ -123,8 +121,10 @@
 	case p.Refusal != nil:
 		s.Close()
 		a.close(kqroute.OutcomeRefused)
+		a.learn(p)
 		a.tell(event{refusal: p.Refusal})
 	case p.Piece.Head != nil:
+		a.learn(p)
 		if !a.tell(event{head: p.Piece.Head, stream: s}) {
 			s.Close()
 		}
@@ -135,6 +135,15 @@
 	}
 }
 
+// learn takes over the load that came with a part. It is called after the
+// attempt was closed, where the part closes it, since the load then leaves the
+// attempt out.
+func (a *attempt) learn(p Part) {
+	if p.HasLoad {
+		a.exchange.caller.learn(a.pick.Ref, p.Load)
+	}
+}
+
 func failureOf(p Part) *kqresult.Error {
 	if p.Piece.Failure != nil {
 		return p.Piece.Failure
@@ -161,9 +170,6 @@
 func (a *Answer) Next() ([]byte, *kqresult.Error) {
 	for {
 		p, err := a.stream.Next()
-		if p.HasLoad && err == nil {
-			a.exchange.caller.learn(a.attempt.pick.Ref, p.Load)
-		}
 		switch {
 		case err != nil || !a.exchange.check(p):
 			if e := a.refetch(); e != nil {
@@ -173,7 +179,9 @@
 			a.offset += uint64(len(p.Piece.Chunk))
 			return p.Piece.Chunk, nil
 		case p.Piece.End:
-			return nil, a.finish(p.Piece.Size)
+			err := a.finish(p.Piece.Size)
+			a.attempt.learn(p)
+			return nil, err
 		default:
 			a.attempt.close(kqroute.OutcomeLost)
 			return nil, kqresult.Errorf(kqresult.AnswerIncomplete, "%s", failureOf(p).Reason)
--- a/internal/call/kqcaller/caller.go
+++ b/internal/call/kqcaller/caller.go
@@ -96,9 +96,10 @@
 }
 
 func (c *Caller) learn(ref kqroute.Ref, l kqadmit.Load) {
+	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.routes.Learn(ref, l)
+	c.routes.Learn(now, ref, l)
 }
 
 // hedgeAfter pays into the budgets and returns when a second attempt is due.
--- a/internal/call/kqcaller/exchange.go
+++ b/internal/call/kqcaller/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/call/kqanswer"
@@ -104,6 +105,7 @@
 	}
 	x.tried = append(x.tried, p.Ref)
 	a := &attempt{exchange: x, number: x.plan.Dispatched(), pick: p, sentAt: now}
+	a.noQueue = p.Wait == 0 && int(a.number) <= kqretry.BusyTries
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	x.attempts = append(x.attempts, a)
 	x.caller.config.Events.Emit(now, kqevent.CallRouted, kqevent.Call(r.ID),
@@ -116,11 +118,11 @@
 // pick returns the endpoint of the next attempt.
 func (x *exchange) pick(now time.Time, idle bool) (kqroute.Pick, *kqresult.Error) {
 	r := x.request
-	if r.First != nil && len(x.tried) == 0 {
+	if r.First != nil && x.plan.Attempts() == 0 {
 		return *r.First, nil
 	}
 	return x.caller.choose(now, kqroute.Request{Class: r.Class, Deadline: r.Deadline, Target: r.Target,
-		Exclude: x.tried, Idle: idle, MayProbe: r.Idempotent && len(x.tried) == 0})
+		Exclude: x.tried, Idle: idle, MayProbe: r.Idempotent && x.plan.Attempts() == 0})
 }
 
 func (x *exchange) tryHedge(now time.Time) {
@@ -139,6 +141,10 @@
 	case e.head != nil:
 		return x.win(now, e), nil, true
 	case e.refusal != nil:
+		if e.refusal.Code == kqresult.NotRunBusy {
+			// Its load is known exactly now; it may still be the best choice.
+			x.tried = slices.DeleteFunc(x.tried, func(r kqroute.Ref) bool { return r == e.attempt.pick.Ref })
+		}
 		step = x.plan.NotRun(now, e.attempt.number, e.refusal)
 	case e.lost:
 		step = x.plan.Lost(now, e.attempt.number)
--- a/internal/call/kqcaller/stream.go
+++ b/internal/call/kqcaller/stream.go
@@ -76,11 +76,19 @@
 	HeadSeen bool
 }
 
+// Try is one attempt as it is sent.
+type Try struct {
+	// Attempt is the number of the attempt.
+	Attempt uint32
+	// NoQueue is true if the agent is to refuse rather than to queue the call.
+	NoQueue bool
+}
+
 // Transport is how a Caller reaches agents.
 type Transport struct {
 	// Send sends an attempt. An error means that the attempt cannot have
 	// reached the agent.
-	Send func(ctx context.Context, now time.Time, ref kqroute.Ref, attempt uint32, r Request) (Stream, error)
+	Send func(ctx context.Context, now time.Time, ref kqroute.Ref, t Try, r Request) (Stream, error)
 	// Fetch asks for an answer again.
 	Fetch func(ctx context.Context, now time.Time, f Fetch) (Stream, error)
 	// Cancel tells the agent that the caller has left.
--- a/internal/call/kqremote/transport.go
+++ b/internal/call/kqremote/transport.go
@@ -34,8 +34,8 @@
 	return kqcaller.Transport{Send: c.send, Fetch: c.fetch, Cancel: c.cancel}
 }
 
-func (c *Client) send(ctx context.Context, now time.Time, ref kqroute.Ref, attempt uint32, r kqcaller.Request) (kqcaller.Stream, error) {
-	q := &kqwire.CallRequest{CallId: r.ID, Attempt: attempt, Class: r.Class, EndpointId: ref.Endpoint,
+func (c *Client) send(ctx context.Context, now time.Time, ref kqroute.Ref, t kqcaller.Try, r kqcaller.Request) (kqcaller.Stream, error) {
+	q := &kqwire.CallRequest{CallId: r.ID, Attempt: t.Attempt, NoQueue: t.NoQueue, Class: r.Class, EndpointId: ref.Endpoint,
 		Idempotent: r.Idempotent, DeadlineLeft: int64(r.Deadline.Sub(now)), Method: r.Method, Path: r.Path,
 		Headers: HeadersToWire(r.Headers), Body: r.Body, ConfigSequence: r.ConfigSequence, AgentBoot: ref.Boot}
 	ctx, cancel := context.WithCancel(ctx)
@@ -182,11 +182,12 @@
 
 // LoadToWire converts a load to its message.
 func LoadToWire(l kqadmit.Load) *kqwire.Load {
-	return &kqwire.Load{Running: uint32(l.Running), Queued: uint32(l.Queued), Slots: uint32(l.Slots), ServiceTime: int64(l.ServiceTime)}
+	return &kqwire.Load{Running: uint32(l.Running), Queued: uint32(l.Queued), Slots: uint32(l.Slots),
+		ServiceTime: int64(l.ServiceTime), TailTime: int64(l.TailTime)}
 }
 
 // LoadFromWire converts a message to a load.
 func LoadFromWire(l *kqwire.Load) kqadmit.Load {
 	return kqadmit.Load{Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
-		ServiceTime: time.Duration(l.GetServiceTime())}
+		ServiceTime: time.Duration(l.GetServiceTime()), TailTime: time.Duration(l.GetTailTime())}
 }
--- a/internal/call/kqretry/plan.go
+++ b/internal/call/kqretry/plan.go
@@ -10,6 +10,9 @@
 const (
 	// MaxAttempts bounds the attempts of one call.
 	MaxAttempts = 4
+	// BusyTries is how many attempts of a call are refused rather than queued
+	// by an endpoint that turns out to be busy.
+	BusyTries = 2
 	// MaxFetches bounds how often the answer of one attempt is asked for again.
 	MaxFetches = 4
 	// FetchTimeout bounds one such question.
@@ -120,6 +123,9 @@
 	switch e.Code {
 	case kqresult.NotRunDeadline, kqresult.NotRunCancelled, kqresult.NotRunStoreOut, kqresult.NotRunUnknownClass:
 		return false
+	case kqresult.NotRunBusy:
+		// Trying the next endpoint is part of the choice, not a retry.
+		return len(p.attempts) < MaxAttempts
 	case kqresult.NotRunOverloaded, kqresult.NotRunNoConnection:
 		if len(p.attempts) >= 2 {
 			return false
--- a/internal/call/kqroute/endpoint.go
+++ b/internal/call/kqroute/endpoint.go
@@ -3,6 +3,7 @@
 package kqroute
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -69,6 +70,7 @@
 	leftAt      time.Time
 	own         int
 	others      int
+	learnedAt   time.Time
 	failures    int
 	failureRate float64
 	answers     int
@@ -91,8 +93,8 @@
 }
 
 // learn takes over a load report; the entry's own calls are not counted twice.
-func (t *target) learn(l kqadmit.Load) {
-	t.endpoint.Load = l
+func (t *target) learn(now time.Time, l kqadmit.Load) {
+	t.endpoint.Load, t.learnedAt = l, now
 	t.others = max(0, l.Running+l.Queued-t.own)
 }
 
@@ -123,12 +125,27 @@
 	return s
 }
 
-// wait estimates how long a new call would queue.
-func (t *target) wait(now time.Time, service time.Duration) time.Duration {
+// expected estimates the calls open at the endpoint now. What is known of the
+// calls of other entries is worth less the older it is: after a service time
+// it says little more than their mean over the class.
+func (t *target) expected(now time.Time, mean float64, memory time.Duration) float64 {
+	keep := 0.0
+	if memory > 0 {
+		keep = math.Exp(-now.Sub(t.learnedAt).Seconds() / memory.Seconds())
+	}
+	return float64(t.own) + keep*float64(t.others) + (1-keep)*mean
+}
+
+// wait estimates how long a new call would queue behind open calls.
+func (t *target) wait(now time.Time, open float64, service time.Duration) time.Duration {
 	slots := t.slots(now)
-	over := t.open() - slots + 1
-	if over <= 0 {
+	over := open - float64(slots) + 1
+	if over <= freeSlot {
 		return 0
 	}
-	return service * time.Duration(over) / time.Duration(slots)
+	return time.Duration(float64(service) * over / float64(slots))
 }
+
+// freeSlot is the expected overhang, in calls, up to which a slot is taken to
+// be free.
+const freeSlot = 0.5
--- a/internal/call/kqroute/table.go
+++ b/internal/call/kqroute/table.go
@@ -102,6 +102,8 @@
 	Wait time.Duration
 	// Service is the expected time in the endpoint.
 	Service time.Duration
+	// Tail is the time in the endpoint that few calls take longer than.
+	Tail time.Duration
 	// Probe is true if the call tests an endpoint that was ejected.
 	Probe bool
 }
@@ -179,7 +181,7 @@
 	}
 	x.worker, x.boot, x.address, x.zone, x.heardAt = a.Worker, a.Boot, a.Address, a.Zone, now
 	x.endpoint = e
-	x.learn(e.Load)
+	x.learn(now, e.Load)
 	if !known {
 		t.notice(now, ChangeAnnounced, x, "announced by its agent")
 	}
@@ -220,6 +222,16 @@
 	t.groups = groups
 }
 
+// meanOthers is the mean of the calls of other entries at the endpoints of the
+// class, as last reported.
+func (g *group) meanOthers() float64 {
+	sum := 0
+	for _, x := range g.targets {
+		sum += x.others
+	}
+	return float64(sum) / float64(len(g.targets))
+}
+
 func (t *target) compare(o *target) int {
 	if t.worker != o.worker {
 		if t.worker < o.worker {
@@ -286,7 +298,7 @@
 	if now.Add(p.Wait + p.Service).After(r.Deadline) {
 		return kqresult.Errorf(kqresult.NotRunDeadline, "the shortest wait would be %s, past the deadline", p.Wait.Round(time.Millisecond)).After(after)
 	}
-	if r.Target > 0 && p.Wait+p.Service > r.Target {
+	if r.Target > 0 && p.Wait+p.Tail > r.Target {
 		return kqresult.Errorf(kqresult.NotRunOverloaded, "the shortest wait would be %s, past the target of %s", p.Wait.Round(time.Millisecond), r.Target).After(after)
 	}
 	return nil
@@ -305,6 +317,7 @@
 	var best Pick
 	bestCost, found := time.Duration(0), false
 	count := t.candidates(n)
+	mean := g.meanOthers()
 	first := t.first(g, n)
 	for i := range count {
 		x := g.targets[(first+i)%n]
@@ -314,7 +327,7 @@
 		if !x.takes(r) {
 			continue
 		}
-		p, cost := t.cost(now, g, x)
+		p, cost := t.cost(now, g, x, mean)
 		if r.Idle && p.Wait > 0 {
 			continue
 		}
@@ -360,21 +373,22 @@
 
 // cost estimates when the call would be answered, plus a charge for a far
 // endpoint while a near one is not busy.
-func (t *Table) cost(now time.Time, g *group, x *target) (Pick, time.Duration) {
+func (t *Table) cost(now time.Time, g *group, x *target, mean float64) (Pick, time.Duration) {
 	s := x.service(g.median)
-	w := x.wait(now, s)
-	p := Pick{Ref: x.ref(), Worker: x.worker, Wait: w, Service: s}
+	open := x.expected(now, mean, g.median)
+	w := x.wait(now, open, s)
+	p := Pick{Ref: x.ref(), Worker: x.worker, Wait: w, Service: s, Tail: max(s, x.endpoint.Load.TailTime)}
 	if t.config.Policy == PolicyLeastInFlight {
 		return p, time.Duration(x.own)
 	}
 	c := s + w
 	if x.zone != t.config.Zone {
 		c += t.config.FarDelay
-	} else if x.open()*100 >= x.slots(now)*nearLoadPercent {
+	} else if open*100 >= float64(x.slots(now)*nearLoadPercent) {
 		c += t.config.FarDelay
 	}
 	// A small charge for use spreads equal choices over the slots.
-	return p, c + s*time.Duration(x.open())/time.Duration(useCharge*x.slots(now))
+	return p, c + time.Duration(float64(s)*open/float64(useCharge*x.slots(now)))
 }
 
 // useCharge is the share of the service time, as a divisor, that a fully used
@@ -393,9 +407,9 @@
 }
 
 // Learn takes over a load report that came with an answer.
-func (t *Table) Learn(r Ref, l kqadmit.Load) {
+func (t *Table) Learn(now time.Time, r Ref, l kqadmit.Load) {
 	if x, ok := t.targets[r]; ok {
-		x.learn(l)
+		x.learn(now, l)
 	}
 }
 
--- a/internal/command/kqcommand/bench.go
+++ b/internal/command/kqcommand/bench.go
@@ -11,7 +11,7 @@
 
 // benchCommands returns the measurements.
 func (a *app) benchCommands() []*cobra.Command {
-	return []*cobra.Command{parent("bench", "Measure the product", a.benchCalls())}
+	return []*cobra.Command{parent("bench", "Measure the product", a.benchCalls(), a.benchTasks())}
 }
 
 func (a *app) benchCalls() *cobra.Command {
@@ -40,6 +40,23 @@
 	return c.cobra
 }
 
+func (a *app) benchTasks() *cobra.Command {
+	var s kqbench.TasksConfig
+	var output string
+	c := newCommand(&cobra.Command{Use: "tasks", Args: cobra.NoArgs, Short: "Measure writes, urgent starts, takeover, a store outage and interference"})
+	a.commands = append(a.commands, c)
+	c.settings.Int(&s.Seeds, "seeds", 100, 10, 10_000, "how many seeds the distributions take")
+	c.settings.Choice(&output, "output", "table", []string{"table", "json"}, "table for people, json for programs")
+	c.cobra.RunE = func(*cobra.Command, []string) error {
+		if output == "json" {
+			return a.writeJSON(kqbench.Tasks(s))
+		}
+		s.Progress = a.err
+		return kqbench.WriteTasks(a.out, kqbench.Tasks(s))
+	}
+	return c.cobra
+}
+
 func (a *app) writeJSON(v any) error {
 	e := json.NewEncoder(a.out)
 	e.SetIndent("", "  ")
--- a/internal/command/kqcommand/process.go
+++ b/internal/command/kqcommand/process.go
@@ -82,7 +82,7 @@
 		return nil, err
 	}
 	return &plumbing{logger: logger, tracer: tracer, events: kqevent.New(kqevent.Config{Process: c.id, Logger: logger}),
-		table: kqtable.Remote(kqwire.NewTableServiceClient(kqlink.NewClient(), kqlink.URL(c.table)))}, nil
+		table: kqtable.Remote(kqwire.NewTableServiceClient(kqlink.NewClient(), kqlink.URL(c.table), kqlink.ClientOptions()...))}, nil
 }
 
 func (p *plumbing) close() {
@@ -146,7 +146,7 @@
 		defer p.close()
 		x, err := kqagent.Start(kqagent.Config{Worker: s.id, Zone: s.zone, Rack: rack, Listen: s.listen, Advertise: s.advertise,
 			Cells: s.cells, Seeds: s.entries, Table: p.table,
-			Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(kqlink.NewClient(), kqlink.URL(runtime))),
+			Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(kqlink.NewClient(), kqlink.URL(runtime), kqlink.ClientOptions()...)),
 			Throttling: true, Interference: true, DrainBound: s.drain, Now: time.Now, Events: p.events, Tracer: p.tracer,
 			Counter: &kqinvariant.Counter{}})
 		if err != nil {
@@ -208,7 +208,7 @@
 		}
 		mux.Handle(kqwire.NewRuntimeServiceHandler(kqhost.Service{Now: time.Now, Host: kqhost.New(kqhost.Config{ID: s.id, BootSalt: kqprocess.NewBoot() + "-",
 			Capacity: kqmodel.Resources{MilliProcessors: int64(s.processors) * 1000, MemoryBytes: int64(s.memory) * 1_000_000_000},
-			Objects:  kqobject.Remote(kqwire.NewObjectServiceClient(kqlink.NewClient(), kqlink.URL(s.objects))),
+			Objects:  kqobject.Remote(kqwire.NewObjectServiceClient(kqlink.NewClient(), kqlink.URL(s.objects), kqlink.ClientOptions()...)),
 			Ledger:   kqhost.NewLedger(), Faults: f, UsageLag: 2 * time.Second})}))
 	}
 	if err := set.Require("listen"); err != nil {
--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -108,7 +108,7 @@
 	e.holder = kqconfig.NewHolder(kqconfig.HolderConfig{Process: c.ID, Events: c.Events, Counter: c.Counter, Changed: e.configChanged})
 	e.store = kqconfig.Store{Resolver: kqtable.Resolver{Table: c.Table, Wait: kqtable.Sleep}}
 	e.claims = kqclaim.New(kqclaim.Config{Resolver: e.store.Resolver, Now: c.Now})
-	e.pool = kqlink.NewPool(kqlink.Config{Options: c.Tracer.ClientOptions(), Replaced: e.connectionReplaced})
+	e.pool = kqlink.NewPool(kqlink.Config{Options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), Replaced: e.connectionReplaced})
 	e.caller = kqcaller.New(kqcaller.Config{
 		Routes:    kqroute.Config{Zone: c.Zone, FarDelay: c.FarDelay, Seed: c.Seed, Policy: c.Policy, Counter: c.Counter, Notice: e.endpointChanged},
 		Transport: kqremote.NewClient(e.pool).Transport(), Retry: kqretry.DefaultRetryBudget, Hedge: c.Hedge,
@@ -289,7 +289,7 @@
 	side.Routes(r)
 	e.routes(r)
 	mux := http.NewServeMux()
-	path, h := kqwire.NewEntryServiceHandler(&service{entry: e}, e.config.Tracer.HandlerOptions()...)
+	path, h := kqwire.NewEntryServiceHandler(&service{entry: e}, kqlink.HandlerOptions(e.config.Tracer.HandlerOptions()...)...)
 	mux.Handle(path, h)
 	mux.Handle("/", r)
 	return mux
--- a/internal/entry/kqentry/operator.go
+++ b/internal/entry/kqentry/operator.go
@@ -276,7 +276,7 @@
 	q := connect.NewRequest(&kqwire.ExplainRequest{Kind: a.explanation.subject.Kind, Id: a.explanation.subject.ID})
 	e := a.explanation.entry
 	if a.process.Entry {
-		client := kqwire.NewEntryServiceClient(http.DefaultClient, kqlink.URL(a.process.Address))
+		client := kqwire.NewEntryServiceClient(http.DefaultClient, kqlink.URL(a.process.Address), kqlink.ClientOptions()...)
 		if r, err := client.ExplainLocal(ctx, q); err == nil {
 			a.explanation.add(kqevents.FromWire(r.Msg.Events))
 		}
--- a/internal/fleet/kqmember/announcer.go
+++ b/internal/fleet/kqmember/announcer.go
@@ -151,7 +151,7 @@
 		return
 	}
 	a.peers[e.Address] = &peer{announcer: a, id: e.ID, address: e.Address,
-		client: kqwire.NewEntryServiceClient(a.http, kqlink.URL(e.Address))}
+		client: kqwire.NewEntryServiceClient(a.http, kqlink.URL(e.Address), kqlink.ClientOptions()...)}
 }
 
 // Flush announces to every entry at once and waits for the answers.
--- a/internal/host/kqagent/agent.go
+++ b/internal/host/kqagent/agent.go
@@ -56,7 +56,7 @@
 	a.dispatcher = kqdispatch.New(kqdispatch.Config{Boot: a.boot, Answers: kqanswer.DefaultConfig, Class: a.holder.Class,
 		Tracer: c.Tracer, Now: c.Now, Events: c.Events, Counter: c.Counter})
 	a.pressure = &pressure{dispatcher: a.dispatcher, class: a.holder.Class, baselines: map[string]*baseline{}}
-	a.owners = &owners{http: kqlink.NewClient(), options: c.Tracer.ClientOptions(), clients: map[netip.AddrPort]kqwire.AgentServiceClient{}}
+	a.owners = &owners{http: kqlink.NewClient(), options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), clients: map[netip.AddrPort]kqwire.AgentServiceClient{}}
 	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen})
 	if err != nil {
 		a.dispatcher.Close()
@@ -144,7 +144,7 @@
 	r.PUT("/v1/endpoints/:id", a.putEndpoint)
 	r.DELETE("/v1/endpoints/:id", a.deleteEndpoint)
 	mux := http.NewServeMux()
-	path, h := kqwire.NewAgentServiceHandler(&service{agent: a}, a.config.Tracer.HandlerOptions()...)
+	path, h := kqwire.NewAgentServiceHandler(&service{agent: a}, kqlink.HandlerOptions(a.config.Tracer.HandlerOptions()...)...)
 	mux.Handle(path, h)
 	mux.Handle("/", r)
 	return mux
--- a/internal/host/kqagent/service.go
+++ b/internal/host/kqagent/service.go
@@ -30,7 +30,7 @@
 func (s *service) Call(ctx context.Context, q *connect.Request[kqwire.CallRequest], out *connect.ServerStream[kqwire.CallPart]) error {
 	m := q.Msg
 	return s.agent.dispatcher.Call(ctx, kqdispatch.Call{ID: kqanswer.ID{Call: m.CallId, Attempt: m.Attempt}, Boot: m.AgentBoot,
-		Class: m.Class, Endpoint: m.EndpointId, Idempotent: m.Idempotent, DeadlineLeft: time.Duration(m.DeadlineLeft),
+		Class: m.Class, Endpoint: m.EndpointId, Idempotent: m.Idempotent, NoQueue: m.NoQueue, DeadlineLeft: time.Duration(m.DeadlineLeft),
 		Method: m.Method, Path: m.Path, Headers: kqremote.HeadersFromWire(m.Headers), Body: m.Body}, emitter(m.CallId, out))
 }
 
--- a/internal/host/kqdispatch/call.go
+++ b/internal/host/kqdispatch/call.go
@@ -104,7 +104,7 @@
 	case !ok || e.silent:
 		return nil, nil, kqresult.Errorf(kqresult.NotRunNoEndpoint, "endpoint %q is not announced here", c.Endpoint)
 	}
-	r := kqadmit.Request{ID: gateID(c.ID), Deadline: deadline}
+	r := kqadmit.Request{ID: gateID(c.ID), Deadline: deadline, NoQueue: c.NoQueue}
 	if known {
 		r.Target = spec.Latency.Std()
 		r.Background = spec.Kind != kqmodel.KindLatencyCritical
--- a/internal/host/kqdispatch/dispatcher.go
+++ b/internal/host/kqdispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	Answers kqanswer.Config
 	// Class returns the targets of a class; ok is false where there is none.
 	Class func(name string) (spec kqmodel.ClassSpec, ok bool)
+	// Client makes the client of an endpoint; nil means NewClient.
+	Client func(connections int) *http.Client
 	// Tracer makes a span for the hop to the endpoint; may be nil.
 	Tracer *kqtrace.Tracer
 	// Now is the clock.
@@ -49,6 +52,8 @@
 	Endpoint string
 	// Idempotent is true if the call may run more than once.
 	Idempotent bool
+	// NoQueue is true if the call is to be refused rather than queued.
+	NoQueue bool
 	// DeadlineLeft is the time until the caller stops waiting.
 	DeadlineLeft time.Duration
 	// Method is the HTTP method.
@@ -80,6 +85,9 @@
 
 // New returns a Dispatcher with no endpoint.
 func New(c Config) *Dispatcher {
+	if c.Client == nil {
+		c.Client = NewClient
+	}
 	d := &Dispatcher{config: c, answers: kqanswer.NewStore(c.Answers), latency: newLatencies(),
 		endpoints: map[string]*endpoint{}, runs: map[kqanswer.ID]*execution{}}
 	d.tomb.Go(d.loop)
@@ -129,7 +137,7 @@
 	defer d.mu.Unlock()
 	e, ok := d.endpoints[a.ID]
 	if !ok || e.info.Address != a.Address || e.info.Slots != a.Slots || e.info.Connections != a.Connections {
-		e = newEndpoint(now, a, d.config.Counter)
+		e = newEndpoint(now, a, d.config.Counter, d.config.Client(a.Connections))
 		d.endpoints[a.ID] = e
 		d.config.Events.Emit(now, kqevent.EndpointAnnounced, kqevent.Process(a.ID), "answers %s at %s", strings.Join(a.Classes, ", "), a.Address)
 	}
--- a/internal/host/kqdispatch/endpoint.go
+++ b/internal/host/kqdispatch/endpoint.go
@@ -39,21 +39,21 @@
 	silent  bool
 }
 
-func newEndpoint(now time.Time, a EndpointAnnouncement, c *kqinvariant.Counter) *endpoint {
+func newEndpoint(now time.Time, a EndpointAnnouncement, c *kqinvariant.Counter, client *http.Client) *endpoint {
 	return &endpoint{
 		info:    kqmodel.Endpoint{ID: a.ID, Address: a.Address, Slots: a.Slots, Connections: a.Connections},
 		classes: a.Classes,
 		gate: kqadmit.New(kqadmit.Config{Slots: a.Slots, Connections: a.Connections,
 			FirstServiceTime: firstServiceTime, Counter: c}),
-		client:  newClient(a.Connections),
+		client:  client,
 		waiting: map[string]chan admission{},
 		heardAt: now,
 	}
 }
 
-// newClient returns a client that opens at most the given connections, follows
+// NewClient returns a client that opens at most the given connections, follows
 // no redirects and changes no bodies.
-func newClient(connections int) *http.Client {
+func NewClient(connections int) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
--- a/internal/host/kqdispatch/execution.go
+++ b/internal/host/kqdispatch/execution.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/call/kqanswer"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqpool"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 )
 
@@ -25,6 +26,9 @@
 	copyBuffer     = 32 << 10
 )
 
+// copyBuffers are for the bodies of answers on their way.
+var copyBuffers = kqpool.New(func() []byte { return make([]byte, copyBuffer) })
+
 // execution is one call in its endpoint.
 type execution struct {
 	dispatcher *Dispatcher
@@ -101,7 +105,9 @@
 }
 
 func (x *execution) copy(ctx context.Context, body io.Reader) *kqresult.Error {
-	b := make([]byte, copyBuffer)
+	v := copyBuffers.Get()
+	defer copyBuffers.Put(v)
+	b := *v
 	for {
 		n, err := body.Read(b)
 		if n > 0 {
--- a/internal/standin/kqfault/relay.go
+++ b/internal/standin/kqfault/relay.go
@@ -131,8 +131,8 @@
 	w := &writer{half: h, pieces: make(chan piece, relayQueue)}
 	h.pair.relay.tomb.Go(w.run)
 	defer close(w.pieces)
+	b := make([]byte, relayBuffer)
 	for {
-		b := make([]byte, relayBuffer)
 		n, err := h.from.Read(b)
 		switch {
 		case h.pair.silent.Load() && err != nil:
@@ -140,7 +140,7 @@
 		case h.pair.silent.Load():
 			continue
 		case n > 0:
-			w.pieces <- piece{due: time.Now().Add(h.pair.relay.delay), bytes: b[:n]}
+			w.pieces <- piece{due: time.Now().Add(h.pair.relay.delay), bytes: append([]byte(nil), b[:n]...)}
 		}
 		if err != nil {
 			h.pair.drop()
--- a/internal/standin/kqhost/host.go
+++ b/internal/standin/kqhost/host.go
@@ -54,6 +54,7 @@
 	tasks   map[kqmodel.AttemptID]*run
 	tokens  map[kqmodel.TaskID]uint64
 	stopped map[kqmodel.AttemptID]bool
+	worked  float64
 }
 
 // run is one attempt on the host; progress is in seconds at full speed.
@@ -130,6 +131,7 @@
 	}
 	if d := until.Sub(r.updated).Seconds(); d > 0 {
 		r.progress += d * r.throttle
+		h.worked += d * r.throttle * float64(r.order.Declared.MilliProcessors) / 1000
 	}
 	r.updated = now
 	switch {
@@ -363,6 +365,14 @@
 		MemoryBytes: int64(float64(d.MemoryBytes) * f), Accelerators: d.Accelerators}
 }
 
+// Worked returns the processor seconds of work done on the host so far.
+func (h *Host) Worked(now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.advance(now)
+	return h.worked
+}
+
 // Slowdown returns by how much the running tasks stretch the service time of a
 // class: 1 means not at all.
 func (h *Host) Slowdown(class string) float64 {
--- a/internal/trial/kqbench/calls.go
+++ b/internal/trial/kqbench/calls.go
@@ -92,10 +92,17 @@
 
 // Calls runs the bench and returns a run for each policy and load.
 func Calls(ctx context.Context, c CallsConfig) ([]CallRun, error) {
-	var out []CallRun
+	// Without links, so that the accuracy of their timers does not count as
+	// ours, and with no slowed worker in the way of the median.
+	bare, err := runCalls(ctx, c, kqroute.PolicyExpected, loads[0], 0)
+	if err != nil {
+		return nil, err
+	}
+	bare.Policy = "expected, no links"
+	out := []CallRun{bare}
 	for _, load := range loads {
 		for _, p := range policies {
-			r, err := runCalls(ctx, c, p, load)
+			r, err := runCalls(ctx, c, p, load, benchLink)
 			if err != nil {
 				return out, err
 			}
@@ -124,6 +131,7 @@
 	user   kqfleet.User
 	client *http.Client
 	rate   float64
+	links  time.Duration
 
 	mu       sync.Mutex
 	latency  []time.Duration
@@ -134,7 +142,7 @@
 	inTime   int
 }
 
-func runCalls(ctx context.Context, c CallsConfig, p kqroute.Policy, load float64) (CallRun, error) {
+func runCalls(ctx context.Context, c CallsConfig, p kqroute.Policy, load float64, links time.Duration) (CallRun, error) {
 	u, err := kqfleet.FindUser("kaluvi")
 	if err != nil {
 		return CallRun{}, err
@@ -145,12 +153,12 @@
 		hedge = kqretry.DefaultHedgeBudget
 	}
 	f, err := kqfleet.Start(kqfleet.Config{Users: []kqfleet.User{u}, Entries: benchEntries, Seed: c.Seed, Spread: benchSpread,
-		Relays: true, LinkDelay: benchLink, Policy: p, Hedge: hedge})
+		Relays: links > 0, LinkDelay: links, Policy: p, Hedge: hedge})
 	if err != nil {
 		return CallRun{}, err
 	}
 	defer f.Close()
-	r := &callRun{config: c, fleet: f, user: u, rate: load * benchWorkers * benchSlots / meanService(),
+	r := &callRun{config: c, fleet: f, user: u, links: links, rate: load * benchWorkers * benchSlots / meanService(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}}
 	defer r.client.CloseIdleConnections()
 	if err := r.prepare(ctx); err != nil {
@@ -241,7 +249,7 @@
 		r.refusals = append(r.refusals, took)
 	default:
 		r.latency = append(r.latency, took)
-		r.added = append(r.added, took-service-2*benchLink)
+		r.added = append(r.added, took-service-2*r.links)
 		if took <= benchTarget {
 			r.inTime++
 		}
@@ -255,6 +263,9 @@
 		Goodput:    float64(r.inTime) / r.config.Duration.Seconds() / capacity(),
 		RefusalP99: at(r.refusals, 0.99), AddedP50: at(r.added, 0.5), AddedP99: at(r.added, 0.99),
 		ProcessorPerCall: processor.Seconds() / float64(max(1, r.sent)), Violations: r.fleet.Counter.Total()}
+	if r.links == 0 {
+		return f
+	}
 	if load < 1 {
 		b := queueBound{rate: r.rate, fast: (benchWorkers - benchSlowed) * benchSlots, slow: benchSlowed * benchSlots, factor: benchFactor,
 			median: benchMedian, spread: benchSpread, seed: r.config.Seed, calls: boundCalls}
--- a/internal/trial/kqfleet/fleet.go
+++ b/internal/trial/kqfleet/fleet.go
@@ -135,7 +135,7 @@
 func (f *Fleet) addWorker(u User, i int) error {
 	name := fmt.Sprintf("%s-%02d", u.Name, i+1)
 	w := &Worker{Name: name, fleet: f, user: u, index: i, Faults: kqfault.New(f.config.Seed + uint64(i))}
-	objects := kqobject.Remote(kqwire.NewObjectServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr())))
+	objects := kqobject.Remote(kqwire.NewObjectServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()), kqlink.ClientOptions()...))
 	w.Host = kqhost.New(kqhost.Config{ID: name, Capacity: u.Capacity, Behaviours: f.config.Behaviours, Objects: objects,
 		Ledger: f.Ledger, Faults: w.Faults, UsageLag: usageLag})
 	if err := w.startRuntime(); err != nil {
@@ -160,7 +160,7 @@
 	}
 	id := fmt.Sprintf("entry-%d", i+1)
 	e, err := kqentry.Start(kqentry.Config{ID: id, Zone: zone, Listen: loopback, Cells: f.config.Cells, Seeds: f.seeds(),
-		Table:    kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()))),
+		Table:    kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()), kqlink.ClientOptions()...)),
 		FarDelay: kqentry.DefaultFarDelay, Policy: f.config.Policy, Hedge: f.config.Hedge, DefaultDeadline: kqentry.DefaultDeadline,
 		MaxBody: kqentry.DefaultMaxBody, DrainBound: f.config.DrainBound, Seed: f.config.Seed + uint64(i), Now: time.Now,
 		Events: f.events(id), Tracer: f.config.Tracer, Counter: f.Counter})
--- a/internal/trial/kqfleet/worker.go
+++ b/internal/trial/kqfleet/worker.go
@@ -63,8 +63,8 @@
 		advertise = w.relay.Addr()
 	}
 	a, err := kqagent.Start(kqagent.Config{Worker: w.Name, Zone: zone, Rack: rack, Listen: loopback, Advertise: advertise, Cells: f.config.Cells,
-		Seeds: f.seeds(), Table: kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()))),
-		Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(f.storeClient, kqlink.URL(w.server.Addr()))),
+		Seeds: f.seeds(), Table: kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()), kqlink.ClientOptions()...)),
+		Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(f.storeClient, kqlink.URL(w.server.Addr()), kqlink.ClientOptions()...)),
 		Throttling: !f.config.Uncontrolled, Interference: !f.config.Uncontrolled, DrainBound: f.config.DrainBound,
 		Now: time.Now, Events: f.events(w.Name), Tracer: f.config.Tracer, Counter: f.Counter})
 	if err != nil {
--- a/internal/trial/kqrig/job.go
+++ b/internal/trial/kqrig/job.go
@@ -124,3 +124,36 @@
 
 // Starts returns how long after its submission each start of a job came.
 func (r *Rig) Starts(job string) []time.Duration { return r.checks.starts[job] }
+
+// Evictions counts how often tasks of accepted jobs were taken off workers.
+func (r *Rig) Evictions() int {
+	sum := 0
+	for id, j := range r.checks.accepted {
+		if s := r.Summary(id); s != nil {
+			sum += s.Evictions
+			continue
+		}
+		for i := range j.Spec.Tasks {
+			if t, ok := r.Task(kqmodel.TaskID{Job: id, Index: i}); ok {
+				sum += int(t.Evictions)
+			}
+		}
+	}
+	return sum
+}
+
+// Waiting counts the tasks of accepted jobs that hold no worker.
+func (r *Rig) Waiting() int {
+	sum := 0
+	for id, j := range r.checks.accepted {
+		if r.Summary(id) != nil {
+			continue
+		}
+		for i := range j.Spec.Tasks {
+			if t, ok := r.Task(kqmodel.TaskID{Job: id, Index: i}); !ok || t.State == "queued" {
+				sum++
+			}
+		}
+	}
+	return sum
+}
--- a/internal/trial/kqrig/owner.go
+++ b/internal/trial/kqrig/owner.go
@@ -65,7 +65,7 @@
 	n.taking = false
 	n.committing = false
 	n.cell = kqcell.New(sent, kqcell.Config{ID: Cell, Owner: n.id, Boot: n.boot, Address: n.address(), Quota: n.rig.quota,
-		Interference: n.rig.config.Interference, Counter: n.rig.Counter, NewWriteID: n.rig.newWriteID}, l)
+		Interference: n.rig.config.Interference, Events: n.rig.config.Events, Counter: n.rig.Counter, NewWriteID: n.rig.newWriteID}, l)
 	n.follower.Won(n.rig.now, l.Row, l.RowVersion)
 }
 
--- a/internal/trial/kqrig/rig.go
+++ b/internal/trial/kqrig/rig.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
@@ -32,6 +33,8 @@
 	Quotas map[string]kqmodel.Resources
 	// Interference lets the owner place by learned interference.
 	Interference bool
+	// Events remembers what the owners decide; may be nil.
+	Events *kqevent.Log
 }
 
 // Cell is the name of the rig's only cell.
--- /dev/null
+++ b/internal/trial/kqrig/session_test.go
@@ -0,0 +1,187 @@
+package kqrig_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqadmit"
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqretry"
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqroute"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqconfig"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqrig"
+)
+
+// TestSessions runs each script of testdata/session and compares what it says
+// with the golden file beside it; -update writes the golden files anew.
+func TestSessions(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/session/*.script")
+	if err != nil || len(scripts) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, path := range scripts {
+		name := strings.TrimSuffix(filepath.Base(path), ".script")
+		t.Run(name, func(t *testing.T) {
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := goldie.New(t, goldie.WithFixtureDir("testdata/session"), goldie.WithNameSuffix(".golden"))
+			g.Assert(t, name, newSession().run(string(text)))
+		})
+	}
+}
+
+// session is one scripted session in virtual time.
+type session struct {
+	out    bytes.Buffer
+	rig    *kqrig.Rig
+	events *kqevent.Log
+	holder *kqconfig.Holder
+	store  kqconfig.Store
+	routes *kqroute.Table
+	gate   *kqadmit.Gate
+	begun  time.Time
+	calls  int
+}
+
+func newSession() *session {
+	s := &session{events: kqevent.New(kqevent.Config{Process: "owner"})}
+	s.rig = kqrig.New(kqrig.Config{Seed: 1, Workers: 3, Events: s.events, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}})
+	s.begun = s.rig.Now()
+	s.store.Resolver.Table = s.rig.Table.Seam()
+	s.holder = kqconfig.NewHolder(kqconfig.HolderConfig{Process: "entry"})
+	s.routes = kqroute.New(kqroute.Config{Zone: "ausspan"})
+	s.gate = kqadmit.New(kqadmit.Config{Slots: 1, Connections: 2, FirstServiceTime: 20 * time.Millisecond})
+	return s
+}
+
+func (s *session) say(format string, args ...any) {
+	fmt.Fprintf(&s.out, "%8.3fs  %s\n", s.rig.Now().Sub(s.begun).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// run carries out a script: a command on each line, a document up to a line
+// with a dot.
+func (s *session) run(script string) []byte {
+	lines := bufio.NewScanner(strings.NewReader(script))
+	for lines.Scan() {
+		f := strings.Fields(lines.Text())
+		if len(f) == 0 {
+			continue
+		}
+		fmt.Fprintf(&s.out, "> %s\n", lines.Text())
+		switch f[0] {
+		case "apply":
+			var doc strings.Builder
+			for lines.Scan() && lines.Text() != "." {
+				doc.WriteString(lines.Text() + "\n")
+			}
+			s.apply(f[1], doc.String())
+		case "announce":
+			s.announce()
+		case "call":
+			s.call(f[1])
+		case "submit":
+			s.submit(f)
+		case "cancel":
+			s.rig.Cancel(f[1])
+		case "run":
+			d, _ := time.ParseDuration(f[1])
+			s.rig.Run(d)
+		case "job":
+			s.say("%s: %+v", f[1], *s.rig.Summary(f[1]))
+		case "explain":
+			s.explain(f[1])
+		}
+	}
+	return s.out.Bytes()
+}
+
+func (s *session) apply(author, doc string) {
+	docs, err := kqconfig.Parse([]byte(doc))
+	if err != nil {
+		s.say("%v", err)
+		return
+	}
+	r, err := s.store.Apply(context.Background(), s.rig.Now(), kqconfig.Request{Documents: docs, Author: author})
+	if err != nil {
+		s.say("%v", err)
+		return
+	}
+	for _, c := range r.Changes {
+		s.say("%s version %d accepted with sequence %d", c.Key, c.After.Version, r.Sequence)
+	}
+	if err := s.store.Follow(context.Background(), s.rig.Now, s.holder); err != nil {
+		s.say("%v", err)
+	}
+	s.say("sequence %d is in force", s.holder.Sequence())
+}
+
+func (s *session) announce() {
+	s.routes.Announce(s.rig.Now(), kqroute.Announcement{Worker: "worker-01", Boot: "boot", Zone: "ausspan",
+		Address:   netip.MustParseAddrPort("127.0.0.1:7001"),
+		Endpoints: []kqroute.Endpoint{{ID: "lockdesk-1", Classes: []string{"lockdesk"}, Connections: 2, Load: s.gate.Load()}}})
+}
+
+// call takes one call through the decisions of an entry and an agent.
+func (s *session) call(class string) {
+	s.calls++
+	now, id := s.rig.Now(), strconv.Itoa(s.calls)
+	spec, ok := s.holder.Class(class)
+	if !ok {
+		s.say("call %s: no such class", id)
+		return
+	}
+	deadline := now.Add(time.Second)
+	plan := kqretry.NewPlan(kqretry.Config{CallID: id, Deadline: deadline, SpendRetry: func() bool { return false }})
+	pick, refused := s.routes.Choose(now, kqroute.Request{Class: class, Deadline: deadline, Target: spec.Latency.Std()})
+	if refused != nil {
+		s.say("call %s: %v", id, plan.Finish(refused).Result)
+		return
+	}
+	s.routes.Begin(now, pick.Ref)
+	attempt := plan.Dispatched()
+	s.say("call %s: attempt %d to %s", id, attempt, pick.Ref.Endpoint)
+	d := s.gate.Arrive(now, kqadmit.Request{ID: id, Deadline: deadline, Target: spec.Latency.Std()})
+	if d.Verdict == kqadmit.Refuse {
+		s.say("call %s: %v", id, plan.NotRun(now, attempt, d.Refusal).Result)
+		return
+	}
+	s.rig.Run(15 * time.Millisecond)
+	s.gate.Finish(s.rig.Now(), id)
+	s.routes.End(s.rig.Now(), pick.Ref, kqroute.OutcomeAnswered)
+	s.say("call %s: answered after %s", id, s.rig.Now().Sub(now))
+}
+
+// submit takes: submit ID TASKS PROCESSORS RUNTIME.
+func (s *session) submit(f []string) {
+	tasks, err1 := strconv.Atoi(f[2])
+	processors, err2 := strconv.Atoi(f[3])
+	run, err3 := time.ParseDuration(f[4])
+	if err := errors.Join(err1, err2, err3); err != nil {
+		s.say("%v", err)
+		return
+	}
+	s.rig.Submit(job(f[1], uint32(tasks), int64(processors), run), false)
+	s.say("job %s is durable", f[1])
+}
+
+func (s *session) explain(task string) {
+	for _, e := range s.events.About(kqevent.Task(task)) {
+		fmt.Fprintf(&s.out, "%8.3fs  %d %s: %s\n", e.At.Sub(s.begun).Seconds(), e.Number, e.Number, e.Text)
+	}
+}
+
