--- a/internal/call/kqadmit/gate.go
+++ b/internal/call/kqadmit/gate.go
@@ -79,7 +79,10 @@
 	later   []Request
 	service time.Duration
 	spread  time.Duration
-	leaving bool
+	// measured counts the calls measured, up to smoothing, so that the first
+	// ones count for more than the estimate before any.
+	measured int
+	leaving  bool
 }
 
 // New returns an empty Gate.
@@ -173,9 +176,14 @@
 
 // measure smooths the service time and its mean deviation.
 func (g *Gate) measure(d time.Duration) {
+	g.measured = min(g.measured+1, smoothing)
+	if g.measured == 1 {
+		g.service = d
+		return
+	}
 	miss := d - g.service
-	g.service += miss / smoothing
-	g.spread += (miss.Abs() - g.spread) / smoothing
+	g.service += miss / time.Duration(g.measured)
+	g.spread += (miss.Abs() - g.spread) / time.Duration(g.measured)
 }
 
 func (g *Gate) tail() time.Duration { return g.service + tailSpreads*g.spread }
--- a/internal/call/kqcaller/exchange.go
+++ b/internal/call/kqcaller/exchange.go
@@ -105,7 +105,7 @@
 	}
 	x.tried = append(x.tried, p.Ref)
 	a := &attempt{exchange: x, number: x.plan.Dispatched(), pick: p, sentAt: now}
-	a.noQueue = p.Wait == 0 && int(a.number) <= kqretry.BusyTries
+	a.noQueue = p.Free && int(a.number) <= kqretry.BusyTries
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	x.attempts = append(x.attempts, a)
 	x.caller.config.Events.Emit(now, kqevent.CallRouted, kqevent.Call(r.ID),
--- a/internal/call/kqroute/endpoint.go
+++ b/internal/call/kqroute/endpoint.go
@@ -76,6 +76,7 @@
 	answers     int
 	ejections   int
 	ejectedTill time.Time
+	triedAt     time.Time
 	restoredAt  time.Time
 }
 
--- a/internal/call/kqroute/health.go
+++ b/internal/call/kqroute/health.go
@@ -119,9 +119,18 @@
 	}
 }
 
-// probe returns an ejected endpoint whose time is up, for one test call.
+// exploreInterval is between two calls that measure a slow endpoint anew; it
+// gets no others while faster ones are free, and could not show that it has
+// recovered.
+const exploreInterval = 5 * time.Second
+
+// probe returns an ejected endpoint whose time is up, or one whose slowness was
+// measured long ago, for one test call.
 func (t *Table) probe(now time.Time, g *group) (Pick, bool) {
 	for _, x := range g.targets {
+		if x.state == stateReady && x.service(g.median) > g.median && now.Sub(x.triedAt) > exploreInterval {
+			return Pick{Ref: x.ref(), Worker: x.worker, Service: x.service(g.median)}, true
+		}
 		if x.state != stateEjected || now.Before(x.ejectedTill) || !x.step(eventProbe) {
 			continue
 		}
--- a/internal/call/kqroute/table.go
+++ b/internal/call/kqroute/table.go
@@ -104,6 +104,8 @@
 	Service time.Duration
 	// Tail is the time in the endpoint that few calls take longer than.
 	Tail time.Duration
+	// Free is true if a slot is believed to be free.
+	Free bool
 	// Probe is true if the call tests an endpoint that was ejected.
 	Probe bool
 }
@@ -120,7 +122,7 @@
 	Exclude []Ref
 	// Idle asks for an endpoint with a free slot.
 	Idle bool
-	// MayProbe is true if the call may test an ejected endpoint.
+	// MayProbe is true if the call may test an ejected or slow endpoint.
 	MayProbe bool
 }
 
@@ -274,7 +276,7 @@
 	if g == nil {
 		return Pick{}, kqresult.Errorf(kqresult.NotRunNoEndpoint, "no endpoint of class %q is known", r.Class).After(longestRetryAfter)
 	}
-	if r.MayProbe {
+	if r.MayProbe && t.config.Policy == PolicyExpected {
 		if p, ok := t.probe(now, g); ok {
 			return p, nil
 		}
@@ -377,7 +379,8 @@
 	s := x.service(g.median)
 	open := x.expected(now, mean, g.median)
 	w := x.wait(now, open, s)
-	p := Pick{Ref: x.ref(), Worker: x.worker, Wait: w, Service: s, Tail: max(s, x.endpoint.Load.TailTime)}
+	p := Pick{Ref: x.ref(), Worker: x.worker, Wait: w, Service: s, Tail: max(s, x.endpoint.Load.TailTime),
+		Free: w == 0 && t.config.Policy == PolicyExpected}
 	if t.config.Policy == PolicyLeastInFlight {
 		return p, time.Duration(x.own)
 	}
@@ -402,6 +405,7 @@
 		return
 	}
 	x.own++
+	x.triedAt = now
 	t.config.Counter.Check(x.leftAt.IsZero() || x.state != stateLeaving || now.Sub(x.leftAt) < leaveBound,
 		kqinvariant.CallToLeaving, "%s has been leaving for %s", r.Endpoint, now.Sub(x.leftAt))
 }
--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -136,6 +136,9 @@
 // Addr returns the address served.
 func (e *Entry) Addr() netip.AddrPort { return e.server.Addr() }
 
+// Traffic counts the bytes that the entry served.
+func (e *Entry) Traffic() *kqserver.Traffic { return e.server.Traffic() }
+
 // ConfigSequence returns the configuration in force.
 func (e *Entry) ConfigSequence() uint64 { return e.holder.Sequence() }
 
--- a/internal/entry/kqentry/operator.go
+++ b/internal/entry/kqentry/operator.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqroute"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqconfig"
@@ -287,6 +288,9 @@
 	}
 }
 
+// Endpoints lists the endpoints known.
+func (e *Entry) Endpoints() []kqroute.View { return e.caller.Views() }
+
 // ReadyEndpoints returns how many endpoints take calls.
 func (e *Entry) ReadyEndpoints() int {
 	n := 0
--- a/internal/host/kqagent/agent.go
+++ b/internal/host/kqagent/agent.go
@@ -124,6 +124,9 @@
 // Addr returns the address served.
 func (a *Agent) Addr() netip.AddrPort { return a.server.Addr() }
 
+// Traffic counts the bytes that the agent served.
+func (a *Agent) Traffic() *kqserver.Traffic { return a.server.Traffic() }
+
 // Boot returns the identifier of this process.
 func (a *Agent) Boot() string { return a.boot }
 
--- a/internal/plumb/kqserver/server.go
+++ b/internal/plumb/kqserver/server.go
@@ -32,6 +32,7 @@
 	tomb     tomb.Tomb
 	server   *http.Server
 	listener net.Listener
+	traffic  Traffic
 }
 
 // Start listens on an address and serves h.
@@ -73,7 +74,7 @@
 }
 
 func (s *Server) run() error {
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(countingListener{s.listener, &s.traffic})
 	if err == http.ErrServerClosed {
 		return nil
 	}
@@ -85,6 +86,9 @@
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// Traffic counts the bytes of all connections.
+func (s *Server) Traffic() *Traffic { return &s.traffic }
+
 // Drain takes no new connections, waits for open requests and ends.
 func (s *Server) Drain(ctx context.Context) error {
 	err := s.server.Shutdown(ctx)
--- a/internal/standin/kqservice/endpoint.go
+++ b/internal/standin/kqservice/endpoint.go
@@ -55,9 +55,22 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	running int
-	failing bool
+	mode    Mode
 }
 
+// Mode is how an endpoint treats calls.
+type Mode int
+
+// Modes.
+const (
+	// ModeServe answers after the service time.
+	ModeServe Mode = iota
+	// ModeFail answers 500 at once.
+	ModeFail
+	// ModeCut begins the call and then cuts the connection.
+	ModeCut
+)
+
 // Start serves on a free loopback port and announces itself.
 func Start(c Config) (*Endpoint, error) {
 	e := &Endpoint{config: c, rng: rand.New(rand.NewPCG(c.Seed, c.Seed))}
@@ -88,11 +101,11 @@
 	return e.config.Agent
 }
 
-// SetFailing makes every call answer 500 at once while on is true.
-func (e *Endpoint) SetFailing(on bool) {
+// SetMode changes how calls are treated.
+func (e *Endpoint) SetMode(m Mode) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.failing = on
+	e.mode = m
 }
 
 // Leave announces that the endpoint takes no more work; it goes on serving.
@@ -150,12 +163,15 @@
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	from := time.Now()
 	id := q.Header.Get("Kq-Call-Id")
-	d, failing := e.begin()
+	d, mode := e.begin()
 	e.config.Record.started(id, q.Header.Get("Kq-Idempotent") == "true", e.busy(), e.config.Slots)
 	defer e.finish()
-	if failing {
+	switch mode {
+	case ModeFail:
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
+	case ModeCut:
+		panic(http.ErrAbortHandler)
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -189,7 +205,7 @@
 	}
 }
 
-func (e *Endpoint) begin() (time.Duration, bool) {
+func (e *Endpoint) begin() (time.Duration, Mode) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running++
@@ -197,7 +213,7 @@
 	if e.config.Slowdown != nil {
 		f *= e.config.Slowdown()
 	}
-	return time.Duration(float64(e.config.ServiceTime) * f), e.failing
+	return time.Duration(float64(e.config.ServiceTime) * f), e.mode
 }
 
 func (e *Endpoint) busy() int {
--- a/internal/trial/kqbench/calls.go
+++ b/internal/trial/kqbench/calls.go
@@ -24,6 +24,10 @@
 type CallsConfig struct {
 	// Duration is how long calls are sent in each run.
 	Duration time.Duration
+	// Loads is the shares of slot capacity at which calls are sent.
+	Loads []float64
+	// Policies is how endpoints are chosen, in turn.
+	Policies []kqroute.Policy
 	// Seed draws arrivals and service times.
 	Seed uint64
 	// Progress receives a line for each run; nil shows none.
@@ -46,11 +50,11 @@
 	boundCalls   = 200_000
 )
 
-// loads is the shares of slot capacity at which calls are sent.
-var loads = []float64{0.5, 0.8, 0.95, 1.5}
+// DefaultLoads is the shares of slot capacity that are measured.
+var DefaultLoads = []float64{0.5, 0.8, 0.95, 1.5}
 
-// policies is the product and its baselines.
-var policies = []kqroute.Policy{kqroute.PolicyExpected, kqroute.PolicyRandom, kqroute.PolicyRoundRobin, kqroute.PolicyLeastInFlight}
+// DefaultPolicies is the product and its baselines.
+var DefaultPolicies = []kqroute.Policy{kqroute.PolicyExpected, kqroute.PolicyRandom, kqroute.PolicyRoundRobin, kqroute.PolicyLeastInFlight}
 
 // CallRun is the figures of one run.
 type CallRun struct {
@@ -74,9 +78,11 @@
 	Unknown int `json:"unknown"`
 	// Goodput is answers within the target as a share of what the slots can do.
 	Goodput float64 `json:"goodput_of_capacity"`
-	// RefusalP99 is the time until a refusal, in seconds.
+	// RefusalP99 is the time from the sending of a call to its refusal, in
+	// seconds.
 	RefusalP99 float64 `json:"refusal_p99_seconds"`
-	// AddedP50 is the median of what our hops add, in seconds.
+	// AddedP50 is the median of what our hops and the wait for a slot add to the
+	// time in the endpoint, in seconds.
 	AddedP50 float64 `json:"added_p50_seconds"`
 	// AddedP99 is the 99th percentile of it, in seconds.
 	AddedP99 float64 `json:"added_p99_seconds"`
@@ -94,14 +100,14 @@
 func Calls(ctx context.Context, c CallsConfig) ([]CallRun, error) {
 	// Without links, so that the accuracy of their timers does not count as
 	// ours, and with no slowed worker in the way of the median.
-	bare, err := runCalls(ctx, c, kqroute.PolicyExpected, loads[0], 0)
+	bare, err := runCalls(ctx, c, kqroute.PolicyExpected, DefaultLoads[0], 0)
 	if err != nil {
 		return nil, err
 	}
 	bare.Policy = "expected, no links"
 	out := []CallRun{bare}
-	for _, load := range loads {
-		for _, p := range policies {
+	for _, load := range c.Loads {
+		for _, p := range c.Policies {
 			r, err := runCalls(ctx, c, p, load, benchLink)
 			if err != nil {
 				return out, err
@@ -229,6 +235,7 @@
 
 func (x *benchCall) send() {
 	r := x.run
+	sent := time.Now()
 	a, err := r.client.Get(x.url)
 	if err != nil {
 		r.mu.Lock()
@@ -238,7 +245,7 @@
 	}
 	_, err = io.Copy(io.Discard, a.Body)
 	a.Body.Close()
-	took := time.Since(x.due)
+	took, own := time.Since(x.due), time.Since(sent)
 	service, _ := time.ParseDuration(a.Header.Get("X-Service-Time"))
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -246,10 +253,10 @@
 	case err != nil || a.StatusCode == http.StatusBadGateway:
 		r.unknown++
 	case a.Header.Get("Kq-Result") != "":
-		r.refusals = append(r.refusals, took)
+		r.refusals = append(r.refusals, own)
 	default:
 		r.latency = append(r.latency, took)
-		r.added = append(r.added, took-service-2*r.links)
+		r.added = append(r.added, own-service-2*r.links)
 		if took <= benchTarget {
 			r.inTime++
 		}
--- a/internal/trial/kqfleet/path_test.go
+++ b/internal/trial/kqfleet/path_test.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqservice"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqfleet"
 )
 
@@ -229,6 +230,109 @@
 		Expect(f.Workers[0].RestartAgent()).To(Succeed())
 	})
 
+	It("answers the retry of a caller whose entry was killed, and runs its call once", func() {
+		f := start(small(2, 300*time.Millisecond), 2)
+		header := map[string]string{"Idempotency-Key": "charge-1", "Kq-Deadline": "20s"}
+		cut := make(chan error, 1)
+		go func() {
+			a, err := call(f, http.MethodPost, "charge", header, nil)
+			if err == nil {
+				_, err = io.ReadAll(a.Body)
+			}
+			cut <- err
+		}()
+		Eventually(func() uint64 { return f.Records["kaluvi"].Tally().Started }).Should(BeEquivalentTo(1))
+		f.TakeEntry(0).Kill()
+		Expect(<-cut).To(HaveOccurred())
+		a, err := call(f, http.MethodPost, "charge", header, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read(a)).To(Equal("done " + a.Header.Get("Kq-Call-Id")))
+		Expect(f.Records["kaluvi"].Tally().Started).To(BeEquivalentTo(1))
+	})
+
+	It("runs a call once whose endpoint cuts the connection, whatever its method and key", func() {
+		f := start(small(1, 5*time.Millisecond), 1)
+		f.Workers[0].Endpoint().SetMode(kqservice.ModeCut)
+		for i, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut} {
+			header := map[string]string{"Kq-Idempotent": "false", "Kq-Deadline": "3s", "Idempotency-Key": fmt.Sprint("key-", i)}
+			a, err := call(f, method, "charge", header, nil)
+			Expect(err).NotTo(HaveOccurred())
+			a.Body.Close()
+			Expect(a.Header.Get("Kq-Result")).To(Equal("201"))
+		}
+		t := f.Records["kaluvi"].Tally()
+		Expect(t.Started).To(BeEquivalentTo(3))
+		Expect(t.RunTwice).To(BeZero())
+	})
+
+	It("brings an answer whole to a caller who reads slowly, beside others", func() {
+		f := start(small(1, 5*time.Millisecond), 1)
+		const size = 8 << 20
+		a, err := call(f, http.MethodGet, fmt.Sprint("report?bytes=", size), nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		piece := make([]byte, 256<<10)
+		got := 0
+		for {
+			n, err := io.ReadFull(a.Body, piece)
+			got += n
+			if err != nil {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+			b, err := call(f, http.MethodGet, "unlock", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(b)).To(HavePrefix("done "))
+		}
+		Expect(got).To(Equal(size))
+	})
+
+	It("leaves an endpoint that fails everything out, and lets it back", func() {
+		f := start(small(3, 5*time.Millisecond), 1)
+		bad := f.Workers[1].Endpoint()
+		bad.SetMode(kqservice.ModeFail)
+		state := func() string {
+			for _, v := range f.Entries()[0].Endpoints() {
+				if v.Worker == f.Workers[1].Name {
+					return v.State
+				}
+			}
+			return ""
+		}
+		poke := func() {
+			a, err := call(f, http.MethodGet, "unlock", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			a.Body.Close()
+		}
+		Eventually(func() string { poke(); return state() }).Should(Equal("ejected"))
+		bad.SetMode(kqservice.ModeServe)
+		Eventually(func() string { poke(); return state() }).Should(Equal("ready"))
+	})
+
+	It("sends nothing more to an endpoint that is leaving or dead", func() {
+		f := start(small(3, 5*time.Millisecond), 2)
+		known := func(w *kqfleet.Worker) int {
+			n := 0
+			for _, e := range f.Entries() {
+				for _, v := range e.Endpoints() {
+					if v.Worker == w.Name && v.State == "ready" {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		Expect(f.Workers[0].Endpoint().Leave(ctx)).To(Succeed())
+		Eventually(func() int { return known(f.Workers[0]) }).Should(BeZero())
+		f.Workers[1].Kill()
+		Eventually(func() int { return known(f.Workers[1]) }).Should(BeZero())
+		for range 20 {
+			a, err := call(f, http.MethodPost, "unlock", nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(read(a)).To(HavePrefix("done "))
+		}
+	})
+
 	It("cuts off nothing when an entry and an agent are drained", func() {
 		f := start(small(3, 200*time.Millisecond), 2)
 		var g sync.WaitGroup
--- a/internal/trial/kqrig/session_test.go
+++ b/internal/trial/kqrig/session_test.go
@@ -184,4 +184,3 @@
 		fmt.Fprintf(&s.out, "%8.3fs  %d %s: %s\n", e.At.Sub(s.begun).Seconds(), e.Number, e.Number, e.Text)
 	}
 }
-
