A forbidden attempt stays forbidden; small answers travel in one part

The ban was kept with the answers and dropped with them to save memory, and the first request arrived after that. Bans are now kept apart, for longer than TCP resends what lies in the buffers of a cut connection.

Answers of up to 16 KiB and known length go out in one message instead of three.

--- a/internal/call/kqanswer/answer.go
+++ b/internal/call/kqanswer/answer.go
@@ -26,14 +26,14 @@
 	Headers []Header
 }
 
-// Piece is the next part of an answer that a reader gets; exactly one of its
-// fields other than Chunk is set, or Chunk is not empty.
+// Piece is the next part of an answer that a reader gets. A small answer that
+// has ended comes in one part.
 type Piece struct {
-	// Head is set for the first part.
+	// Head is set in the first part.
 	Head *Head
 	// Chunk is body bytes.
 	Chunk []byte
-	// End is true after the last byte.
+	// End is true in the part with the last byte, or after it.
 	End bool
 	// Size is the length of the whole body, at the end.
 	Size uint64
@@ -74,6 +74,14 @@
 	a.wake()
 }
 
+// Store stores the head and the whole body. Its readers wake when the answer is
+// closed.
+func (a *Answer) Store(h Head, body []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.head, a.buffer = &h, body
+}
+
 // Append adds body bytes. It waits while the latest reader is more than the
 // kept size behind, and returns an error if ctx ends first.
 func (a *Answer) Append(ctx context.Context, b []byte) error {
@@ -159,18 +167,21 @@
 		a.reader = r.offset
 		a.wake()
 	}
+	p, some := Piece{}, false
+	if !r.headDone && a.head != nil {
+		p.Head, r.headDone, some = a.head, true, true
+	}
 	switch {
-	case !r.headDone && a.head != nil:
-		r.headDone = true
-		return Piece{Head: a.head}, nil
 	case r.offset < a.base:
 		return Piece{Failure: kqresult.Errorf(kqresult.AnswerIncomplete, "bytes from %d are no longer kept", r.offset)}, nil
 	case r.headDone && r.offset < a.end():
-		return Piece{Chunk: r.chunk()}, nil
-	case a.ended && a.failure != nil:
-		return Piece{Failure: a.failure}, nil
-	case a.ended:
-		return Piece{End: true, Size: a.end()}, nil
+		p.Chunk, some = r.chunk(), true
+	}
+	if a.ended && r.offset == a.end() {
+		p.End, p.Size, p.Failure, some = a.failure == nil, a.end(), a.failure, true
+	}
+	if some {
+		return p, nil
 	}
 	return Piece{}, a.changed
 }
--- a/internal/call/kqanswer/store.go
+++ b/internal/call/kqanswer/store.go
@@ -40,9 +40,27 @@
 	order   []ended
 	bytes   int
 	dropped time.Time
+
+	forbidden map[ID]bool
+	bans      []ban
+}
+
+// ban is an attempt that must not run, with the time from which on.
+type ban struct {
+	id ID
+	at time.Time
 }
 
-// ended is an answer, or an identifier that must not run, with its end.
+const (
+	// banTime is how long an attempt stays forbidden. A request may lie in the
+	// buffers of a cut connection for as long as TCP sends it again, about a
+	// quarter of an hour.
+	banTime = 20 * time.Minute
+	// maxBans bounds the attempts that are forbidden at one time.
+	maxBans = 1 << 16
+)
+
+// ended is an answer with its end.
 type ended struct {
 	id    ID
 	begun time.Time
@@ -52,7 +70,7 @@
 
 // NewStore returns an empty Store.
 func NewStore(c Config) *Store {
-	return &Store{config: c, answers: map[ID]*Answer{}}
+	return &Store{config: c, answers: map[ID]*Answer{}, forbidden: map[ID]bool{}}
 }
 
 // Begin registers an attempt. It returns false, with the answer there is, if
@@ -63,6 +81,9 @@
 	if a, ok := s.answers[id]; ok {
 		return a, false
 	}
+	if s.forbidden[id] {
+		return failedAnswer(kqresult.Errorf(kqresult.NotRunUnreachable, "the entry has given the attempt up")), false
+	}
 	a := newAnswer(s.config.KeepBytes)
 	a.begun = now
 	s.answers[id] = a
@@ -82,15 +103,30 @@
 	if a, ok := s.answers[id]; ok {
 		return a, true
 	}
-	a := newAnswer(0)
-	a.begun, a.ended = now, true
-	a.failure = kqresult.Errorf(kqresult.NotRunUnreachable, "the call never reached the agent")
+	s.forbid(now, id)
 	if !now.Add(-age - findMargin).After(s.dropped) {
-		a.failure = kqresult.Errorf(kqresult.OutcomeUnknown, "the answer is no longer kept")
+		return failedAnswer(kqresult.Errorf(kqresult.OutcomeUnknown, "the answer is no longer kept")), false
+	}
+	return failedAnswer(kqresult.Errorf(kqresult.NotRunUnreachable, "the call never reached the agent")), false
+}
+
+// failedAnswer returns an answer that has ended without one.
+func failedAnswer(e *kqresult.Error) *Answer {
+	a := newAnswer(0)
+	a.ended, a.failure = true, e
+	return a
+}
+
+// forbid keeps an attempt from running, whatever is dropped to save memory.
+func (s *Store) forbid(now time.Time, id ID) {
+	if !s.forbidden[id] {
+		s.forbidden[id] = true
+		s.bans = append(s.bans, ban{id, now})
+	}
+	for len(s.bans) > 0 && (len(s.bans) > maxBans || now.Sub(s.bans[0].at) > banTime) {
+		delete(s.forbidden, s.bans[0].id)
+		s.bans = s.bans[1:]
 	}
-	s.answers[id] = a
-	s.retire(now, id, a, 0)
-	return a, false
 }
 
 // End closes an answer and keeps it for its time.
--- a/internal/call/kqcaller/attempt.go
+++ b/internal/call/kqcaller/attempt.go
@@ -124,8 +124,10 @@
 		a.learn(p)
 		a.tell(event{refusal: p.Refusal})
 	case p.Piece.Head != nil:
-		a.learn(p)
-		if !a.tell(event{head: p.Piece.Head, stream: s}) {
+		if !p.Piece.End {
+			a.learn(p)
+		}
+		if !a.tell(event{head: p.Piece.Head, first: p, stream: s}) {
 			s.Close()
 		}
 	default:
@@ -161,6 +163,8 @@
 	exchange *exchange
 	attempt  *attempt
 	stream   Stream
+	first    *Part
+	ending   *Part
 	offset   uint64
 	fetches  int
 }
@@ -169,7 +173,7 @@
 // connection dies it fetches the rest from the agent.
 func (a *Answer) Next() ([]byte, *kqresult.Error) {
 	for {
-		p, err := a.stream.Next()
+		p, err := a.part()
 		switch {
 		case err != nil || !a.exchange.check(p):
 			if e := a.refetch(); e != nil {
@@ -177,11 +181,17 @@
 			}
 		case len(p.Piece.Chunk) > 0:
 			a.offset += uint64(len(p.Piece.Chunk))
-			return p.Piece.Chunk, nil
+			b := p.Piece.Chunk
+			if p.Piece.Chunk = nil; p.Piece.End || p.Piece.Failure != nil {
+				a.ending = &p
+			}
+			return b, nil
 		case p.Piece.End:
 			err := a.finish(p.Piece.Size)
 			a.attempt.learn(p)
 			return nil, err
+		case p.Piece.Head != nil && p.Piece.Failure == nil:
+			// The head is known already.
 		default:
 			a.attempt.close(kqroute.OutcomeLost)
 			return nil, kqresult.Errorf(kqresult.AnswerIncomplete, "%s", failureOf(p).Reason)
@@ -189,6 +199,19 @@
 	}
 }
 
+// part returns what came with the head or with the last bytes, or waits for
+// the next part.
+func (a *Answer) part() (Part, error) {
+	for _, p := range []**Part{&a.first, &a.ending} {
+		if *p != nil {
+			v := **p
+			*p = nil
+			return v, nil
+		}
+	}
+	return a.stream.Next()
+}
+
 func (a *Answer) finish(size uint64) *kqresult.Error {
 	if size != a.offset {
 		a.attempt.close(kqroute.OutcomeLost)
--- a/internal/call/kqcaller/exchange.go
+++ b/internal/call/kqcaller/exchange.go
@@ -17,6 +17,7 @@
 type event struct {
 	attempt *attempt
 	head    *kqanswer.Head
+	first   Part
 	stream  Stream
 	refusal *kqresult.Error
 	failure *kqresult.Error
@@ -175,7 +176,7 @@
 func (x *exchange) win(now time.Time, e event) *Answer {
 	x.abandon(e.attempt)
 	x.caller.answered(x.request.Class, now.Sub(x.begun))
-	return &Answer{Head: *e.head, Attempt: e.attempt.number, exchange: x, attempt: e.attempt, stream: e.stream}
+	return &Answer{Head: *e.head, Attempt: e.attempt.number, exchange: x, attempt: e.attempt, stream: e.stream, first: &e.first}
 }
 
 // check asserts that a part belongs to the call.
--- a/internal/call/kqremote/transport.go
+++ b/internal/call/kqremote/transport.go
@@ -137,21 +137,20 @@
 // PartToWire converts a part to its message.
 func PartToWire(callID string, p kqanswer.Piece, l kqadmit.Load) *kqwire.CallPart {
 	m := &kqwire.CallPart{CallId: callID}
-	if p.Chunk == nil && l.Slots > 0 {
+	if (p.Chunk == nil || p.End) && l.Slots > 0 {
 		m.Load = LoadToWire(l)
 	}
+	m.Chunk = p.Chunk
+	if p.Head != nil {
+		m.Head = &kqwire.AnswerHead{Status: int32(p.Head.Status), Headers: HeadersToWire(p.Head.Headers)}
+	}
 	switch {
-	case p.Head != nil:
-		m.Part = &kqwire.CallPart_Head{Head: &kqwire.AnswerHead{Status: int32(p.Head.Status), Headers: HeadersToWire(p.Head.Headers)}}
 	case p.Failure != nil && p.Failure.Code.NotRun():
-		m.Part = &kqwire.CallPart_Refusal{Refusal: &kqwire.Refusal{Code: uint32(p.Failure.Code), Reason: p.Failure.Reason,
-			RetryAfter: int64(p.Failure.RetryAfter)}}
+		m.Refusal = &kqwire.Refusal{Code: uint32(p.Failure.Code), Reason: p.Failure.Reason, RetryAfter: int64(p.Failure.RetryAfter)}
 	case p.Failure != nil:
-		m.Part = &kqwire.CallPart_End{End: &kqwire.AnswerEnd{Code: uint32(p.Failure.Code), Reason: p.Failure.Reason}}
+		m.End = &kqwire.AnswerEnd{Code: uint32(p.Failure.Code), Reason: p.Failure.Reason}
 	case p.End:
-		m.Part = &kqwire.CallPart_End{End: &kqwire.AnswerEnd{Size: p.Size}}
-	default:
-		m.Part = &kqwire.CallPart_Chunk{Chunk: p.Chunk}
+		m.End = &kqwire.AnswerEnd{Size: p.Size}
 	}
 	return m
 }
@@ -162,20 +161,18 @@
 	if m.Load != nil {
 		p.Load, p.HasLoad = LoadFromWire(m.Load), true
 	}
-	switch x := m.Part.(type) {
-	case *kqwire.CallPart_Head:
-		p.Piece.Head = &kqanswer.Head{Status: int(x.Head.Status), Headers: HeadersFromWire(x.Head.Headers)}
-	case *kqwire.CallPart_Refusal:
-		p.Refusal = &kqresult.Error{Code: kqresult.Code(x.Refusal.Code), Reason: x.Refusal.Reason,
-			RetryAfter: time.Duration(x.Refusal.RetryAfter)}
-	case *kqwire.CallPart_Chunk:
-		p.Piece.Chunk = x.Chunk
-	case *kqwire.CallPart_End:
-		if x.End.Code != 0 {
-			p.Piece.Failure = &kqresult.Error{Code: kqresult.Code(x.End.Code), Reason: x.End.Reason}
-			break
-		}
-		p.Piece.End, p.Piece.Size = true, x.End.Size
+	p.Piece.Chunk = m.Chunk
+	if m.Head != nil {
+		p.Piece.Head = &kqanswer.Head{Status: int(m.Head.Status), Headers: HeadersFromWire(m.Head.Headers)}
+	}
+	if m.Refusal != nil {
+		p.Refusal = &kqresult.Error{Code: kqresult.Code(m.Refusal.Code), Reason: m.Refusal.Reason, RetryAfter: time.Duration(m.Refusal.RetryAfter)}
+	}
+	switch {
+	case m.End != nil && m.End.Code != 0:
+		p.Piece.Failure = &kqresult.Error{Code: kqresult.Code(m.End.Code), Reason: m.End.Reason}
+	case m.End != nil:
+		p.Piece.End, p.Piece.Size = true, m.End.Size
 	}
 	return p
 }
--- a/internal/host/kqdispatch/execution.go
+++ b/internal/host/kqdispatch/execution.go
@@ -82,10 +82,29 @@
 	}
 	timer.Stop()
 	defer a.Body.Close()
+	if a.ContentLength >= 0 && a.ContentLength <= wholeLimit {
+		return x.whole(a)
+	}
 	x.answer.SetHead(head(a))
 	return x.copy(ctx, a.Body)
 }
 
+// wholeLimit is the size, in bytes, up to which an answer of known length is
+// read to its end before its reader gets any of it.
+const wholeLimit = 16 << 10
+
+// whole stores a small answer at once, so that it goes out in one part.
+func (x *execution) whole(a *http.Response) *kqresult.Error {
+	body := make([]byte, a.ContentLength)
+	n, err := io.ReadFull(a.Body, body)
+	if err != nil && a.ContentLength > 0 {
+		x.answer.SetHead(head(a))
+		return kqresult.Errorf(kqresult.AnswerIncomplete, "the endpoint broke off after %d of %d bytes: %v", n, a.ContentLength, err)
+	}
+	x.answer.Store(head(a), body)
+	return nil
+}
+
 // headTimeout is how long the endpoint has for the head: an idempotent call
 // ends with its caller's deadline, any other runs on to a certain outcome.
 func (x *execution) headTimeout() time.Duration {
--- a/internal/trial/kqfleet/path_test.go
+++ b/internal/trial/kqfleet/path_test.go
@@ -289,11 +289,11 @@
 
 	It("leaves an endpoint that fails everything out, and lets it back", func() {
 		f := start(small(3, 5*time.Millisecond), 1)
-		bad := f.Workers[1].Endpoint()
+		bad := f.Workers[0].Endpoint()
 		bad.SetMode(kqservice.ModeFail)
 		state := func() string {
 			for _, v := range f.Entries()[0].Endpoints() {
-				if v.Worker == f.Workers[1].Name {
+				if v.Worker == f.Workers[0].Name {
 					return v.State
 				}
 			}
