Heartbeats and announcements cost what has changed

Causes: every answer to a heartbeat carried the members of the cell, every heartbeat the address, zone, rack and capacity of the host; and every announcement listed the endpoints of all classes anew.

Members and the host's description now go when they change, and classes are listed anew when an endpoint comes or goes.

--- a/internal/call/kqroute/table.go
+++ b/internal/call/kqroute/table.go
@@ -139,6 +139,7 @@
 	config  Config
 	rng     *rand.Rand
 	targets map[Ref]*target
+	workers map[string][]Ref
 	groups  map[string]*group
 }
 
@@ -148,7 +149,7 @@
 		c.Policy = PolicyExpected
 	}
 	return &Table{config: c, rng: rand.New(rand.NewPCG(c.Seed, c.Seed)),
-		targets: map[Ref]*target{}, groups: map[string]*group{}}
+		targets: map[Ref]*target{}, workers: map[string][]Ref{}, groups: map[string]*group{}}
 }
 
 func (t *Table) notice(now time.Time, k ChangeKind, x *target, reason string) {
@@ -160,28 +161,36 @@
 // Announce takes over what an agent says; endpoints it no longer names and
 // those of its earlier processes are dropped.
 func (t *Table) Announce(now time.Time, a Announcement) {
-	named := map[Ref]bool{}
+	named := make([]Ref, 0, len(a.Endpoints))
+	changed := false
 	for _, e := range a.Endpoints {
 		e.Leaving = e.Leaving || a.Draining
 		r := Ref{a.Address, a.Boot, e.ID}
-		named[r] = true
-		t.announceOne(now, a, r, e)
+		named = append(named, r)
+		changed = t.announceOne(now, a, r, e) || changed
 	}
-	for r, x := range t.targets {
-		if x.worker == a.Worker && !named[r] {
+	for _, r := range t.workers[a.Worker] {
+		if !slices.Contains(named, r) {
 			t.remove(now, r, "the agent no longer names it")
+			changed = true
 		}
 	}
-	t.index()
+	t.workers[a.Worker] = named
+	if changed {
+		t.index()
+	}
 }
 
-func (t *Table) announceOne(now time.Time, a Announcement, r Ref, e Endpoint) {
+// announceOne takes over one endpoint and reports whether the classes have to
+// be listed anew.
+func (t *Table) announceOne(now time.Time, a Announcement, r Ref, e Endpoint) (changed bool) {
 	x, known := t.targets[r]
 	if !known {
 		x = newTarget(now)
 		t.targets[r] = x
 	}
 	x.worker, x.boot, x.address, x.zone, x.heardAt = a.Worker, a.Boot, a.Address, a.Zone, now
+	changed = !known || !slices.Equal(x.endpoint.Classes, e.Classes)
 	x.endpoint = e
 	x.learn(now, e.Load)
 	if !known {
@@ -194,11 +203,14 @@
 	case !e.Leaving && x.state == stateLeaving:
 		x.state = chart.Initial()
 	}
+	return changed
 }
 
 func (t *Table) remove(now time.Time, r Ref, reason string) {
-	t.notice(now, ChangeGone, t.targets[r], reason)
-	delete(t.targets, r)
+	if x, ok := t.targets[r]; ok {
+		t.notice(now, ChangeGone, x, reason)
+		delete(t.targets, r)
+	}
 }
 
 // index lists the targets of each class in a fixed order.
@@ -261,12 +273,17 @@
 	changed := false
 	for r, x := range t.targets {
 		if now.Sub(x.heardAt) > LivenessBound {
+			delete(t.workers, x.worker)
 			t.remove(now, r, "its agent was not heard for "+now.Sub(x.heardAt).Round(time.Millisecond).String())
 			changed = true
 		}
 	}
 	if changed {
 		t.index()
+		return
+	}
+	for _, g := range t.groups {
+		g.median = medianService(g.targets)
 	}
 }
 
--- a/internal/cell/kqcell/cell.go
+++ b/internal/cell/kqcell/cell.go
@@ -82,6 +82,10 @@
 	waiting    map[string]string
 	planned    *Batch
 	sessions   uint64
+
+	memberList     []Member
+	membersVersion uint64
+	membersAt      time.Time
 }
 
 // Loaded is what a new owner reads from the table.
--- a/internal/cell/kqcell/worker.go
+++ b/internal/cell/kqcell/worker.go
@@ -29,7 +29,7 @@
 
 // Heartbeat is what an agent tells the owner of its cell.
 type Heartbeat struct {
-	// Worker is the agent's host.
+	// Worker is the agent's host; only its ID is given unless Full.
 	Worker kqmodel.Worker
 	// AgentBoot names the agent process.
 	AgentBoot string
@@ -43,8 +43,10 @@
 	Tasks []kqruntime.Report
 	// Pressures is how the services on the worker do.
 	Pressures []Pressure
-	// Services is the classes of service on the worker.
+	// Services is the classes of service on the worker, if Full.
 	Services []string
+	// MembersSeen is the version of the members that the agent knows.
+	MembersSeen uint64
 	// OrdersSeen is the version of the orders that the agent follows.
 	OrdersSeen uint64
 	// Session is the session that the owner offered last.
@@ -63,7 +65,9 @@
 	Changed bool
 	// Orders is every attempt that the owner wants on the worker.
 	Orders []kqruntime.Order
-	// Members is the workers heard of late.
+	// MembersVersion is the version of the members.
+	MembersVersion uint64
+	// Members is the workers heard of late, if the agent knows older ones.
 	Members []Member
 	// LeaseLeft is how long the leases last from when the agent asked.
 	LeaseLeft time.Duration
@@ -105,6 +109,7 @@
 
 const (
 	memberSilence     = 5 * time.Second
+	memberInterval    = 500 * time.Millisecond
 	versionEpochShift = 32
 )
 
@@ -130,15 +135,19 @@
 		w.version++
 		k.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.id), "host boot %s with %d attempts", w.hostBoot, len(w.reports))
 	}
-	return k.answer(now, w, h.OrdersSeen)
+	return k.answer(now, w, h)
 }
 
 // answer grants a lease and gives the orders, if the agent has older ones.
-func (k *Cell) answer(now time.Time, w *worker, seen uint64) Reply {
+func (k *Cell) answer(now time.Time, w *worker, h Heartbeat) Reply {
 	left := max(0, LeaseTime-now.Sub(k.confirmedAt))
 	w.grantedTill = now.Add(left)
-	r := Reply{Epoch: k.row.Epoch, Session: w.session, Version: w.version, LeaseLeft: left, Members: k.members(now), StoreAge: now.Sub(k.storeAt)}
-	if seen != w.version {
+	r := Reply{Epoch: k.row.Epoch, Session: w.session, Version: w.version, LeaseLeft: left, StoreAge: now.Sub(k.storeAt)}
+	k.listMembers(now)
+	if r.MembersVersion = k.membersVersion; h.MembersSeen != k.membersVersion {
+		r.Members = k.memberList
+	}
+	if h.OrdersSeen != w.version {
 		r.Changed, r.Orders = true, k.orders(w)
 	}
 	return r
@@ -151,7 +160,7 @@
 	if w == nil || w.session != h.Session {
 		return Reply{Epoch: k.row.Epoch, NeedFull: true, Session: h.Session, StoreAge: now.Sub(k.storeAt)}
 	}
-	return k.answer(now, w, h.OrdersSeen)
+	return k.answer(now, w, h)
 }
 
 // Pending reports whether there are orders that the sender of a held heartbeat
@@ -171,11 +180,12 @@
 }
 
 func (k *Cell) take(now time.Time, w *worker, h Heartbeat) {
-	w.info, w.hostBoot = h.Worker, h.HostBoot
+	w.hostBoot = h.HostBoot
 	w.session, w.sequence = h.Session, h.Sequence
-	w.registered, w.draining, w.heardAt, w.services = true, h.Draining, now, h.Services
+	w.registered, w.draining, w.heardAt = true, h.Draining, now
 	w.ordersSeen = h.OrdersSeen
 	if h.Full {
+		w.info, w.services = h.Worker, h.Services
 		w.reports = make(map[kqmodel.AttemptID]kqruntime.Report, len(h.Tasks))
 		for _, r := range h.Tasks {
 			w.reports[r.ID] = r
@@ -221,6 +231,19 @@
 	return out
 }
 
+// listMembers brings the list of members to the present time.
+func (k *Cell) listMembers(now time.Time) {
+	if now.Sub(k.membersAt) < memberInterval && k.membersVersion > 0 {
+		return
+	}
+	k.membersAt = now
+	list := k.members(now)
+	if k.membersVersion == 0 || !slices.Equal(list, k.memberList) {
+		k.memberList = list
+		k.membersVersion = max(k.membersVersion, k.row.Epoch<<versionEpochShift) + 1
+	}
+}
+
 func (k *Cell) members(now time.Time) []Member {
 	var out []Member
 	for _, w := range k.workers {
--- a/internal/cell/kqowner/follower.go
+++ b/internal/cell/kqowner/follower.go
@@ -73,18 +73,19 @@
 // Follower decides when a worker takes the ownership of its cell. It is not
 // safe for concurrent use.
 type Follower struct {
-	config   FollowerConfig
-	state    string
-	row      kqcell.Row
-	found    bool
-	version  uint64
-	read     bool
-	readAt   time.Time
-	movedAt  time.Time
-	heardAt  time.Time
-	storeBad bool
-	members  []kqcell.Member
-	highest  uint64
+	config      FollowerConfig
+	state       string
+	row         kqcell.Row
+	found       bool
+	version     uint64
+	read        bool
+	readAt      time.Time
+	movedAt     time.Time
+	heardAt     time.Time
+	storeBad    bool
+	members     []kqcell.Member
+	membersSeen uint64
+	highest     uint64
 }
 
 // NewFollower returns a Follower that knows no owner.
@@ -111,12 +112,15 @@
 
 // Heard notes an answer of the owner and reports whether it may be obeyed: an
 // owner with an epoch below the highest seen may not.
-func (f *Follower) Heard(now time.Time, epoch uint64, members []kqcell.Member, storeAge time.Duration) bool {
-	if epoch < f.highest {
+func (f *Follower) Heard(now time.Time, r kqcell.Reply) bool {
+	if r.Epoch < f.highest {
 		return false
 	}
-	f.highest, f.heardAt, f.members = epoch, now, members
-	f.storeBad = storeAge > storeSilence
+	f.highest, f.heardAt = r.Epoch, now
+	if r.Members != nil && r.MembersVersion > f.membersSeen {
+		f.members, f.membersSeen = r.Members, r.MembersVersion
+	}
+	f.storeBad = r.StoreAge > storeSilence
 	if f.state == stateCandidate && !f.storeBad {
 		f.step(eventOwnerHeard)
 	}
@@ -243,5 +247,8 @@
 	f.heardAt, f.movedAt = now, now
 }
 
+// MembersSeen returns the version of the members as last heard.
+func (f *Follower) MembersSeen() uint64 { return f.membersSeen }
+
 // Members returns the workers of the cell as last heard.
 func (f *Follower) Members() []kqcell.Member { return slices.Clone(f.members) }
--- a/internal/cell/kqowner/runner.go
+++ b/internal/cell/kqowner/runner.go
@@ -203,7 +203,7 @@
 	}
 	r.beats++
 	r.sequence++
-	r.tomb.Go((&beat{runner: r, to: row.Address, local: local, full: r.needFull, session: r.session, sequence: r.sequence}).run)
+	r.tomb.Go((&beat{runner: r, to: row.Address, local: local, full: r.needFull, session: r.session, sequence: r.sequence, members: r.follower.MembersSeen()}).run)
 }
 
 // beat is one heartbeat under way.
@@ -214,20 +214,21 @@
 	full     bool
 	session  uint64
 	sequence uint64
+	members  uint64
 }
 
 func (b *beat) run() error {
 	r := b.runner
 	sent := r.config.Now()
 	h := r.config.Report(sent, b.full)
-	h.Session, h.Sequence = b.session, b.sequence
+	h.Session, h.Sequence, h.MembersSeen = b.session, b.sequence, b.members
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), heartbeatTimeout)
 	defer cancel()
 	reply, err := r.send(ctx, b.local, b.to, h)
 	now := r.config.Now()
 	r.mu.Lock()
 	r.beats--
-	obey := err == nil && r.follower.Heard(now, reply.Epoch, reply.Members, reply.StoreAge)
+	obey := err == nil && r.follower.Heard(now, reply)
 	if obey {
 		r.needFull, r.session = reply.NeedFull, reply.Session
 	}
--- a/internal/host/kqagent/convert.go
+++ b/internal/host/kqagent/convert.go
@@ -13,14 +13,19 @@
 )
 
 func heartbeatToWire(h kqcell.Heartbeat) *kqwire.HeartbeatRequest {
-	q := &kqwire.HeartbeatRequest{WorkerId: h.Worker.ID, AgentBoot: h.AgentBoot, HostBoot: h.HostBoot,
-		Address: h.Worker.Address.String(), Zone: h.Worker.Zone, Rack: h.Worker.Rack,
-		Capacity: kqruntime.ResourcesToWire(h.Worker.Capacity), Draining: h.Draining, OrdersSeen: h.OrdersSeen,
-		Full: h.Full, Services: h.Services, Session: h.Session, Sequence: h.Sequence}
+	q := &kqwire.HeartbeatRequest{WorkerId: h.Worker.ID, HostBoot: h.HostBoot, Draining: h.Draining, OrdersSeen: h.OrdersSeen,
+		MembersSeen: h.MembersSeen, Full: h.Full, Session: h.Session, Sequence: h.Sequence}
+	if h.Full {
+		q.AgentBoot, q.Address, q.Zone, q.Rack = h.AgentBoot, h.Worker.Address.String(), h.Worker.Zone, h.Worker.Rack
+		q.Capacity, q.Services = kqruntime.ResourcesToWire(h.Worker.Capacity), h.Services
+	}
 	for _, t := range h.Tasks {
 		q.Tasks = append(q.Tasks, kqruntime.ReportToWire(t))
 	}
 	for _, p := range h.Pressures {
+		if p.Calls == 0 {
+			continue
+		}
 		q.Pressures = append(q.Pressures, &kqwire.Pressure{Class: p.Class, Slowdown: p.Slowdown, Pressed: p.Pressed, Calls: uint32(p.Calls)})
 	}
 	return q
@@ -28,11 +33,11 @@
 
 func heartbeatFromWire(q *kqwire.HeartbeatRequest) (kqcell.Heartbeat, error) {
 	address, err := netip.ParseAddrPort(q.Address)
-	if err != nil {
+	if err != nil && q.Full {
 		return kqcell.Heartbeat{}, kqresult.Errorf(kqresult.BadRequest, "address %q: %v", q.Address, err)
 	}
 	h := kqcell.Heartbeat{AgentBoot: q.AgentBoot, HostBoot: q.HostBoot, Draining: q.Draining, OrdersSeen: q.OrdersSeen,
-		Full: q.Full, Services: q.Services, Session: q.Session, Sequence: q.Sequence,
+		Full: q.Full, Services: q.Services, Session: q.Session, Sequence: q.Sequence, MembersSeen: q.MembersSeen,
 		Worker: kqmodel.Worker{ID: q.WorkerId, Zone: q.Zone, Rack: q.Rack, Address: address, Capacity: kqruntime.ResourcesFromWire(q.Capacity)}}
 	for _, t := range q.Tasks {
 		h.Tasks = append(h.Tasks, kqruntime.ReportFromWire(t))
@@ -45,7 +50,7 @@
 
 func replyToWire(r kqcell.Reply) *kqwire.HeartbeatReply {
 	m := &kqwire.HeartbeatReply{Epoch: r.Epoch, OrdersVersion: r.Version, OrdersChanged: r.Changed,
-		LeaseLeft: int64(r.LeaseLeft), NeedFull: r.NeedFull, StoreAge: int64(r.StoreAge), Session: r.Session}
+		LeaseLeft: int64(r.LeaseLeft), NeedFull: r.NeedFull, StoreAge: int64(r.StoreAge), Session: r.Session, MembersVersion: r.MembersVersion}
 	for _, o := range r.Orders {
 		m.Orders = append(m.Orders, kqruntime.OrderToWire(o))
 	}
@@ -60,7 +65,7 @@
 		return kqcell.Reply{}, kqresult.Errorf(kqresult.Code(m.Code), "the heartbeat was refused")
 	}
 	r := kqcell.Reply{Epoch: m.Epoch, Version: m.OrdersVersion, Changed: m.OrdersChanged,
-		LeaseLeft: time.Duration(m.LeaseLeft), NeedFull: m.NeedFull, StoreAge: time.Duration(m.StoreAge), Session: m.Session}
+		LeaseLeft: time.Duration(m.LeaseLeft), NeedFull: m.NeedFull, StoreAge: time.Duration(m.StoreAge), Session: m.Session, MembersVersion: m.MembersVersion}
 	for _, o := range m.Orders {
 		r.Orders = append(r.Orders, kqruntime.OrderFromWire(o))
 	}
--- a/internal/trial/kqbench/capacity.go
+++ b/internal/trial/kqbench/capacity.go
@@ -74,7 +74,8 @@
 	ReadsPerWorker float64 `json:"table_reads_per_worker_per_second"`
 	// WritesPerCell is the writes of one quiet cell.
 	WritesPerCell float64 `json:"table_writes_per_cell_per_second"`
-	// AnnounceProcessor is the processor time of one announcement, both ends.
+	// AnnounceProcessor is the processor time of one announcement, both ends,
+	// measured beside the smallest size.
 	AnnounceProcessor float64 `json:"announce_processor_seconds"`
 	// Rows is the figures at the target, for each role.
 	Rows []CapacityRow `json:"target"`
@@ -104,7 +105,9 @@
 			return r, err
 		}
 		r.Sizes = append(r.Sizes, s)
-		r.AnnounceProcessor = announce
+		if r.AnnounceProcessor == 0 {
+			r.AnnounceProcessor = announce
+		}
 		if c.Progress != nil {
 			fmt.Fprintf(c.Progress, "%d workers: %.3f processors, heap %.1f MB\n", n, s.Processor, s.Heap/1e6)
 		}
--- a/internal/trial/kqrig/beat.go
+++ b/internal/trial/kqrig/beat.go
@@ -102,7 +102,7 @@
 
 // obey takes the answer of an owner.
 func (n *Node) obey(sent time.Time, r kqcell.Reply) {
-	if !n.follower.Heard(n.rig.now, r.Epoch, r.Members, r.StoreAge) {
+	if !n.follower.Heard(n.rig.now, r) {
 		return
 	}
 	n.session = r.Session
--- a/internal/trial/kqrig/node.go
+++ b/internal/trial/kqrig/node.go
@@ -160,7 +160,7 @@
 func (n *Node) heartbeat() kqcell.Heartbeat {
 	h := kqcell.Heartbeat{Worker: kqmodel.Worker{ID: n.id, Zone: "zone-1", Rack: n.rack(), Address: n.address(), Capacity: n.inventory.Capacity},
 		AgentBoot: n.boot, HostBoot: n.inventory.HostBoot, Draining: n.draining, Full: true, OrdersSeen: n.reconciler.Version(),
-		Tasks: n.reconciler.Reports(n.inventory), Session: n.session, Sequence: n.sequence}
+		Tasks: n.reconciler.Reports(n.inventory), Session: n.session, Sequence: n.sequence, MembersSeen: n.follower.MembersSeen()}
 	if n.Pressures != nil {
 		h.Pressures = n.Pressures(n.rig.now)
 		for _, p := range h.Pressures {
