--- a/internal/call/kqcaller/world_test.go
+++ b/internal/call/kqcaller/world_test.go
@@ -91,13 +91,6 @@
 		Client: func(int) *http.Client { return &http.Client{Transport: &endpoint{agent: a, alive: a.alive}} }})
 }
 
-// restart ends the process with what it knows and starts another.
-func (a *agent) restart() {
-	a.kill()
-	a.dispatcher.Close()
-	a.start()
-}
-
 func (a *agent) announce(now time.Time, leaving bool) {
 	_ = a.dispatcher.Announce(now, kqdispatch.EndpointAnnouncement{ID: "endpoint", Classes: []string{"lockdesk"}, Address: a.address(),
 		Slots: 4, Connections: 16, Leaving: leaving})
--- a/internal/plumb/kqtrace/trace.go
+++ b/internal/plumb/kqtrace/trace.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 
 	"connectrpc.com/connect"
 	"connectrpc.com/otelconnect"
@@ -50,7 +51,8 @@
 	t.provider, t.shutdown, t.enabled = p, p.Shutdown, true
 	t.tracer = p.Tracer(c.Process)
 	t.interceptor, err = otelconnect.NewInterceptor(otelconnect.WithTracerProvider(p),
-		otelconnect.WithPropagator(t.propagator), otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics())
+		otelconnect.WithPropagator(t.propagator), otelconnect.WithTrustRemote(), otelconnect.WithoutMetrics(),
+		otelconnect.WithFilter(isHop))
 	if err != nil {
 		return nil, eris.Wrap(err, "trace interceptor")
 	}
@@ -58,6 +60,12 @@
 	return t, nil
 }
 
+// isHop reports whether a request carries a call; heartbeats, probes and
+// announcements make no spans.
+func isHop(_ context.Context, s connect.Spec) bool {
+	return strings.HasSuffix(s.Procedure, "/Call") || strings.HasSuffix(s.Procedure, "/Fetch")
+}
+
 // Start begins a span; a nil Tracer begins none.
 func (t *Tracer) Start(ctx context.Context, name string) (context.Context, trace.Span) {
 	if t == nil {
