Old claims and jobs are swept; dry runs say whether a target can be met

Cells keep an allotment for ten seconds before they give it back, so that a team's row is not written at each end of a task. Urgent work goes to another cell while its own has no owner.

--- a/internal/call/kqclaim/claim.go
+++ b/internal/call/kqclaim/claim.go
@@ -24,9 +24,12 @@
 	commitTimeout = 2 * time.Second
 	// storeRetryAfter is the advice to a caller while the table is out.
 	storeRetryAfter = 1 * time.Second
-	prefix          = "claim/"
+	prefix          = Prefix
 )
 
+// Prefix is the prefix of the rows of claims.
+const Prefix = "claim/"
+
 // Claim is the stored use of an idempotency key.
 type Claim struct {
 	// Key is the caller's key.
--- a/internal/call/kqroute/table.go
+++ b/internal/call/kqroute/table.go
@@ -452,6 +452,8 @@
 	Slots int `json:"slots"`
 	// ServiceSeconds is the smoothed time of a call.
 	ServiceSeconds float64 `json:"service_seconds"`
+	// TailSeconds is the time that few calls take longer than.
+	TailSeconds float64 `json:"tail_seconds"`
 }
 
 // Views lists every known endpoint in order.
@@ -464,7 +466,7 @@
 	var out []View
 	for _, x := range xs {
 		out = append(out, View{x.worker, x.zone, x.endpoint.ID, x.endpoint.Classes, x.state, x.open(),
-			x.endpoint.Load.Slots, x.endpoint.Load.ServiceTime.Seconds()})
+			x.endpoint.Load.Slots, x.endpoint.Load.ServiceTime.Seconds(), x.endpoint.Load.TailTime.Seconds()})
 	}
 	return out
 }
--- a/internal/cell/kqcell/cell.go
+++ b/internal/cell/kqcell/cell.go
@@ -80,6 +80,7 @@
 	sizes      kqlearn.Sizes
 	pairs      kqlearn.Interference
 	waiting    map[string]string
+	spareSince map[string]time.Time
 	planned    *Batch
 	sessions   uint64
 
@@ -105,7 +106,7 @@
 func New(taken time.Time, c Config, l Loaded) *Cell {
 	k := &Cell{config: c, row: l.Row, rowVersion: l.RowVersion, takenAt: taken, confirmedAt: taken, storeAt: taken,
 		jobs: map[string]*job{}, tasks: map[kqmodel.TaskID]*kqmodel.Task{}, workers: map[string]*worker{},
-		allotments: map[string]AllotmentRow{}, refresh: map[string]bool{}, waiting: map[string]string{}}
+		allotments: map[string]AllotmentRow{}, refresh: map[string]bool{}, waiting: map[string]string{}, spareSince: map[string]time.Time{}}
 	for _, j := range l.Jobs {
 		k.addJob(j)
 	}
--- a/internal/cell/kqcell/placing.go
+++ b/internal/cell/kqcell/placing.go
@@ -238,8 +238,11 @@
 	p.batch.allotments[team] = allotmentWrite{version: version, allotments: a}
 }
 
-// giveBack returns allotments that the cell does not use, while nothing of the
-// team waits.
+// spareTime is how long a cell keeps an allotment that it does not use.
+const spareTime = 10 * time.Second
+
+// giveBack returns allotments that the cell has not used for a while, if
+// nothing of the team waits.
 func (p *planner) giveBack() {
 	used := map[string]kqmodel.Resources{}
 	queued := map[string]bool{}
@@ -250,10 +253,14 @@
 		queued[team] = queued[team] || t.State == stateQueued
 	}
 	for team, row := range p.cell.allotments {
-		if _, busy := p.batch.allotments[team]; busy || queued[team] || p.cell.refresh[team] {
+		a, less := kqquota.Shrink(row.Allotments, p.cell.config.ID, used[team])
+		if _, busy := p.batch.allotments[team]; busy || !less || queued[team] || p.cell.refresh[team] {
+			delete(p.cell.spareSince, team)
 			continue
 		}
-		if a, less := kqquota.Shrink(row.Allotments, p.cell.config.ID, used[team]); less {
+		if since, ok := p.cell.spareSince[team]; !ok {
+			p.cell.spareSince[team] = p.now
+		} else if p.now.Sub(since) >= spareTime {
 			p.writeAllotments(team, row.Version, a)
 		}
 	}
--- a/internal/cell/kqcell/plan.go
+++ b/internal/cell/kqcell/plan.go
@@ -297,7 +297,7 @@
 // endJobs drops the jobs whose tasks have all ended.
 func (p *planner) endJobs() {
 	for _, j := range p.cell.jobs {
-		var s Summary
+		s := Summary{EndedAt: p.now.UTC()}
 		over := true
 		for _, id := range j.tasks {
 			t := p.task(id)
--- a/internal/cell/kqcell/rows.go
+++ b/internal/cell/kqcell/rows.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -40,6 +41,8 @@
 	Cancelled int `json:"cancelled"`
 	// Evictions counts how often tasks were taken off workers.
 	Evictions int `json:"evictions"`
+	// EndedAt is when the last task ended.
+	EndedAt time.Time `json:"ended_at"`
 }
 
 // JobRow is the stored form of a job.
@@ -55,8 +58,11 @@
 // RowKey returns the key of a cell's ownership.
 func RowKey(cell string) string { return "cell/" + cell }
 
+// JobPrefix is the prefix of all jobs.
+const JobPrefix = "job/"
+
 // JobKey returns the key of a job.
-func JobKey(job string) string { return "job/" + job }
+func JobKey(job string) string { return JobPrefix + job }
 
 // ActivePrefix returns the prefix of the jobs of a cell that have not ended.
 func ActivePrefix(cell string) string { return "active/" + cell + "/" }
--- a/internal/command/kqcommand/class.go
+++ b/internal/command/kqcommand/class.go
@@ -53,7 +53,7 @@
 			what = targets(*c.Before) + " -> " + targets(c.After)
 		}
 		if r.DryRun {
-			what += " (dry run)"
+			what += " (dry run): " + c.Outlook
 		}
 		t.add(c.Key, c.After.Version, c.After.Sequence, what)
 	}
--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -151,6 +151,7 @@
 	defer tick.Stop()
 	follower := &follower{entry: e}
 	e.tomb.Go(follower.loop)
+	e.tomb.Go(newSweeper(e).loop)
 	for {
 		select {
 		case <-e.tomb.Dying():
--- a/internal/entry/kqentry/job.go
+++ b/internal/entry/kqentry/job.go
@@ -98,7 +98,21 @@
 	if s.Urgency == "" {
 		s.Urgency = kqmodel.UrgencyNormal
 	}
-	return kqmodel.Job{Spec: s, Cell: kqcell.Home(s.ID, e.config.Cells), Watcher: class.Kind == kqmodel.KindWatcher, SubmittedAt: now.UTC()}, nil
+	return kqmodel.Job{Spec: s, Cell: e.homeCell(now, s), Watcher: class.Kind == kqmodel.KindWatcher, SubmittedAt: now.UTC()}, nil
+}
+
+// homeCell returns the cell of a job. Urgent work goes to another cell while
+// its own has no owner that is heard.
+func (e *Entry) homeCell(now time.Time, s kqmodel.JobSpec) string {
+	home := kqcell.Home(s.ID, e.config.Cells)
+	if s.Urgency != kqmodel.UrgencyUrgent || e.config.Cells == 1 {
+		return home
+	}
+	owned := e.roster.OwnedCells(now)
+	if len(owned) == 0 || slices.Contains(owned, home) {
+		return home
+	}
+	return owned[len(s.ID)%len(owned)]
 }
 
 // acceptJob makes a job durable. A second submission of the same content is
@@ -211,7 +225,7 @@
 
 // listJobs serves GET /v1/jobs with an optional team.
 func (e *Entry) listJobs(w http.ResponseWriter, q bunrouter.Request) error {
-	rows, err := e.config.Table.Scan(q.Context(), "job/", q.URL.Query().Get("after"), jobListLimit)
+	rows, err := e.config.Table.Scan(q.Context(), kqcell.JobPrefix, q.URL.Query().Get("after"), jobListLimit)
 	if err != nil {
 		return kqresult.WriteHTTP(w, storeError(err, "nothing"))
 	}
--- a/internal/entry/kqentry/operator.go
+++ b/internal/entry/kqentry/operator.go
@@ -75,7 +75,11 @@
 	if err != nil {
 		return kqresult.WriteHTTP(w, failure(err))
 	}
-	if !dryRun {
+	if dryRun {
+		for i, c := range res.Changes {
+			res.Changes[i].Outlook = e.outlook(now, c.After)
+		}
+	} else {
 		e.accepted(now, res, author)
 	}
 	return writeJSON(w, http.StatusOK, res)
--- a/internal/fleet/kqconfig/store.go
+++ b/internal/fleet/kqconfig/store.go
@@ -36,6 +36,9 @@
 	Before *Accepted `json:"before,omitempty"`
 	// After is what comes into force.
 	After Accepted `json:"after"`
+	// Outlook says for a dry run whether the target can be met with what is
+	// there.
+	Outlook string `json:"outlook,omitempty"`
 	// Unchanged is true if the document says what is in force already.
 	Unchanged bool `json:"unchanged,omitempty"`
 }
--- a/internal/fleet/kqmember/roster.go
+++ b/internal/fleet/kqmember/roster.go
@@ -150,6 +150,26 @@
 	return slices.Clone(r.inForce), r.most
 }
 
+// OwnedCells returns the cells whose owner was heard of late, in order of name.
+func (r *Roster) OwnedCells(now time.Time) []string {
+	live := r.Live(now)
+	owners := map[string]string{}
+	epochs := map[string]uint64{}
+	for _, p := range live {
+		if p.OwnerEpoch > epochs[p.Cell] {
+			owners[p.Cell], epochs[p.Cell] = p.Owner, p.OwnerEpoch
+		}
+	}
+	var out []string
+	for cell, owner := range owners {
+		if slices.ContainsFunc(live, func(p Process) bool { return p.ID == owner }) {
+			out = append(out, cell)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Largest returns the most that any live worker has of each resource; ok is
 // false while none is known.
 func (r *Roster) Largest(now time.Time) (most kqmodel.Resources, ok bool) {
--- a/internal/trial/kqfleet/path_test.go
+++ b/internal/trial/kqfleet/path_test.go
@@ -16,9 +16,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqclaim"
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqcell"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
+	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqconfig"
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqtable"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqservice"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqfleet"
@@ -169,6 +173,39 @@
 		Expect(f.Ledger.Tally().RunTwice).To(BeZero())
 	})
 
+	It("forgets claims after a day and ended jobs after a week", func() {
+		old, kept := time.Now().Add(-25*time.Hour), time.Now().Add(-23*time.Hour)
+		week := time.Now().Add(-8 * 24 * time.Hour)
+		put := func(key string, v any) {
+			_, err := f.Table.Seam().Transact(ctx, kqtable.Transaction{Writes: []kqtable.Write{{Key: key, Value: kqtable.Encode(v)}}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		put(kqclaim.Prefix+"old", kqclaim.Claim{Key: "old", At: old})
+		put(kqclaim.Prefix+"kept", kqclaim.Claim{Key: "kept", At: kept})
+		put(kqcell.JobKey("ended"), kqcell.JobRow{Summary: &kqcell.Summary{EndedAt: week}})
+		put(kqcell.JobKey("active"), kqcell.JobRow{})
+		there := func(key string) bool {
+			_, found, err := f.Table.Seam().Get(ctx, key)
+			Expect(err).NotTo(HaveOccurred())
+			return found
+		}
+		Eventually(func() bool { return there(kqclaim.Prefix+"old") || there(kqcell.JobKey("ended")) }).Should(BeFalse())
+		Expect(there(kqclaim.Prefix + "kept")).To(BeTrue())
+		Expect(there(kqcell.JobKey("active"))).To(BeTrue())
+	})
+
+	It("says in a dry run whether a target can be met, and changes nothing", func() {
+		var r kqconfig.Result
+		doc := "class: lockdesk\nkind: latency_critical\nlatency: %s\npercentile: 99\nif_version: 1\n"
+		for latency, want := range map[string]string{"1ms": "it cannot be met", "400ms": "it can be met"} {
+			Expect(client(f).Do(ctx, http.MethodPost, "/v1/config?dry_run=true", []byte(fmt.Sprintf(doc, latency)), &r)).To(Succeed())
+			Expect(r.Changes[0].Outlook).To(HavePrefix(want))
+		}
+		var a kqconfig.Accepted
+		Expect(client(f).Do(ctx, http.MethodGet, "/v1/config/class/lockdesk", nil, &a)).To(Succeed())
+		Expect(a.Version).To(BeEquivalentTo(1))
+	})
+
 	It("tells operators who race which version won", func() {
 		doc := "class: lockdesk\nkind: latency_critical\nlatency: 200ms\npercentile: 99\nif_version: 1\n"
 		Expect(client(f).Apply(ctx, doc)).To(Succeed())
