--- a/internal/call/kqcaller/exchange.go
+++ b/internal/call/kqcaller/exchange.go
@@ -158,7 +158,10 @@
 func (x *exchange) follow(now time.Time, step kqretry.Step, e event) (*Answer, *kqresult.Error, bool) {
 	switch step.Kind {
 	case kqretry.StepDispatch:
-		if refused := x.dispatch(now, false); refused != nil {
+		if refused := x.dispatch(now, step.FreeOnly); refused != nil {
+			if step.FreeOnly {
+				refused = e.refusal
+			}
 			return nil, x.plan.Finish(refused).Result, true
 		}
 		x.caller.config.Events.Emit(now, kqevent.CallRetried, kqevent.Call(x.request.ID), "after attempt %d", e.attempt.number)
--- a/internal/call/kqretry/plan.go
+++ b/internal/call/kqretry/plan.go
@@ -42,6 +42,8 @@
 	Kind StepKind
 	// Attempt is the attempt to fetch.
 	Attempt uint32
+	// FreeOnly is true if a new attempt makes sense only where a slot is free.
+	FreeOnly bool
 	// Result ends the call, if Kind is StepFinish.
 	Result *kqresult.Error
 }
@@ -113,11 +115,16 @@
 		return p.Finish(e)
 	}
 	if p.again(now, e) {
-		return Step{Kind: StepDispatch}
+		return Step{Kind: StepDispatch, FreeOnly: overloaded(e.Code)}
 	}
 	return p.Finish(e)
 }
 
+// overloaded reports whether an endpoint had too much work.
+func overloaded(c kqresult.Code) bool {
+	return c == kqresult.NotRunOverloaded || c == kqresult.NotRunNoConnection
+}
+
 // again decides whether a call that did not run is sent elsewhere.
 func (p *Plan) again(now time.Time, e *kqresult.Error) bool {
 	switch e.Code {
@@ -126,10 +133,6 @@
 	case kqresult.NotRunBusy:
 		// Trying the next endpoint is part of the choice, not a retry.
 		return len(p.attempts) < MaxAttempts
-	case kqresult.NotRunOverloaded, kqresult.NotRunNoConnection:
-		if len(p.attempts) >= 2 {
-			return false
-		}
 	}
 	return len(p.attempts) < MaxAttempts && now.Add(finishReserve).Before(p.config.Deadline) && p.config.SpendRetry()
 }
--- a/internal/call/kqroute/table.go
+++ b/internal/call/kqroute/table.go
@@ -347,7 +347,7 @@
 			continue
 		}
 		p, cost := t.cost(now, g, x, mean)
-		if r.Idle && p.Wait > 0 {
+		if r.Idle && p.Wait > 0 && t.config.Policy == PolicyExpected {
 			continue
 		}
 		if !found || cost < bestCost {
--- a/internal/trial/kqbench/capacity.go
+++ b/internal/trial/kqbench/capacity.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"runtime"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -31,7 +32,8 @@
 
 const (
 	capacityReady   = 60 * time.Second
-	announceRounds  = 4000
+	announceRounds  = 16_000
+	announceClients = 16
 	targetWorkers   = 1600
 	boundProcessor  = 0.023
 	boundBytes      = 3000.0
@@ -204,9 +206,15 @@
 	time.Sleep(time.Second)
 	perSecond := (processorTime() - idle).Seconds()
 	from, begun := processorTime(), time.Now()
-	for range announceRounds {
-		_, _ = client.Announce(ctx, connect.NewRequest(q))
+	var g sync.WaitGroup
+	for range announceClients {
+		g.Go(func() {
+			for range announceRounds / announceClients {
+				_, _ = client.Announce(ctx, connect.NewRequest(q))
+			}
+		})
 	}
+	g.Wait()
 	spent := (processorTime() - from).Seconds() - perSecond*time.Since(begun).Seconds()
 	return max(0, spent) / announceRounds
 }
