Paths, queries and HEAD reach endpoints as they are; claims share writes

An answer to HEAD names the length of a body that does not come and was taken for broken off; an escaped slash in a path was lost. Claims of idempotency keys keep 20 ms between the transactions of an entry: writes now follow entries, at most 50 a second each, where 5 ms allowed 200.

--- a/internal/call/kqclaim/claim.go
+++ b/internal/call/kqclaim/claim.go
@@ -17,7 +17,10 @@
 
 const (
 	// gather is how long claims wait for others to share their transaction.
-	gather = 5 * time.Millisecond
+	gather = 2 * time.Millisecond
+	// spacing is the shortest time between two transactions of an entry, so
+	// that the writes to the table follow the entries and not the calls.
+	spacing = 20 * time.Millisecond
 	// maxBatch is how many claims share a transaction.
 	maxBatch = 128
 	// commitTimeout bounds one transaction.
@@ -77,6 +80,7 @@
 	config   Config
 	tomb     tomb.Tomb
 	requests chan *request
+	sentAt   time.Time
 }
 
 // New returns Claims whose loop commits.
@@ -131,8 +135,9 @@
 // of one key never share it.
 func (x *Claims) gather(first *request) []*request {
 	out := []*request{first}
-	t := time.NewTimer(gather)
+	t := time.NewTimer(max(gather, spacing-x.config.Now().Sub(x.sentAt)))
 	defer t.Stop()
+	defer func() { x.sentAt = x.config.Now() }()
 	for len(out) < maxBatch {
 		select {
 		case r := <-x.requests:
--- /dev/null
+++ b/internal/call/kqretry/plan_test.go
@@ -0,0 +1,112 @@
+package kqretry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/call/kqretry"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+)
+
+func TestRetry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "what follows an attempt", suite, reporter)
+}
+
+var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+// model is what really became of the attempts of one call.
+type model struct {
+	plan     *kqretry.Plan
+	rng      *rand.Rand
+	now      time.Time
+	open     []uint32
+	mayRun   map[uint32]bool
+	finished *kqresult.Error
+}
+
+var refusals = []kqresult.Code{kqresult.NotRunBusy, kqresult.NotRunOverloaded, kqresult.NotRunDeadline, kqresult.NotRunUnreachable, kqresult.NotRunDraining}
+
+// step ends one open attempt, or part of it, and follows the plan.
+func (m *model) step() {
+	i := m.rng.IntN(len(m.open))
+	a := m.open[i]
+	m.now = m.now.Add(time.Duration(m.rng.IntN(50)) * time.Millisecond)
+	var s kqretry.Step
+	switch m.rng.IntN(5) {
+	case 0, 1:
+		m.open = append(m.open[:i], m.open[i+1:]...)
+		delete(m.mayRun, a)
+		s = m.plan.NotRun(m.now, a, kqresult.Errorf(refusals[m.rng.IntN(len(refusals))], "refused"))
+	case 2, 3:
+		s = m.plan.Lost(m.now, a)
+		if s.Kind != kqretry.StepFetch {
+			m.open = append(m.open[:i], m.open[i+1:]...)
+		}
+	default:
+		m.open = append(m.open[:i], m.open[i+1:]...)
+		s = m.plan.Unknown(a, "lost for good")
+	}
+	switch s.Kind {
+	case kqretry.StepDispatch:
+		m.dispatch()
+	case kqretry.StepFinish:
+		m.finished = s.Result
+	}
+}
+
+func (m *model) dispatch() {
+	n := m.plan.Dispatched()
+	m.open = append(m.open, n)
+	m.mayRun[n] = true
+}
+
+var _ = Describe("any order of ends of attempts", func() {
+	It("keeps non-idempotent calls to one attempt that may run, and not_run true", func() {
+		for seed := uint64(1); seed <= 5000; seed++ {
+			rng := rand.New(rand.NewPCG(seed, seed))
+			counter := &kqinvariant.Counter{}
+			idempotent := seed%2 == 0
+			m := &model{rng: rng, now: start, mayRun: map[uint32]bool{}, plan: kqretry.NewPlan(kqretry.Config{CallID: "call", Idempotent: idempotent,
+				Deadline: start.Add(300 * time.Millisecond), SpendRetry: func() bool { return rng.IntN(4) > 0 }, Counter: counter})}
+			m.dispatch()
+			for m.finished == nil {
+				Expect(len(m.open)).To(BeNumerically(">", 0), "seed %d: no attempt is open and the call has not ended", seed)
+				if idempotent && rng.IntN(4) == 0 && m.plan.MayHedge(m.now) {
+					m.dispatch()
+				}
+				m.step()
+				if !idempotent {
+					Expect(len(m.mayRun)).To(BeNumerically("<=", 1), "seed %d", seed)
+				}
+			}
+			Expect(counter.Breaches()).To(BeEmpty(), "seed %d", seed)
+			if m.finished.Code.NotRun() {
+				Expect(m.mayRun).To(BeEmpty(), "seed %d: %v", seed, m.finished)
+			}
+			Expect(m.plan.Attempts()).To(BeNumerically("<=", kqretry.MaxAttempts+1), "seed %d", seed)
+		}
+	})
+})
+
+var _ = Describe("a budget", func() {
+	It("lets a storm of failures through only in its share", func() {
+		b := kqretry.NewBudget(kqretry.DefaultRetryBudget)
+		spent := 0
+		for i := range 10_000 {
+			b.Deposit(start.Add(time.Duration(i) * time.Millisecond))
+			if b.Spend() {
+				spent++
+			}
+		}
+		// A tenth of the calls, two a second for ten seconds, and what was saved.
+		Expect(spent).To(BeNumerically("<=", 1000+20+25))
+	})
+})
--- a/internal/entry/kqentry/call.go
+++ b/internal/entry/kqentry/call.go
@@ -36,6 +36,7 @@
 	releaseTimeout    = 2 * time.Second
 	keyRetryAfter     = 1 * time.Second
 	unknownClassLabel = "unknown"
+	callPrefix        = "/v1/call/"
 )
 
 // call is one call from a caller.
@@ -46,7 +47,8 @@
 	begun   time.Time
 }
 
-// serveCall serves /v1/call/:class/*path.
+// serveCall serves calls under callPrefix; what follows the class goes to the
+// endpoint as it is.
 func (e *Entry) serveCall(w http.ResponseWriter, q bunrouter.Request) error {
 	e.countOpen(1)
 	defer e.countOpen(-1)
@@ -116,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	path := "/" + q.Param("path")
+	path := strings.TrimPrefix(q.URL.EscapedPath(), callPrefix+spec.Name)
 	if q.URL.RawQuery != "" {
 		path += "?" + q.URL.RawQuery
 	}
--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -289,7 +289,7 @@
 	side.Gauge("config_sequence", "Configuration sequence in force.", func() float64 { return float64(e.holder.Sequence()) })
 	side.Gauge("calls_open", "Calls that are under way.", func() float64 { return float64(e.openCalls()) })
 	e.metrics = newMetrics(side.Registry)
-	r := bunrouter.New()
+	r := bunrouter.New(bunrouter.WithNotFoundHandler(notFound))
 	side.Routes(r)
 	e.routes(r)
 	mux := http.NewServeMux()
--- a/internal/entry/kqentry/operator.go
+++ b/internal/entry/kqentry/operator.go
@@ -32,7 +32,7 @@
 // routes adds what callers and operators use.
 func (e *Entry) routes(r *bunrouter.Router) {
 	for _, m := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions} {
-		r.Handle(m, "/v1/call/:class/*path", e.serveCall)
+		r.Handle(m, callPrefix+":class/*path", e.serveCall)
 	}
 	r.POST("/v1/jobs", e.postJob)
 	r.GET("/v1/jobs", e.listJobs)
@@ -295,6 +295,11 @@
 // Endpoints lists the endpoints known.
 func (e *Entry) Endpoints() []kqroute.View { return e.caller.Views() }
 
+// notFound answers a path that nothing serves.
+func notFound(w http.ResponseWriter, q bunrouter.Request) error {
+	return kqresult.WriteHTTP(w, kqresult.Errorf(kqresult.NotFound, "nothing is served at %s %s; a call needs %sCLASS/PATH", q.Method, q.URL.Path, callPrefix))
+}
+
 // ReadyEndpoints returns how many endpoints take calls.
 func (e *Entry) ReadyEndpoints() int {
 	n := 0
--- a/internal/host/kqdispatch/execution.go
+++ b/internal/host/kqdispatch/execution.go
@@ -82,7 +82,7 @@
 	}
 	timer.Stop()
 	defer a.Body.Close()
-	if a.ContentLength >= 0 && a.ContentLength <= wholeLimit {
+	if a.Body == http.NoBody || a.ContentLength >= 0 && a.ContentLength <= wholeLimit {
 		return x.whole(a)
 	}
 	x.answer.SetHead(head(a))
@@ -95,11 +95,16 @@
 
 // whole stores a small answer at once, so that it goes out in one part.
 func (x *execution) whole(a *http.Response) *kqresult.Error {
-	body := make([]byte, a.ContentLength)
+	size := a.ContentLength
+	if a.Body == http.NoBody {
+		// The answer to HEAD names the length of a body that does not come.
+		size = 0
+	}
+	body := make([]byte, size)
 	n, err := io.ReadFull(a.Body, body)
-	if err != nil && a.ContentLength > 0 {
+	if err != nil && size > 0 {
 		x.answer.SetHead(head(a))
-		return kqresult.Errorf(kqresult.AnswerIncomplete, "the endpoint broke off after %d of %d bytes: %v", n, a.ContentLength, err)
+		return kqresult.Errorf(kqresult.AnswerIncomplete, "the endpoint broke off after %d of %d bytes: %v", n, size, err)
 	}
 	x.answer.Store(head(a), body)
 	return nil
--- /dev/null
+++ b/internal/platform/kqtable/resolver_test.go
@@ -0,0 +1,91 @@
+package kqtable_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqtable"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqfault"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqstore"
+)
+
+func TestTable(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "writes whose answers are lost", suite, reporter)
+}
+
+// lossy is a table that loses answers after the write, loses writes, is out,
+// and lets a rival write in between.
+type lossy struct {
+	kqtable.Table
+	rng   *rand.Rand
+	rival func()
+}
+
+func (l *lossy) transact(ctx context.Context, t kqtable.Transaction) (kqtable.Outcome, error) {
+	switch l.rng.IntN(5) {
+	case 0:
+		return kqtable.Outcome{}, kqtable.ErrUnavailable
+	case 1:
+		return kqtable.Outcome{}, kqtable.ErrUnknown
+	case 2:
+		_, _ = l.Table.Transact(ctx, t)
+		if l.rng.IntN(3) == 0 {
+			l.rival()
+		}
+		return kqtable.Outcome{}, kqtable.ErrUnknown
+	}
+	return l.Table.Transact(ctx, t)
+}
+
+func (l *lossy) get(ctx context.Context, key string) (kqtable.Row, bool, error) {
+	if l.rng.IntN(3) == 0 {
+		return kqtable.Row{}, false, kqtable.ErrUnavailable
+	}
+	return l.Table.Get(ctx, key)
+}
+
+var _ = Describe("a resolver", func() {
+	It("never takes a write for done that is not, nor lets one be done twice", func() {
+		ctx := context.Background()
+		for seed := uint64(1); seed <= 2000; seed++ {
+			rng := rand.New(rand.NewPCG(seed, seed))
+			table := kqstore.NewTable(kqfault.New(seed)).Seam()
+			write := func(version uint64, value string) kqtable.Transaction {
+				return kqtable.Transaction{Conditions: []kqtable.Condition{{Key: "marker", Version: version}},
+					Writes: []kqtable.Write{{Key: "marker", Value: []byte(value)}, {Key: value, Value: []byte(value)}}}
+			}
+			rival := func() {
+				row, _, err := table.Get(ctx, "marker")
+				Expect(err).NotTo(HaveOccurred())
+				_, err = table.Transact(ctx, write(row.Version, "rival"))
+				Expect(err).NotTo(HaveOccurred())
+			}
+			l := &lossy{Table: table, rng: rng, rival: rival}
+			r := kqtable.Resolver{Table: kqtable.Table{Get: l.get, Transact: l.transact}, Wait: func(context.Context, time.Duration) {}}
+			if rng.IntN(4) == 0 {
+				rival()
+			}
+			o, err := r.Commit(ctx, write(0, "mine"), "marker")
+			_, mine, _ := table.Get(ctx, "mine")
+			marker, _, _ := table.Get(ctx, "marker")
+			overtaken := string(marker.Value) == "rival"
+			switch {
+			case err != nil:
+				Expect(err).To(Equal(kqtable.ErrUnavailable), "seed %d", seed)
+				Expect(mine).To(BeFalse(), "seed %d: said to be refused, and done", seed)
+			case o.Committed:
+				Expect(mine).To(BeTrue(), "seed %d: said to be done, and not", seed)
+			default:
+				Expect(!mine || overtaken).To(BeTrue(), "seed %d: said to have lost, and nobody else has written", seed)
+			}
+		}
+	})
+})
--- a/internal/standin/kqservice/endpoint.go
+++ b/internal/standin/kqservice/endpoint.go
@@ -183,6 +183,7 @@
 	e.config.Record.finished(id)
 	w.Header().Set("X-Service-Time", time.Since(from).String())
 	w.Header().Set("X-Echo-Id", id)
+	w.Header().Set("X-Echo-Path", q.URL.RequestURI())
 	w.Header().Add("X-Many", "one")
 	w.Header().Add("X-Many", "two")
 	e.body(w, q, id)
--- a/internal/trial/kqfleet/path_test.go
+++ b/internal/trial/kqfleet/path_test.go
@@ -96,6 +96,25 @@
 		Expect(read(a)).To(Equal("done " + a.Header.Get("Kq-Call-Id")))
 	})
 
+	It("passes the path, the query and HEAD on as they are", func() {
+		a, err := call(f, http.MethodHead, "unlock", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(http.StatusOK))
+		Expect(read(a)).To(BeEmpty())
+		a, err = call(f, http.MethodGet, "a%2Fb/c%20d?bytes=0&x=%2F", nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Header.Get("X-Echo-Path")).To(Equal("/a%2Fb/c%20d?bytes=0&x=%2F"))
+		a.Body.Close()
+		a, err = http.Get("http://" + f.Entries()[0].Addr().String() + "/v1/call/lockdesk")
+		Expect(err).NotTo(HaveOccurred())
+		a.Body.Close()
+		Expect(a.Header.Get("X-Echo-Path")).To(Equal("/"))
+		a, err = http.Get("http://" + f.Entries()[0].Addr().String() + "/v1/nothing")
+		Expect(err).NotTo(HaveOccurred())
+		a.Body.Close()
+		Expect(a.Header.Get("Kq-Result")).To(Equal("401"))
+	})
+
 	DescribeTable("brings large answers back whole", func(size int) {
 		a, err := call(f, http.MethodGet, fmt.Sprintf("report?bytes=%d", size), nil, nil)
 		Expect(err).NotTo(HaveOccurred())
