Hedges go to endpoints that are as fast as their peers

Cause of a p99.9 of 416 ms at 80 % load, no better than the baselines': a hedge asks for a free slot, and the slowed worker, which is avoided, always has one.

--- a/internal/call/kqcaller/exchange.go
+++ b/internal/call/kqcaller/exchange.go
@@ -51,7 +51,7 @@
 // drive makes attempts until one has an answer or the call ends.
 func (x *exchange) drive(now time.Time) (*Answer, *kqresult.Error) {
 	after, known := x.caller.hedgeAfter(now, x.request.Class)
-	if e := x.dispatch(now, false); e != nil {
+	if e := x.dispatch(now, kqroute.NeedAny); e != nil {
 		return nil, e
 	}
 	deadline := time.NewTimer(x.request.Deadline.Sub(now))
@@ -98,9 +98,9 @@
 }
 
 // dispatch sends the next attempt, or says why it cannot.
-func (x *exchange) dispatch(now time.Time, idle bool) *kqresult.Error {
+func (x *exchange) dispatch(now time.Time, need kqroute.Need) *kqresult.Error {
 	r := x.request
-	p, e := x.pick(now, idle)
+	p, e := x.pick(now, need)
 	if e != nil {
 		return e
 	}
@@ -117,20 +117,20 @@
 }
 
 // pick returns the endpoint of the next attempt.
-func (x *exchange) pick(now time.Time, idle bool) (kqroute.Pick, *kqresult.Error) {
+func (x *exchange) pick(now time.Time, need kqroute.Need) (kqroute.Pick, *kqresult.Error) {
 	r := x.request
 	if r.First != nil && x.plan.Attempts() == 0 {
 		return *r.First, nil
 	}
 	return x.caller.choose(now, kqroute.Request{Class: r.Class, Deadline: r.Deadline, Target: r.Target,
-		Exclude: x.tried, Idle: idle, MayProbe: r.Idempotent && x.plan.Attempts() == 0})
+		Exclude: x.tried, Need: need, MayProbe: r.Idempotent && x.plan.Attempts() == 0})
 }
 
 func (x *exchange) tryHedge(now time.Time) {
 	if !x.plan.MayHedge(now) || !x.caller.spendHedge() {
 		return
 	}
-	if x.dispatch(now, true) == nil {
+	if x.dispatch(now, kqroute.NeedFast) == nil {
 		x.caller.config.Events.Emit(now, kqevent.CallHedged, kqevent.Call(x.request.ID), "the first attempt is late")
 	}
 }
@@ -158,7 +158,11 @@
 func (x *exchange) follow(now time.Time, step kqretry.Step, e event) (*Answer, *kqresult.Error, bool) {
 	switch step.Kind {
 	case kqretry.StepDispatch:
-		if refused := x.dispatch(now, step.FreeOnly); refused != nil {
+		need := kqroute.NeedAny
+		if step.FreeOnly {
+			need = kqroute.NeedFree
+		}
+		if refused := x.dispatch(now, need); refused != nil {
 			if step.FreeOnly {
 				refused = e.refusal
 			}
--- a/internal/call/kqroute/table.go
+++ b/internal/call/kqroute/table.go
@@ -120,12 +120,37 @@
 	Target time.Duration
 	// Exclude is the endpoints already tried.
 	Exclude []Ref
-	// Idle asks for an endpoint with a free slot.
-	Idle bool
+	// Need is what the endpoint must offer.
+	Need Need
 	// MayProbe is true if the call may test an ejected or slow endpoint.
 	MayProbe bool
 }
 
+// Need is what an endpoint must offer to get a call.
+type Need int
+
+// Needs.
+const (
+	// NeedAny takes any endpoint.
+	NeedAny Need = iota
+	// NeedFree asks for a free slot.
+	NeedFree
+	// NeedFast asks for a free slot of an endpoint that is not slower than its
+	// peers.
+	NeedFast
+)
+
+// meets reports whether a candidate offers what a call needs.
+func (n Need) meets(p Pick, median time.Duration) bool {
+	switch n {
+	case NeedFree:
+		return p.Wait == 0
+	case NeedFast:
+		return p.Wait == 0 && p.Service <= median
+	}
+	return true
+}
+
 // group is the endpoints of one class.
 type group struct {
 	targets []*target
@@ -347,7 +372,7 @@
 			continue
 		}
 		p, cost := t.cost(now, g, x, mean)
-		if r.Idle && p.Wait > 0 && t.config.Policy == PolicyExpected {
+		if t.config.Policy == PolicyExpected && !r.Need.meets(p, g.median) {
 			continue
 		}
 		if !found || cost < bestCost {
