--- a/internal/entry/kqentry/status.go
+++ b/internal/entry/kqentry/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqwindow"
 )
 
 const (
@@ -19,18 +20,10 @@
 	statusDigits  = 2
 )
 
-// outcomes keeps what became of the calls of each class in the present and the
-// last window.
+// outcomes keeps what became of the calls of each class.
 type outcomes struct {
 	mu      sync.Mutex
-	classes map[string]*outcome
-}
-
-// outcome is what became of the calls of a class.
-type outcome struct {
-	from    time.Time
-	present tally
-	last    tally
+	classes map[string]*kqwindow.Window[tally]
 }
 
 // tally is the calls of one window.
@@ -43,26 +36,24 @@
 	return tally{latency: hdrhistogram.New(lowestMicros, highestMicros, statusDigits), codes: map[kqresult.Code]int64{}}
 }
 
-func (o *outcomes) class(now time.Time, name string) *outcome {
+// class returns the window of a class; mu is held.
+func (o *outcomes) class(now time.Time, name string) *kqwindow.Window[tally] {
 	if o.classes == nil {
-		o.classes = map[string]*outcome{}
-	}
-	c := o.classes[name]
-	if c == nil || now.Sub(c.from) >= 2*statusWindow {
-		c = &outcome{from: now, present: newTally(), last: newTally()}
-		o.classes[name] = c
+		o.classes = map[string]*kqwindow.Window[tally]{}
 	}
-	if now.Sub(c.from) >= statusWindow {
-		c.last, c.present, c.from = c.present, newTally(), now
+	w := o.classes[name]
+	if w == nil {
+		w = kqwindow.New(now, statusWindow, newTally)
+		o.classes[name] = w
 	}
-	return c
+	return w
 }
 
 // ended counts a call.
 func (o *outcomes) ended(now time.Time, class string, code kqresult.Code, d time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	t := o.class(now, class).present
+	t := o.class(now, class).At(now)
 	t.codes[code]++
 	if code == kqresult.OK {
 		_ = t.latency.RecordValue(min(d.Microseconds(), highestMicros))
@@ -90,10 +81,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := ClassStatus{Class: spec, Met: true, Calls: map[string]int64{}}
-	c := o.class(now, spec.Name)
+	present, last := o.class(now, spec.Name).Both(now)
 	h := hdrhistogram.New(lowestMicros, highestMicros, statusDigits)
 	refused := int64(0)
-	for _, t := range []tally{c.present, c.last} {
+	for _, t := range []tally{present, last} {
 		h.Merge(t.latency)
 		for code, n := range t.codes {
 			s.Calls[code.String()] += n
--- a/internal/host/kqdispatch/latency.go
+++ b/internal/host/kqdispatch/latency.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqwindow"
 )
 
 const (
@@ -26,47 +28,34 @@
 	Calls int64
 }
 
-// pane is the latencies of a class in the present and the last window, in
-// microseconds.
-type pane struct {
-	from    time.Time
-	present *hdrhistogram.Histogram
-	last    *hdrhistogram.Histogram
-}
-
-// latencies keeps the latencies of each class.
+// latencies keeps the latencies of each class, in microseconds.
 type latencies struct {
 	mu      sync.Mutex
-	classes map[string]*pane
+	classes map[string]*kqwindow.Window[*hdrhistogram.Histogram]
 }
 
-func newLatencies() *latencies { return &latencies{classes: map[string]*pane{}} }
+func newLatencies() *latencies {
+	return &latencies{classes: map[string]*kqwindow.Window[*hdrhistogram.Histogram]{}}
+}
 
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(lowestLatency, highestLatency, latencyAccuracy)
 }
 
-func (l *latencies) pane(now time.Time, class string) *pane {
-	p := l.classes[class]
-	if p == nil {
-		p = &pane{from: now, present: newHistogram(), last: newHistogram()}
-		l.classes[class] = p
-	}
-	if age := now.Sub(p.from); age >= latencyWindow {
-		p.present, p.last = p.last, p.present
-		p.present.Reset()
-		if age >= 2*latencyWindow {
-			p.last.Reset()
-		}
-		p.from = now
+// window returns the window of a class; mu is held.
+func (l *latencies) window(now time.Time, class string) *kqwindow.Window[*hdrhistogram.Histogram] {
+	w := l.classes[class]
+	if w == nil {
+		w = kqwindow.New(now, latencyWindow, newHistogram)
+		l.classes[class] = w
 	}
-	return p
+	return w
 }
 
 func (l *latencies) add(now time.Time, class string, d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_ = l.pane(now, class).present.RecordValue(min(d.Microseconds(), highestLatency))
+	_ = l.window(now, class).At(now).RecordValue(min(d.Microseconds(), highestLatency))
 }
 
 // Latency returns how a class did over the last two windows.
@@ -74,10 +63,10 @@
 	l := d.latency
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.pane(now, class)
+	present, last := l.window(now, class).Both(now)
 	h := newHistogram()
-	h.Merge(p.present)
-	h.Merge(p.last)
+	h.Merge(present)
+	h.Merge(last)
 	return Latency{Class: class, At: time.Duration(h.ValueAtQuantile(percentile)) * time.Microsecond,
 		Mean: time.Duration(h.Mean() * float64(time.Microsecond)), Calls: h.TotalCount()}
 }
