Drop what nothing reads, and one of two fields for the same thing

Read over the whole change: an answer kept the part with its head and the part with its end in two fields of which one at most is ever set; a worker's orders_seen was written and never read; the bench had the size of a cell twice; two functions had no caller. Behaviour is as it was; lint and the tests of calls, commands, the fleet and the rig pass unchanged.

--- a/internal/call/kqcaller/attempt.go
+++ b/internal/call/kqcaller/attempt.go
@@ -163,8 +163,7 @@
 	exchange *exchange
 	attempt  *attempt
 	stream   Stream
-	first    *Part
-	ending   *Part
+	pending  *Part
 	offset   uint64
 	fetches  int
 }
@@ -183,7 +182,7 @@
 			a.offset += uint64(len(p.Piece.Chunk))
 			b := p.Piece.Chunk
 			if p.Piece.Chunk = nil; p.Piece.End || p.Piece.Failure != nil {
-				a.ending = &p
+				a.pending = &p
 			}
 			return b, nil
 		case p.Piece.End:
@@ -202,12 +201,9 @@
 // part returns what came with the head or with the last bytes, or waits for
 // the next part.
 func (a *Answer) part() (Part, error) {
-	for _, p := range []**Part{&a.first, &a.ending} {
-		if *p != nil {
-			v := **p
-			*p = nil
-			return v, nil
-		}
+	if p := a.pending; p != nil {
+		a.pending = nil
+		return *p, nil
 	}
 	return a.stream.Next()
 }
--- a/internal/call/kqcaller/caller.go
+++ b/internal/call/kqcaller/caller.go
@@ -166,7 +166,7 @@
 	select {
 	case e := <-x.events:
 		if e.head != nil {
-			return &Answer{Head: *e.head, Attempt: a.number, exchange: x, attempt: a, stream: e.stream, first: &e.first}, nil
+			return &Answer{Head: *e.head, Attempt: a.number, exchange: x, attempt: a, stream: e.stream, pending: &e.first}, nil
 		}
 		err = e.result()
 	case <-t.C:
--- a/internal/call/kqcaller/exchange.go
+++ b/internal/call/kqcaller/exchange.go
@@ -183,7 +183,7 @@
 func (x *exchange) win(now time.Time, e event) *Answer {
 	x.abandon(e.attempt)
 	x.caller.answered(x.request.Class, now.Sub(x.begun))
-	return &Answer{Head: *e.head, Attempt: e.attempt.number, exchange: x, attempt: e.attempt, stream: e.stream, first: &e.first}
+	return &Answer{Head: *e.head, Attempt: e.attempt.number, exchange: x, attempt: e.attempt, stream: e.stream, pending: &e.first}
 }
 
 // check asserts that a part belongs to the call.
--- a/internal/cell/kqcell/worker.go
+++ b/internal/cell/kqcell/worker.go
@@ -103,7 +103,6 @@
 	services    []string
 	pressed     bool
 	version     uint64
-	ordersSeen  uint64
 	health      kqhealth.Worker
 }
 
@@ -183,7 +182,6 @@
 	w.hostBoot = h.HostBoot
 	w.session, w.sequence = h.Session, h.Sequence
 	w.registered, w.draining, w.heardAt = true, h.Draining, now
-	w.ordersSeen = h.OrdersSeen
 	if h.Full {
 		w.info, w.services = h.Worker, h.Services
 		w.reports = make(map[kqmodel.AttemptID]kqruntime.Report, len(h.Tasks))
--- a/internal/fleet/kqconfig/store.go
+++ b/internal/fleet/kqconfig/store.go
@@ -6,7 +6,6 @@
 	"reflect"
 	"time"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqtable"
 )
@@ -237,14 +236,3 @@
 	h.Offer(now(), 0, top.Sequence, out)
 	return nil
 }
-
-// Classes returns the classes among what is in force.
-func Classes(all []Accepted) []kqmodel.ClassSpec {
-	var out []kqmodel.ClassSpec
-	for _, a := range all {
-		if a.Class != nil {
-			out = append(out, *a.Class)
-		}
-	}
-	return out
-}
--- a/internal/trial/kqbench/capacity.go
+++ b/internal/trial/kqbench/capacity.go
@@ -38,7 +38,6 @@
 	boundProcessor  = 0.023
 	boundBytes      = 3000.0
 	boundMemory     = 128e6
-	capacityPerCell = 25
 )
 
 // SizeFigures is what one size cost.
@@ -119,7 +118,7 @@
 	return r, nil
 }
 
-func cellsFor(workers int) int { return max(1, workers/capacityPerCell) }
+func cellsFor(workers int) int { return max(1, workers/cellWorkers) }
 
 // capacitySize runs a quiet fleet of one size.
 func capacitySize(ctx context.Context, c CapacityConfig, workers int) (SizeFigures, float64, error) {
@@ -243,7 +242,7 @@
 
 // target works out the figures at the target size.
 func (r *CapacityReport) target() {
-	cell := float64(capacityPerCell)
+	cell := float64(cellWorkers)
 	announces := float64(targetWorkers) / kqmember.AnnounceInterval.Seconds()
 	r.Rows = []CapacityRow{
 		{"agent", "processors, with stand-ins and its share of entry and owner", r.ProcessorPerWorker, boundProcessor},
--- a/internal/trial/kqfleet/fleet.go
+++ b/internal/trial/kqfleet/fleet.go
@@ -12,7 +12,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/call/kqretry"
 	"github.com/kumquatswitch/kumquatswitch/internal/call/kqroute"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqentry"
 	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqobject"
 	"github.com/kumquatswitch/kumquatswitch/internal/platform/kqtable"
@@ -233,15 +232,6 @@
 	return 1
 }
 
-// Capacity returns what all workers have together.
-func (f *Fleet) Capacity() kqmodel.Resources {
-	var sum kqmodel.Resources
-	for _, w := range f.Workers {
-		sum = sum.Add(w.user.Capacity)
-	}
-	return sum
-}
-
 // Close ends everything at once.
 func (f *Fleet) Close() {
 	var g sync.WaitGroup
