Filling tasks are paced by the room that serving tasks have left

Cause: the share was steered by the raw tail latency, which goes with the inverse of what is left; at ordinary load the share stayed at 0, and every worker served. Ruled out: want of room (no task waited).

--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -141,6 +141,9 @@
 	switch answer {
 	case kqexecution.AnswerDone:
 		d.entry.delivery = nil
+		if p := x.pacer.Percent(); d.entry.order.Fills && p != d.entry.paced {
+			x.paceRun(d.entry, d.order, p)
+		}
 		return
 	case kqexecution.AnswerLate, kqexecution.AnswerFenced:
 		return
@@ -172,30 +175,37 @@
 
 // pace lets filling tasks work at the share that serving tasks bear; mu is held.
 func (x *Executor) pace(now time.Time, running []kqexecution.Running) {
-	worst, filling := 0.0, false
+	room, filling := 0.0, false
 	for _, r := range running {
 		e := x.runs[r.Run]
 		if e == nil {
 			continue
 		}
 		filling = filling || e.order.Fills
-		if e.order.TailTarget > 0 {
-			worst = max(worst, r.Measure/float64(e.order.TailTarget.Milliseconds()))
+		if e.order.TailTarget > 0 && r.Measure > 0 {
+			if q := float64(e.order.TailTarget.Milliseconds()) / r.Measure; room == 0 || q < room {
+				room = q
+			}
 		}
 	}
-	percent := x.pacer.Observe(now, worst)
+	percent := x.pacer.Observe(now, room)
 	if !filling {
 		return
 	}
 	for _, r := range running {
 		if e := x.runs[r.Run]; e != nil && e.order.Fills && !e.stopping && e.paced != percent {
-			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(r.Task), "run %d at %d %%, worst tail at %.2f of its target", r.Number, percent, worst)
-			e.paced = percent
-			x.tomb.Go((&pacing{x, e, r.Run, percent}).run)
+			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(r.Task), "run %d at %d %%, a target over its tail latency is %.2f", r.Number, percent, room)
+			x.paceRun(e, r.Run, percent)
 		}
 	}
 }
 
+// paceRun tells the worker at which share a run works; mu is held.
+func (x *Executor) paceRun(e *entry, r kqexecution.Run, percent int) {
+	e.paced = percent
+	x.tomb.Go((&pacing{x, e, r, percent}).run)
+}
+
 // pacing tells the worker at which share a run works.
 type pacing struct {
 	executor *Executor
--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -134,6 +134,38 @@
 	return nil
 }
 
+// Summary describes the steps for logs.
+func (j Job) Summary() string {
+	var b strings.Builder
+	for n, s := range j.Steps {
+		if n > 0 {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(&b, "%d of %s for %s", s.Count, s.Size, s.Estimate)
+		for _, f := range []struct {
+			set  bool
+			name string
+		}{{s.Checkpoints, "checkpoints"}, {s.Gang, "gang"}, {s.SameRack, "same rack"}, {s.Speculative, "speculative"}, {s.Standing, "standing"}, {s.Fills, "fills"}} {
+			if f.set {
+				b.WriteString(", " + f.name)
+			}
+		}
+		if s.Image != "" {
+			fmt.Fprintf(&b, ", image %s", s.Image)
+		}
+		if s.TailTarget > 0 {
+			fmt.Fprintf(&b, ", tail below %s, may miss %d", s.TailTarget, s.MayMiss)
+		}
+		if s.PerWorker > 0 {
+			fmt.Fprintf(&b, ", %d a worker", s.PerWorker)
+		}
+		if len(s.After) > 0 {
+			fmt.Fprintf(&b, ", after %v", s.After)
+		}
+	}
+	return b.String()
+}
+
 // Chain returns the longest chain of estimates over the steps.
 func (j Job) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -4,70 +4,76 @@
 
 import "time"
 
+// The room of a serving task is its target over its tail latency: 1 at the
+// target, more below it. A queue's latency goes with the inverse of what is
+// left of its server, so the disturbance takes away from the room linearly.
 const (
-	// highShare of a target is where filling tasks are slowed down.
-	highShare = 0.8
-	// lowShare of a target is below which they may speed up again.
-	lowShare = 0.55
-	// slowInterval is between two steps down, fastInterval between two up.
-	slowInterval = 400 * time.Millisecond
-	fastInterval = 700 * time.Millisecond
-	full         = 100
-	stepUp       = 15
-	halve        = 0.5
-	stopBelow    = 10
+	// scarceRoom is below which filling tasks are slowed down at once.
+	scarceRoom = 1.0
+	// tightRoom is below which they are slowed down by and by.
+	tightRoom = 1.15
+	// easyRoom is above which they may speed up, wideRoom above which faster.
+	easyRoom = 1.3
+	wideRoom = 1.8
+
+	scarceFactor = 0.4
+	tightFactor  = 0.75
+	easyStep     = 6
+	wideStep     = 18
+
+	// Interval is the least time between two changes.
+	Interval = 250 * time.Millisecond
+	full     = 100
+	// least is the lowest share; below it filling tasks stand still.
+	least = 4
+	// smoothing is the weight of a new measurement.
+	smoothing = 0.6
 )
 
 // Pacer holds the share of the filling tasks of one worker.
 type Pacer struct {
-	percent   int
+	percent   float64
+	room      float64
 	changedAt time.Time
-	calmSince time.Time
 }
 
 // New returns a Pacer that lets filling tasks work at full speed.
 func New() *Pacer { return &Pacer{percent: full} }
 
 // Percent returns the share in force.
-func (p *Pacer) Percent() int { return p.percent }
+func (p *Pacer) Percent() int { return int(p.percent) }
 
-// Observe takes over the worst ratio of a serving task's tail latency to its
-// target, or 0 if none serves, and returns the share of the filling tasks.
-func (p *Pacer) Observe(now time.Time, worst float64) int {
-	switch {
-	case worst > 1:
-		p.down(now, 0)
-	case worst > highShare:
-		p.down(now, halve)
-	case worst < lowShare:
-		p.up(now)
-	default:
-		p.calmSince = time.Time{}
+// Observe takes over the least room of the serving tasks, or 0 if none serves,
+// and returns the share of the filling tasks.
+func (p *Pacer) Observe(now time.Time, room float64) int {
+	if room <= 0 {
+		p.percent, p.room = full, 0
+		return full
 	}
-	return p.percent
-}
-
-func (p *Pacer) down(now time.Time, factor float64) {
-	p.calmSince = time.Time{}
-	if p.percent == 0 || now.Sub(p.changedAt) < slowInterval {
-		return
+	if p.room == 0 || room < p.room && room < scarceRoom {
+		p.room = room
 	}
-	p.percent = int(float64(p.percent) * factor)
-	if p.percent < stopBelow {
-		p.percent = 0
+	p.room += smoothing * (room - p.room)
+	if now.Sub(p.changedAt) < Interval {
+		return p.Percent()
 	}
 	p.changedAt = now
+	switch {
+	case p.room < scarceRoom:
+		p.slow(scarceFactor)
+	case p.room < tightRoom:
+		p.slow(tightFactor)
+	case p.room > wideRoom:
+		p.percent = min(full, p.percent+wideStep)
+	case p.room > easyRoom:
+		p.percent = min(full, p.percent+easyStep)
+	}
+	return p.Percent()
 }
 
-// up waits until the serving tasks have been calm for a while, so that the
-// share does not swing with each measurement.
-func (p *Pacer) up(now time.Time) {
-	if p.calmSince.IsZero() {
-		p.calmSince = now
-	}
-	if p.percent == full || now.Sub(p.calmSince) < fastInterval || now.Sub(p.changedAt) < fastInterval {
-		return
+func (p *Pacer) slow(factor float64) {
+	p.percent *= factor
+	if p.percent < least {
+		p.percent = 0
 	}
-	p.percent = min(full, p.percent+stepUp)
-	p.changedAt = now
 }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -38,6 +38,9 @@
 	Whole bool `json:"whole,omitempty"`
 	// Running is the runs at work.
 	Running []kqexecution.Running `json:"running,omitempty"`
+	// Pace is the share of their speed at which filling tasks work, in percent;
+	// it is given if Whole.
+	Pace int `json:"pace"`
 	// Ended is ends that were not noted yet.
 	Ended []kqexecution.End `json:"ended,omitempty"`
 }
@@ -61,12 +64,13 @@
 	taken       uint64
 	noted       uint64
 	health      health
+	pace        int
 }
 
 func (p *Planner) host(name string) *host {
 	h := p.hosts[name]
 	if h == nil {
-		h = &host{name: name, runs: map[kqexecution.Run]*run{}, strays: map[kqexecution.Run]time.Time{}}
+		h = &host{name: name, runs: map[kqexecution.Run]*run{}, strays: map[kqexecution.Run]time.Time{}, pace: fullPercent}
 		p.hosts[name] = h
 	}
 	return h
@@ -110,7 +114,7 @@
 	if w.Worker != h.info.Worker {
 		h.ends, h.taken, h.noted = nil, 0, 0
 		h.strays = map[kqexecution.Run]time.Time{}
-		h.health = health{}
+		h.health, h.pace = health{}, fullPercent
 		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.Worker), "host %s, %s, draining %t", name, w.Capacity, w.Draining)
 	}
 	drained := w.Draining && !h.info.Draining
@@ -165,6 +169,7 @@
 	if !r.Whole {
 		return
 	}
+	h.pace = r.Pace
 	for k := range h.strays {
 		if !present[k] {
 			delete(h.strays, k)
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -148,6 +148,11 @@
 	case h.health.quarantined() && !(h.health.mayProbe(now, len(h.runs)) && t.job.queue.Attempts-t.failures > 1):
 		return false
 	}
+	if s.Fills {
+		if u := h.use(); u.filling > 0 && u.filling+s.Size.MilliProcessors > u.unused(h.pace) {
+			return false
+		}
+	}
 	need := s.Reserved()
 	if t.job.queue.Priority > 0 && !s.Fills {
 		need.MilliProcessors += h.info.Capacity.MilliProcessors * headroom / 100
@@ -169,9 +174,49 @@
 const (
 	shunCost  = 0.8
 	loadCost  = 0.4
-	pressCost = 1.5
+	pressCost = 1.0
+	packGain  = 0.5
+	// servingUse is the share of its processors that a serving task uses, in
+	// percent, where nothing was measured.
+	servingUse = 60
+	// leastPace bounds from below what filling tasks are expected to get beside
+	// serving ones, in percent.
+	leastPace = 10
 )
 
+// use is how the processors of a host are used, in thousandths.
+type use struct {
+	total   int64
+	plain   int64
+	serving int64
+	filling int64
+}
+
+func (h *host) use() use {
+	u := use{total: max(1, h.info.Capacity.MilliProcessors)}
+	for _, r := range h.runs {
+		s := r.task.step
+		switch {
+		case s.Fills:
+			u.filling += s.Size.MilliProcessors
+		case s.TailTarget > 0:
+			u.serving += s.Size.MilliProcessors
+		default:
+			u.plain += s.Size.MilliProcessors
+		}
+	}
+	return u
+}
+
+// unused returns what filling tasks may expect to get.
+func (u use) unused(pace int) int64 {
+	left := max(0, u.total-u.plain-u.serving*servingUse/fullPercent)
+	if u.serving > 0 {
+		left = left * int64(max(leastPace, pace)) / fullPercent
+	}
+	return left
+}
+
 // cost is about how long a task takes on a host against its estimate.
 func (p *Planner) cost(t *task, h *host) float64 {
 	c := h.health.slowdown()
@@ -184,28 +229,19 @@
 	if h.name == t.shunned {
 		c += shunCost
 	}
-	total := max(1, h.info.Capacity.MilliProcessors)
-	used, filling, serving := int64(0), int64(0), 0
-	for _, r := range h.runs {
-		switch {
-		case r.task.step.Fills:
-			filling += r.task.step.Size.MilliProcessors
-		default:
-			used += r.task.step.Size.MilliProcessors
-		}
-		if r.task.step.TailTarget > 0 {
-			serving++
+	u := h.use()
+	load := float64(u.plain+u.serving) / float64(u.total)
+	switch {
+	case t.step.Fills:
+		c += float64(u.filling+t.step.Size.MilliProcessors) / float64(max(1, u.unused(h.pace)))
+		if u.serving > 0 {
+			c += pressCost
 		}
-	}
-	c += loadCost * float64(used) / float64(total)
-	if t.step.Fills {
-		// A filling task shares what is unused with the others of its kind.
-		left := float64(total - used)
-		c += float64(filling+t.step.Size.MilliProcessors) / max(1, left)
-		c += pressCost * float64(serving)
-	}
-	if t.step.TailTarget > 0 {
-		c += pressCost * float64(filling) / float64(total)
+	case t.step.TailTarget > 0:
+		// Serving tasks are packed, so that filling ones find room apart.
+		c += packGain*(1-load) + pressCost*float64(u.filling)/float64(u.total)
+	default:
+		c += loadCost * load
 	}
 	return c
 }
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -122,8 +122,8 @@
 		p.active++
 		j.materialise(now)
 		if j.version == 0 {
-			p.config.Events.Emit(now, kqevent.FlowTaken, kqevent.Job(j.spec.ID), "queue %s, %d tasks, objective %s, accepted %s ago",
-				j.spec.Queue, len(j.tasks), j.objective, now.Sub(s.Job.SubmittedAt).Round(time.Millisecond))
+			p.config.Events.Emit(now, kqevent.FlowTaken, kqevent.Job(j.spec.ID), "queue %s, steps %s, objective %s, accepted %s ago",
+				j.spec.Queue, j.spec.Summary(), j.objective, now.Sub(s.Job.SubmittedAt).Round(time.Millisecond))
 		}
 		p.cancel(now, j, s.Cancelled)
 	}
