--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -45,8 +45,8 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(job string) kqrows.Key { return kqrows.Key{Table: ProgressTable, Name: job} }
 
-// After returns the least name that sorts after a name, for reads of one row.
-func After(name string) string { return name + "\x00" }
+// After returns a bound for reads of one row: no name of ours lies between.
+func After(name string) string { return name + "!" }
 
 func encode(v any) []byte {
 	b, err := json.Marshal(v)
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -122,6 +122,7 @@
 	j.started = r.State != kqflow.StateQueued
 	j.revision = r.Revision
 	j.stored = r.Revision
+	j.endedAt = now
 	if len(r.Tasks) == 0 && r.State.Final() {
 		return
 	}
