--- /dev/null
+++ b/internal/cell/kqlearn/press.go
@@ -0,0 +1,207 @@
+package kqlearn
+
+import (
+	"slices"
+	"time"
+)
+
+// Room is what a serving task has left.
+type Room struct {
+	// Image names what the task runs.
+	Image string
+	// Value is the task's target over its tail latency.
+	Value float64
+}
+
+// Sample is one look at a worker on which serving and other tasks share.
+type Sample struct {
+	// At is when the sample was taken.
+	At time.Time
+	// Rooms is the room of each serving task.
+	Rooms map[string]Room
+	// Processors is what each image of the other tasks uses.
+	Processors map[string]float64
+}
+
+const (
+	// pressPrior is what a processor of an image that was never seen is taken to
+	// cost of the room.
+	pressPrior = 0.03
+	// pressPriorWeight is how many squared processors the prior counts for.
+	pressPriorWeight = 60
+	// pressForget is how much of the evidence each sample leaves.
+	pressForget = 0.9995
+	minSpan     = 150 * time.Millisecond
+	maxSpan     = 1200 * time.Millisecond
+	// minChange is the least change of an image's use that teaches anything, in
+	// processors.
+	minChange = 0.3
+	// maxImages bounds the images that are told apart.
+	maxImages = 64
+	// knownWeight is from how many squared processors of change on an image is
+	// known.
+	knownWeight = 40
+)
+
+// Press estimates, for each image of serving tasks, how much of their room one
+// processor of another image takes. It compares looks at the same worker that
+// follow each other closely, in which the load of the serving tasks themselves
+// has hardly changed. The zero value knows nothing.
+type Press struct {
+	last map[string]Sample
+	fits map[string]*fit
+}
+
+// fit is a least squares fit for one image of serving tasks.
+type fit struct {
+	images []string
+	// square and product are the normal equations of a least squares fit.
+	square  [][]float64
+	product []float64
+	solved  []float64
+	stale   bool
+}
+
+// Observe takes over a look at a worker.
+func (p *Press) Observe(worker string, s Sample) {
+	if p.last == nil {
+		p.last = map[string]Sample{}
+	}
+	old, ok := p.last[worker]
+	span := s.At.Sub(old.At)
+	if ok && span < minSpan {
+		return
+	}
+	p.last[worker] = s
+	if !ok || span > maxSpan {
+		return
+	}
+	change := changes(old.Processors, s.Processors)
+	if len(change) == 0 {
+		return
+	}
+	for task, room := range s.Rooms {
+		if before, ok := old.Rooms[task]; ok && room.Value > 0 && before.Value > 0 {
+			p.fit(room.Image).add(change, before.Value-room.Value)
+		}
+	}
+}
+
+func (p *Press) fit(serving string) *fit {
+	if p.fits == nil {
+		p.fits = map[string]*fit{}
+	}
+	f := p.fits[serving]
+	if f == nil {
+		f = &fit{}
+		p.fits[serving] = f
+	}
+	return f
+}
+
+// Of returns the room that one processor of an image takes of a serving task,
+// and whether that was measured.
+func (p *Press) Of(serving, image string) (room float64, known bool) {
+	f := p.fits[serving]
+	if f == nil {
+		return pressPrior, false
+	}
+	return f.of(image)
+}
+
+// Forget drops what is kept of a worker.
+func (p *Press) Forget(worker string) { delete(p.last, worker) }
+
+func changes(old, now map[string]float64) map[string]float64 {
+	out := map[string]float64{}
+	for i, v := range now {
+		out[i] = v - old[i]
+	}
+	for i, v := range old {
+		if _, ok := now[i]; !ok {
+			out[i] = -v
+		}
+	}
+	for i, v := range out {
+		if v > -minChange && v < minChange {
+			delete(out, i)
+		}
+	}
+	return out
+}
+
+// index returns the place of an image, or -1 if there are too many.
+func (f *fit) index(image string) int {
+	if i := slices.Index(f.images, image); i >= 0 {
+		return i
+	}
+	if len(f.images) >= maxImages {
+		return -1
+	}
+	f.images = append(f.images, image)
+	for i := range f.square {
+		f.square[i] = append(f.square[i], 0)
+	}
+	row := make([]float64, len(f.images))
+	row[len(row)-1] = pressPriorWeight
+	f.square = append(f.square, row)
+	f.product = append(f.product, pressPriorWeight*pressPrior)
+	return len(f.images) - 1
+}
+
+func (f *fit) add(change map[string]float64, taken float64) {
+	at := make(map[int]float64, len(change))
+	for image, c := range change {
+		if i := f.index(image); i >= 0 {
+			at[i] = c
+		}
+	}
+	for i, c := range at {
+		f.product[i] = f.product[i]*pressForget + c*taken
+		for j, d := range at {
+			f.square[i][j] = f.square[i][j]*pressForget + c*d
+		}
+	}
+	f.stale = true
+}
+
+// of returns the room that one processor of an image takes, and whether there
+// is evidence enough.
+func (f *fit) of(image string) (float64, bool) {
+	i := slices.Index(f.images, image)
+	if i < 0 {
+		return pressPrior, false
+	}
+	if f.stale {
+		f.solve()
+	}
+	return max(0, f.solved[i]), f.square[i][i] >= pressPriorWeight+knownWeight
+}
+
+// solve solves the normal equations by elimination.
+func (f *fit) solve() {
+	f.stale = false
+	n := len(f.images)
+	a := make([][]float64, n)
+	for i := range a {
+		a[i] = append(slices.Clone(f.square[i]), f.product[i])
+		a[i][i] += 1
+	}
+	for i := range n {
+		for k := range n {
+			if k == i || a[i][i] == 0 {
+				continue
+			}
+			share := a[k][i] / a[i][i]
+			for j := i; j <= n; j++ {
+				a[k][j] -= share * a[i][j]
+			}
+		}
+	}
+	f.solved = make([]float64, n)
+	for i := range n {
+		if a[i][i] != 0 {
+			f.solved[i] = a[i][n] / a[i][i]
+		}
+	}
+}
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -141,7 +141,7 @@
 	switch answer {
 	case kqexecution.AnswerDone:
 		d.entry.delivery = nil
-		if p := x.pacer.Percent(); d.entry.order.Fills && p != d.entry.paced {
+		if p := x.pacer.For(d.entry.order.Press); d.entry.order.Fills && p != d.entry.paced {
 			x.paceRun(d.entry, d.order, p)
 		}
 		return
@@ -188,12 +188,17 @@
 			}
 		}
 	}
-	percent := x.pacer.Observe(now, room)
+	x.pacer.Observe(now, room)
+	x.watching = filling && room > 0
 	if !filling {
 		return
 	}
 	for _, r := range running {
-		if e := x.runs[r.Run]; e != nil && e.order.Fills && !e.stopping && e.paced != percent {
+		e := x.runs[r.Run]
+		if e == nil || !e.order.Fills || e.stopping {
+			continue
+		}
+		if percent := x.pacer.For(e.order.Press); e.paced != percent {
 			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(r.Task), "run %d at %d %%, a target over its tail latency is %.2f", r.Number, percent, room)
 			x.paceRun(e, r.Run, percent)
 		}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -35,6 +35,7 @@
 
 const (
 	holdWait      = 400 * time.Millisecond
+	watchWait     = 200 * time.Millisecond
 	holdSlack     = 350 * time.Millisecond
 	holdPause     = 100 * time.Millisecond
 	notedWait     = 200 * time.Millisecond
@@ -80,6 +81,7 @@
 	reported time.Time
 	holds    uint64
 	pacer    *kqpace.Pacer
+	watching bool
 }
 
 // entry is a run that was ordered and has not ended.
--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -9,12 +9,12 @@
 // left of its server, so the disturbance takes away from the room linearly.
 const (
 	// scarceRoom is below which filling tasks are slowed down at once.
-	scarceRoom = 1.0
+	scarceRoom = 1.05
 	// tightRoom is below which they are slowed down by and by.
-	tightRoom = 1.15
+	tightRoom = 1.25
 	// easyRoom is above which they may speed up, wideRoom above which faster.
-	easyRoom = 1.3
-	wideRoom = 1.8
+	easyRoom = 1.5
+	wideRoom = 2.0
 
 	scarceFactor = 0.4
 	tightFactor  = 0.75
@@ -23,57 +23,93 @@
 
 	// Interval is the least time between two changes.
 	Interval = 250 * time.Millisecond
-	full     = 100
+	// scarceBound is after how long all filling tasks stand still.
+	scarceBound = 1500 * time.Millisecond
+	full        = 100
 	// least is the lowest share; below it filling tasks stand still.
 	least = 4
 	// smoothing is the weight of a new measurement.
 	smoothing = 0.6
+	// lightPress is the room below which a run is slowed down only if slowing
+	// down the others was not enough.
+	lightPress = 0.06
 )
 
-// Pacer holds the share of the filling tasks of one worker.
+// Pacer holds the shares of the filling tasks of one worker: those that
+// disturb much are slowed down first and sped up last.
 type Pacer struct {
-	percent   float64
-	room      float64
-	changedAt time.Time
+	heavy       float64
+	light       float64
+	room        float64
+	changedAt   time.Time
+	scarceSince time.Time
 }
 
 // New returns a Pacer that lets filling tasks work at full speed.
-func New() *Pacer { return &Pacer{percent: full} }
+func New() *Pacer { return &Pacer{heavy: full, light: full} }
 
-// Percent returns the share in force.
-func (p *Pacer) Percent() int { return int(p.percent) }
+// Percent returns the share of the runs that disturb much.
+func (p *Pacer) Percent() int { return int(p.heavy) }
 
-// Observe takes over the least room of the serving tasks, or 0 if none serves,
-// and returns the share of the filling tasks.
-func (p *Pacer) Observe(now time.Time, room float64) int {
+// Room returns the smoothed least room of the serving tasks, or 0.
+func (p *Pacer) Room() float64 { return p.room }
+
+// For returns the share of a run that takes some room at full speed.
+func (p *Pacer) For(press float64) int {
+	if press < lightPress {
+		return int(p.light)
+	}
+	return int(p.heavy)
+}
+
+// Observe takes over the least room of the serving tasks, or 0 if none serves.
+func (p *Pacer) Observe(now time.Time, room float64) {
 	if room <= 0 {
-		p.percent, p.room = full, 0
-		return full
+		*p = Pacer{heavy: full, light: full, changedAt: p.changedAt}
+		return
 	}
 	if p.room == 0 || room < p.room && room < scarceRoom {
 		p.room = room
 	}
 	p.room += smoothing * (room - p.room)
+	if p.room >= scarceRoom {
+		p.scarceSince = time.Time{}
+	} else if p.scarceSince.IsZero() {
+		p.scarceSince = now
+	}
 	if now.Sub(p.changedAt) < Interval {
-		return p.Percent()
+		return
 	}
 	p.changedAt = now
 	switch {
+	case p.room < scarceRoom && now.Sub(p.scarceSince) >= scarceBound:
+		p.heavy, p.light = 0, 0
 	case p.room < scarceRoom:
 		p.slow(scarceFactor)
 	case p.room < tightRoom:
 		p.slow(tightFactor)
 	case p.room > wideRoom:
-		p.percent = min(full, p.percent+wideStep)
+		p.speed(wideStep)
 	case p.room > easyRoom:
-		p.percent = min(full, p.percent+easyStep)
+		p.speed(easyStep)
 	}
-	return p.Percent()
 }
 
 func (p *Pacer) slow(factor float64) {
-	p.percent *= factor
-	if p.percent < least {
-		p.percent = 0
+	share := &p.heavy
+	if p.heavy == 0 {
+		share = &p.light
+	}
+	*share *= factor
+	if *share < least {
+		*share = 0
+	}
+}
+
+func (p *Pacer) speed(step float64) {
+	if p.light < full {
+		p.light = min(full, p.light+2*step)
+		return
 	}
+	p.heavy = min(full, p.heavy+step)
 }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
@@ -41,6 +42,9 @@
 	// Pace is the share of their speed at which filling tasks work, in percent;
 	// it is given if Whole.
 	Pace int `json:"pace"`
+	// Room is the least target of a serving task over its tail latency, or 0; it
+	// is given if Whole.
+	Room float64 `json:"room,omitempty"`
 	// Ended is ends that were not noted yet.
 	Ended []kqexecution.End `json:"ended,omitempty"`
 }
@@ -65,6 +69,7 @@
 	noted       uint64
 	health      health
 	pace        int
+	room        float64
 }
 
 func (p *Planner) host(name string) *host {
@@ -114,7 +119,8 @@
 	if w.Worker != h.info.Worker {
 		h.ends, h.taken, h.noted = nil, 0, 0
 		h.strays = map[kqexecution.Run]time.Time{}
-		h.health, h.pace = health{}, fullPercent
+		h.health, h.pace, h.room = health{}, fullPercent, 0
+		p.press.Forget(name)
 		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.Worker), "host %s, %s, draining %t", name, w.Capacity, w.Draining)
 	}
 	drained := w.Draining && !h.info.Draining
@@ -169,7 +175,8 @@
 	if !r.Whole {
 		return
 	}
-	h.pace = r.Pace
+	h.pace, h.room = r.Pace, r.Room
+	p.learn(now, h)
 	for k := range h.strays {
 		if !present[k] {
 			delete(h.strays, k)
@@ -178,6 +185,28 @@
 	}
 }
 
+// learn compares the rooms of serving tasks with what others use beside them.
+func (p *Planner) learn(now time.Time, h *host) {
+	s := kqlearn.Sample{At: now, Rooms: map[string]kqlearn.Room{}, Processors: map[string]float64{}}
+	for _, r := range h.runs {
+		x := r.task.step
+		switch {
+		case !r.seen || r.stopping:
+		case x.TailTarget > 0 && r.measure > 0:
+			r.room = float64(x.TailTarget.Milliseconds()) / r.measure
+			s.Rooms[r.task.id.String()] = kqlearn.Room{Image: x.Image, Value: r.room}
+		case x.Fills:
+			s.Processors[x.Image] += r.measure / processorUnits
+		}
+	}
+	if len(s.Rooms) > 0 {
+		p.press.Observe(h.name, s)
+	}
+}
+
+// processorUnits is how a measured use of processors is counted.
+const processorUnits = 1000
+
 // Resync returns every order that stands for a host, for an agent that has
 // just connected and has reported.
 func (p *Planner) Resync(name string) []*Order {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -35,6 +35,7 @@
 
 	occurrences int
 	endedAt     time.Time
+	busyAt      time.Time
 }
 
 // task is one task with the runs that have not ended.
@@ -68,6 +69,8 @@
 	firstMove  time.Time
 	reportedAt time.Time
 	measure    float64
+	press      float64
+	room       float64
 }
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
@@ -251,7 +254,7 @@
 		return &Order{Run: r.key(), Stop: true, Worker: r.worker}
 	}
 	s := r.task.step
-	return &Order{Run: r.key(), Worker: r.worker, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint,
+	return &Order{Run: r.key(), Worker: r.worker, Press: r.press, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint,
 		Size: s.Size, Fills: s.Fills, TailTarget: s.TailTarget}
 }
 
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -92,7 +92,7 @@
 	p.config.Counter.Check(!j.state.Final(), kqinvariant.StartedAfterCancel, "task %s", t.id)
 	p.config.Counter.Check(t.step.Speculative || len(t.runs) == 0, kqinvariant.TaskInTwoPlaces, "task %s", t.id)
 	t.lastRun++
-	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, movedAt: now}
+	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, movedAt: now, press: p.pressOf(t.step, h)}
 	t.runs = append(t.runs, r)
 	h.runs[r.key()] = r
 	p.checkRoom(h)
@@ -148,10 +148,8 @@
 	case h.health.quarantined() && !(h.health.mayProbe(now, len(h.runs)) && t.job.queue.Attempts-t.failures > 1):
 		return false
 	}
-	if s.Fills {
-		if u := h.use(); u.filling > 0 && u.filling+s.Size.MilliProcessors > u.unused(h.pace) {
-			return false
-		}
+	if s.Fills && !p.fillsIn(now, t, h) {
+		return false
 	}
 	need := s.Reserved()
 	if t.job.queue.Priority > 0 && !s.Fills {
@@ -160,6 +158,115 @@
 	return need.Fits(h.free())
 }
 
+const (
+	// lightPress is the room that a run takes up to which it may be anywhere.
+	lightPress = 0.03
+	// heavyPress is the room that a run takes from which on it is kept away
+	// from serving tasks.
+	heavyPress = 0.12
+	// heavyRoom is the room that must be left beside a heavy run.
+	heavyRoom = 1.5
+	// overcommit is how much of what is unused is given away, in percent.
+	overcommit = 110
+	// idleBound is after how long a job with nothing at work takes any place.
+	idleBound = 1200 * time.Millisecond
+)
+
+// pressOf returns the room that a filling task of a step takes at full speed of
+// the serving task on a host that it disturbs most.
+func (p *Planner) pressOf(s *kqflow.Step, h *host) float64 {
+	most := 0.0
+	if !s.Fills {
+		return most
+	}
+	for _, r := range h.runs {
+		if r.task.step.TailTarget > 0 {
+			press, _ := p.pressOn(s, r)
+			most = max(most, press)
+		}
+	}
+	return most
+}
+
+// pressOn returns the room that a filling task of a step takes of one serving
+// task, and whether that was measured.
+func (p *Planner) pressOn(s *kqflow.Step, serving *run) (press float64, known bool) {
+	perProcessor, known := p.press.Of(serving.task.step.Image, s.Image)
+	return perProcessor * float64(s.Size.MilliProcessors) / processorUnits, known
+}
+
+// fillsIn reports whether a filling task would get enough on a host and leave
+// enough to what serves there.
+func (p *Planner) fillsIn(now time.Time, t *task, h *host) bool {
+	if t.job.idleSince(now) >= idleBound {
+		return true
+	}
+	u := h.use()
+	if u.serving > 0 && !p.leavesRoom(now, t, h) {
+		return false
+	}
+	need := t.step.Size.MilliProcessors
+	return u.filling == 0 || u.filling+need <= u.unused(h.paceOf(p.pressOf(t.step, h)))*overcommit/fullPercent
+}
+
+// leavesRoom reports whether the serving tasks of a host bear one more filling
+// task. Runs that have begun so lately that no measurement shows them count;
+// an image whose press is not known is tried with one run at a time.
+func (p *Planner) leavesRoom(now time.Time, t *task, h *host) bool {
+	for _, s := range h.runs {
+		if s.task.step.TailTarget == 0 {
+			continue
+		}
+		press, known := p.pressOn(t.step, s)
+		if known && press < lightPress {
+			continue
+		}
+		if s.room == 0 {
+			return false
+		}
+		left := s.room - press
+		for _, f := range h.runs {
+			if !f.task.step.Fills {
+				continue
+			}
+			if !known && f.task.step.Image == t.step.Image {
+				return false
+			}
+			if now.Sub(f.startedAt) < measureLag {
+				taken, _ := p.pressOn(f.task.step, s)
+				left -= taken
+			}
+		}
+		if left < heavyRoom {
+			return false
+		}
+	}
+	return true
+}
+
+// measureLag is after how long a run shows in the measurements.
+const measureLag = time.Second
+
+// paceOf returns the share at which a run of some press works on a host.
+func (h *host) paceOf(press float64) int {
+	if press < heavyPress {
+		return fullPercent
+	}
+	return h.pace
+}
+
+// idleSince returns for how long a job has had nothing at work though a task's
+// turn had come.
+func (j *job) idleSince(now time.Time) time.Duration {
+	if !j.idleRuns() {
+		j.busyAt = now
+	}
+	if j.busyAt.IsZero() {
+		j.busyAt = now
+	}
+	return now.Sub(j.busyAt)
+}
+
 // sameStep counts the tasks of the same step and occurrence on a host.
 func (h *host) sameStep(t *task) int {
 	n := 0
@@ -176,6 +283,9 @@
 	loadCost  = 0.4
 	pressCost = 1.0
 	packGain  = 0.5
+	lightCost = 0.5
+	sizeCost  = 0.2
+	mixCost   = 0.3
 	// servingUse is the share of its processors that a serving task uses, in
 	// percent, where nothing was measured.
 	servingUse = 60
@@ -233,19 +343,51 @@
 	load := float64(u.plain+u.serving) / float64(u.total)
 	switch {
 	case t.step.Fills:
-		c += float64(u.filling+t.step.Size.MilliProcessors) / float64(max(1, u.unused(h.pace)))
-		if u.serving > 0 {
+		press := p.pressOf(t.step, h)
+		c += float64(u.filling+t.step.Size.MilliProcessors) / float64(max(1, u.unused(h.paceOf(press))))
+		switch {
+		case u.serving > 0 && press >= heavyPress:
 			c += pressCost
+		case u.serving == 0 && press < heavyPress:
+			// What disturbs little leaves the other hosts to what disturbs much.
+			c += lightCost
 		}
 	case t.step.TailTarget > 0:
 		// Serving tasks are packed, so that filling ones find room apart.
-		c += packGain*(1-load) + pressCost*float64(u.filling)/float64(u.total)
+		if !h.serves(t.step.Image) {
+			c += mixCost
+		}
+		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(p.largest()) + pressCost*float64(u.filling)/float64(u.total)
 	default:
 		c += loadCost * load
 	}
 	return c
 }
 
+// serves reports whether only serving tasks of an image are on a host: what
+// disturbs one image may leave others alone, so images are kept apart.
+func (h *host) serves(image string) bool {
+	same := false
+	for _, r := range h.runs {
+		if r.task.step.TailTarget > 0 {
+			if r.task.step.Image != image {
+				return false
+			}
+			same = true
+		}
+	}
+	return same
+}
+
+// largest returns the processors of the largest host.
+func (p *Planner) largest() int64 {
+	most := int64(1)
+	for _, h := range p.hosts {
+		most = max(most, h.info.Capacity.MilliProcessors)
+	}
+	return most
+}
+
 // preempt stops less urgent runs so that an urgent task gets room, unless room
 // that comes free already is enough.
 func (p *Planner) preempt(now time.Time, t *task, coming map[*host]kqmodel.Resources) {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
@@ -41,6 +42,7 @@
 	place   bool
 	active  int
 
+	press     kqlearn.Press
 	watchedAt time.Time
 }
 
@@ -82,6 +84,9 @@
 	Size kqmodel.Resources `json:"size,omitzero"`
 	// Fills is true if the run uses what others leave unused.
 	Fills bool `json:"fills,omitempty"`
+	// Press is how much of the room of serving tasks the run is expected to take
+	// at full speed.
+	Press float64 `json:"press,omitempty"`
 	// TailTarget is the bound on the tail latency of a serving task.
 	TailTarget time.Duration `json:"tail_target,omitempty"`
 }
