--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -96,7 +96,11 @@
 
 func (p *Planner) watchRun(now time.Time, h *host, r *run) {
 	s := r.task.step
-	if r.stopping || !r.seen || s.Standing || s.Fills || s.Gang || r.task.job.state.Final() || r.percent >= fullPercent {
+	if r.stopping || !r.seen || s.Standing || s.Gang || r.task.job.state.Final() || r.percent >= fullPercent {
+		return
+	}
+	if s.Fills {
+		p.watchFill(now, h, r)
 		return
 	}
 	ran := now.Sub(r.firstMove)
@@ -117,6 +121,42 @@
 	p.moveSlow(now, h, r, left, stalled)
 }
 
+const (
+	// heldPace is the share at which a filling run is as good as held.
+	heldPace = 30
+	// heldTime is after how long such a run is moved.
+	heldTime = 600 * time.Millisecond
+	// keepPercent is the progress from which on a run without a checkpoint
+	// stays.
+	keepPercent = 25
+	// keepShare is the progress from which on any run stays.
+	keepShare = 85
+)
+
+// watchFill moves a filling run that serving tasks hold back to a host where
+// it can work.
+func (p *Planner) watchFill(now time.Time, h *host, r *run) {
+	if h.paceOf(r.press) > heldPace || h.use().serving == 0 {
+		r.heldAt = time.Time{}
+		return
+	}
+	if r.heldAt.IsZero() {
+		r.heldAt = now
+	}
+	s := r.task.step
+	if now.Sub(r.heldAt) < heldTime || r.percent > keepShare || (!s.Checkpoints && r.percent > keepPercent) {
+		return
+	}
+	to := p.choose(now, r.task)
+	if to == nil || to == h || to.paceOf(p.pressOf(s, to)) <= heldPace {
+		return
+	}
+	p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d on %s at %.0f %% is held back at %d %%",
+		r.number, r.worker, r.percent, h.pace)
+	r.task.shunned = h.name
+	p.stop(r)
+}
+
 // copyTask starts a second copy where that is likely to end earlier.
 func (p *Planner) copyTask(now time.Time, r *run, left time.Duration, stalled bool) {
 	t := r.task
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -71,6 +71,7 @@
 	measure    float64
 	press      float64
 	room       float64
+	heldAt     time.Time
 }
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
