An owner that was dialled too early is dialled again

Ruled out: the quarantine, which is mended beside it (a worker with standing tasks was never probed).

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -59,7 +59,8 @@
 
 // Read takes over what the store says.
 func (o *Observer) Read(now time.Time, w Owner) {
-	if w.Version != o.owner.Version {
+	if w != o.owner {
+		// An owner that has just taken the cell may have been dialled too early.
 		o.refused = false
 	}
 	if w != o.owner || o.movedAt.IsZero() || now.Sub(o.readAt) > SilenceBound {
@@ -78,7 +79,7 @@
 func (o *Observer) Next(now time.Time) Action {
 	silent := now.Sub(o.movedAt)
 	switch {
-	case o.owner.Name == o.config.Name && o.owner.Boot == o.config.Boot:
+	case o.owner.Name == o.config.Name && o.owner.Boot == o.config.Boot && !o.refused:
 		return ActionDial
 	case !o.config.Candidate && o.owner.Name == "":
 		return ActionWait
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -63,9 +63,17 @@
 // quarantined reports whether the worker fails what it starts.
 func (x *health) quarantined() bool { return !x.probeAt.IsZero() }
 
-// mayProbe reports whether a quarantined worker may get one task.
-func (x *health) mayProbe(now time.Time, running int) bool {
-	return running == 0 && !now.Before(x.probeAt)
+// mayProbe reports whether a quarantined worker may get one more task.
+func (h *host) mayProbe(now time.Time) bool {
+	if now.Before(h.health.probeAt) {
+		return false
+	}
+	for _, r := range h.runs {
+		if !r.startedAt.Before(h.health.probeAt) && !r.task.step.Standing {
+			return false
+		}
+	}
+	return true
 }
 
 const (
