--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -10,6 +10,8 @@
 const (
 	retryFirst = 30 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
+	// TryTimeout bounds one try: a connection may go silent for good.
+	TryTimeout = time.Second
 )
 
 // Commit sends a transaction until its outcome is certain or ctx ends, which
@@ -20,7 +22,9 @@
 func Commit(ctx context.Context, s Store, t Tx) (Outcome, error) {
 	unsure := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
-		o, err := s.Transact(ctx, t)
+		try, cancel := context.WithTimeout(ctx, TryTimeout)
+		o, err := s.Transact(try, t)
+		cancel()
 		switch {
 		case err == nil && !o.Committed && unsure:
 			return t.settle(o), nil
