--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 )
@@ -122,6 +123,28 @@
 // Done is closed when the controller has ended.
 func (c *Controller) Done() <-chan struct{} { return c.tomb.Dead() }
 
+// staleAge is after how long without a confirmation an owner sends the entries
+// away, so that they look for another.
+const staleAge = 1500 * time.Millisecond
+
+// Stale reports whether the store has not confirmed the ownership of late.
+func (c *Controller) Stale(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stale(now)
+}
+
+func (c *Controller) stale(now time.Time) bool { return now.Sub(c.confirmedAt) > staleAge }
+
+// sendAway ends the sessions of entries; mu is held.
+func (c *Controller) sendAway() {
+	for _, s := range c.sessions {
+		if s.hello.Role == kqmessage.RoleEntry {
+			s.stream.Close()
+		}
+	}
+}
+
 // Epoch returns the epoch of the ownership.
 func (c *Controller) Epoch() uint64 { return c.row.Epoch }
 
@@ -220,6 +243,9 @@
 	}
 	c.publish(now)
 	c.sweep(now)
+	if c.stale(now) {
+		c.sendAway()
+	}
 }
 
 // commit stores one batch of records.
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -344,7 +344,8 @@
 		return
 	}
 	c := p.node.owned()
-	if c == nil || c.Epoch() < m.Hello.Epoch {
+	stale := c != nil && m.Hello.Role == kqmessage.RoleEntry && c.Stale(p.node.config.Control.Now())
+	if c == nil || stale || c.Epoch() < m.Hello.Epoch {
 		s.Send(kqmessage.FromOwner{NotOwner: true})
 		return
 	}
