--- a/internal/cell/kqlearn/press.go
+++ b/internal/cell/kqlearn/press.go
@@ -1,6 +1,7 @@
 package kqlearn
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,32 +20,31 @@
 	At time.Time
 	// Rooms is the room of each serving task.
 	Rooms map[string]Room
-	// Processors is what each image of the other tasks uses.
-	Processors map[string]float64
+	// Shares is what each image of the other tasks uses of the worker's
+	// processors, from 0 to 1.
+	Shares map[string]float64
 }
 
 const (
-	// pressPrior is what a processor of an image that was never seen is taken to
-	// cost of the room.
-	pressPrior = 0.03
-	// pressPriorWeight is how many squared processors the prior counts for.
-	pressPriorWeight = 60
+	// pressPrior is the room that an image which was never seen is taken to cost
+	// if it uses the whole worker.
+	pressPrior = 2.5
+	// pressPriorWeight is how many squared shares the prior counts for.
+	pressPriorWeight = 0.015
 	// pressForget is how much of the evidence each sample leaves.
 	pressForget = 0.9995
 	minSpan     = 150 * time.Millisecond
 	maxSpan     = 1200 * time.Millisecond
-	// minChange is the least change of an image's use that teaches anything, in
-	// processors.
-	minChange = 0.3
+	// minChange is the least change of an image's share that teaches anything.
+	minChange = 0.005
 	// maxImages bounds the images that are told apart.
 	maxImages = 64
-	// knownWeight is from how many squared processors of change on an image is
-	// known.
-	knownWeight = 40
+	// knownWeight is from how many squared shares of change on an image is known.
+	knownWeight = 0.01
 )
 
-// Press estimates, for each image of serving tasks, how much of their room one
-// processor of another image takes. It compares looks at the same worker that
+// Press estimates, for each image of serving tasks, how much of their room
+// another image would take if it used the whole worker. It compares looks at the same worker that
 // follow each other closely, in which the load of the serving tasks themselves
 // has hardly changed. The zero value knows nothing.
 type Press struct {
@@ -76,7 +76,7 @@
 	if !ok || span > maxSpan {
 		return
 	}
-	change := changes(old.Processors, s.Processors)
+	change := changes(old.Shares, s.Shares)
 	if len(change) == 0 {
 		return
 	}
@@ -99,8 +99,8 @@
 	return f
 }
 
-// Of returns the room that one processor of an image takes of a serving task,
-// and whether that was measured.
+// Of returns the room that an image takes of a serving task for a whole worker's
+// processors, and whether that was measured.
 func (p *Press) Of(serving, image string) (room float64, known bool) {
 	f := p.fits[serving]
 	if f == nil {
@@ -165,8 +165,7 @@
 	f.stale = true
 }
 
-// of returns the room that one processor of an image takes, and whether there
-// is evidence enough.
+// of returns the room that an image takes, and whether there is evidence enough.
 func (f *fit) of(image string) (float64, bool) {
 	i := slices.Index(f.images, image)
 	if i < 0 {
@@ -185,7 +184,6 @@
 	a := make([][]float64, n)
 	for i := range a {
 		a[i] = append(slices.Clone(f.square[i]), f.product[i])
-		a[i][i] += 1
 	}
 	for i := range n {
 		for k := range n {
@@ -205,3 +203,38 @@
 		}
 	}
 }
+
+// Fit is what was learned of one pair of images.
+type Fit struct {
+	// Serving and Image name the pair.
+	Serving string `json:"serving"`
+	Image   string `json:"image"`
+	// Room is the room taken for a whole worker's processors.
+	Room float64 `json:"room"`
+}
+
+// Fits returns every pair that is known, in order.
+func (p *Press) Fits() []Fit {
+	var out []Fit
+	for _, serving := range slices.Sorted(maps.Keys(p.fits)) {
+		f := p.fits[serving]
+		for _, image := range f.images {
+			if room, known := f.of(image); known {
+				out = append(out, Fit{Serving: serving, Image: image, Room: room})
+			}
+		}
+	}
+	return out
+}
+
+// Restore takes over pairs that another Press had learned.
+func (p *Press) Restore(fits []Fit) {
+	for _, x := range fits {
+		f := p.fit(x.Serving)
+		if i := f.index(x.Image); i >= 0 {
+			f.square[i][i] = pressPriorWeight + knownWeight
+			f.product[i] = x.Room * f.square[i][i]
+			f.stale = true
+		}
+	}
+}
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -78,6 +79,8 @@
 	confirmedAt time.Time
 	commits     int
 	sweptAt     time.Time
+	learnedAt   time.Time
+	learned     []kqlearn.Fit
 	pending     map[string]int
 	pendingAt   time.Time
 	wallOffset  time.Duration
@@ -167,6 +170,7 @@
 	}
 	c.submitAt = at
 	now := c.config.Now()
+	c.restoreLearned(ctx, now)
 	for _, r := range rows {
 		c.submitted(now, r, records)
 	}
@@ -243,6 +247,7 @@
 	}
 	c.publish(now)
 	c.sweep(now)
+	c.keepLearned(now)
 	if c.stale(now) {
 		c.sendAway()
 	}
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -15,6 +15,8 @@
 const (
 	// CellTable holds the ownership of cells and its beats.
 	CellTable = "cells"
+	// LearnedTable holds what owners have learned of images.
+	LearnedTable = "learned"
 	// SubmissionTable holds what callers handed in; entries write it.
 	SubmissionTable = "submissions"
 	// ProgressTable holds the progress of jobs; the owner writes it.
@@ -39,6 +41,10 @@
 // BeatKey returns the key of the beats of a cell's owner.
 func BeatKey(cell string) kqrows.Key { return kqrows.Key{Table: CellTable, Name: cell + ".beat"} }
 
+// LearnedKey returns the key of what the owners of a cell have learned. It is
+// written without conditions: losing it costs time, not safety.
+func LearnedKey(cell string) kqrows.Key { return kqrows.Key{Table: LearnedTable, Name: cell} }
+
 // SubmissionKey returns the key of what a caller handed in.
 func SubmissionKey(job string) kqrows.Key { return kqrows.Key{Table: SubmissionTable, Name: job} }
 
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -6,6 +6,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -175,20 +176,23 @@
 
 // pace lets filling tasks work at the share that serving tasks bear; mu is held.
 func (x *Executor) pace(now time.Time, running []kqexecution.Running) {
-	room, filling := 0.0, false
+	room, press, filling := 0.0, 0.0, false
 	for _, r := range running {
 		e := x.runs[r.Run]
 		if e == nil {
 			continue
 		}
 		filling = filling || e.order.Fills
+		if e.order.Fills && !e.stopping && kqpace.Heavy(e.order.Press) {
+			press += e.order.Press
+		}
 		if e.order.TailTarget > 0 && r.Measure > 0 {
 			if q := float64(e.order.TailTarget.Milliseconds()) / r.Measure; room == 0 || q < room {
 				room = q
 			}
 		}
 	}
-	x.pacer.Observe(now, room)
+	x.pacer.Observe(now, room, press)
 	x.watching = filling && room > 0
 	if !filling {
 		return
--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -41,6 +41,7 @@
 	heavy       float64
 	light       float64
 	room        float64
+	press       float64
 	changedAt   time.Time
 	scarceSince time.Time
 }
@@ -51,23 +52,28 @@
 // Percent returns the share of the runs that disturb much.
 func (p *Pacer) Percent() int { return int(p.heavy) }
 
+// Heavy reports whether a run that takes some room is slowed down first.
+func Heavy(press float64) bool { return press >= lightPress }
+
 // Room returns the smoothed least room of the serving tasks, or 0.
 func (p *Pacer) Room() float64 { return p.room }
 
 // For returns the share of a run that takes some room at full speed.
 func (p *Pacer) For(press float64) int {
-	if press < lightPress {
-		return int(p.light)
+	if Heavy(press) {
+		return int(p.heavy)
 	}
-	return int(p.heavy)
+	return int(p.light)
 }
 
-// Observe takes over the least room of the serving tasks, or 0 if none serves.
-func (p *Pacer) Observe(now time.Time, room float64) {
+// Observe takes over the least room of the serving tasks, or 0 if none serves,
+// and the sum of the room that the runs which disturb much take at full speed.
+func (p *Pacer) Observe(now time.Time, room, press float64) {
 	if room <= 0 {
 		*p = Pacer{heavy: full, light: full, changedAt: p.changedAt}
 		return
 	}
+	p.admit(press)
 	if p.room == 0 || room < p.room && room < scarceRoom {
 		p.room = room
 	}
@@ -95,6 +101,22 @@
 	}
 }
 
+// admit lets no more be taken than there is room for when runs are added: their
+// press is not in the measurements yet.
+func (p *Pacer) admit(press float64) {
+	added := press - p.press
+	p.press = press
+	if added <= 0 || p.room == 0 {
+		return
+	}
+	taken := p.heavy / full * (press - added)
+	bearable := taken + max(0, p.room-easyRoom)
+	p.heavy = min(p.heavy, full*bearable/press)
+	if p.heavy < least {
+		p.heavy = 0
+	}
+}
+
 func (p *Pacer) slow(factor float64) {
 	share := &p.heavy
 	if p.heavy == 0 {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -187,7 +187,7 @@
 
 // learn compares the rooms of serving tasks with what others use beside them.
 func (p *Planner) learn(now time.Time, h *host) {
-	s := kqlearn.Sample{At: now, Rooms: map[string]kqlearn.Room{}, Processors: map[string]float64{}}
+	s := kqlearn.Sample{At: now, Rooms: map[string]kqlearn.Room{}, Shares: map[string]float64{}}
 	for _, r := range h.runs {
 		x := r.task.step
 		switch {
@@ -196,7 +196,7 @@
 			r.room = float64(x.TailTarget.Milliseconds()) / r.measure
 			s.Rooms[r.task.id.String()] = kqlearn.Room{Image: x.Image, Value: r.room}
 		case x.Fills:
-			s.Processors[x.Image] += r.measure / processorUnits
+			s.Shares[x.Image] += r.measure / float64(max(1, h.info.Capacity.MilliProcessors))
 		}
 	}
 	if len(s.Rooms) > 0 {
@@ -204,9 +204,6 @@
 	}
 }
 
-// processorUnits is how a measured use of processors is counted.
-const processorUnits = 1000
-
 // Resync returns every order that stands for a host, for an agent that has
 // just connected and has reported.
 func (p *Planner) Resync(name string) []*Order {
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -191,8 +191,8 @@
 // pressOn returns the room that a filling task of a step takes of one serving
 // task, and whether that was measured.
 func (p *Planner) pressOn(s *kqflow.Step, serving *run) (press float64, known bool) {
-	perProcessor, known := p.press.Of(serving.task.step.Image, s.Image)
-	return perProcessor * float64(s.Size.MilliProcessors) / processorUnits, known
+	whole, known := p.press.Of(serving.task.step.Image, s.Image)
+	return whole * float64(s.Size.MilliProcessors) / float64(max(1, serving.host.info.Capacity.MilliProcessors)), known
 }
 
 // fillsIn reports whether a filling task would get enough on a host and leave
@@ -285,10 +285,10 @@
 	packGain  = 0.5
 	lightCost = 0.5
 	sizeCost  = 0.2
-	mixCost   = 0.3
+	mixCost   = 1.0
 	// servingUse is the share of its processors that a serving task uses, in
 	// percent, where nothing was measured.
-	servingUse = 60
+	servingUse = 50
 	// leastPace bounds from below what filling tasks are expected to get beside
 	// serving ones, in percent.
 	leastPace = 10
@@ -354,7 +354,7 @@
 		}
 	case t.step.TailTarget > 0:
 		// Serving tasks are packed, so that filling ones find room apart.
-		if !h.serves(t.step.Image) {
+		if h.mixes(t.step.Image) {
 			c += mixCost
 		}
 		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(p.largest()) + pressCost*float64(u.filling)/float64(u.total)
@@ -364,19 +364,15 @@
 	return c
 }
 
-// serves reports whether only serving tasks of an image are on a host: what
+// mixes reports whether a host serves an image other than the given one: what
 // disturbs one image may leave others alone, so images are kept apart.
-func (h *host) serves(image string) bool {
-	same := false
+func (h *host) mixes(image string) bool {
 	for _, r := range h.runs {
-		if r.task.step.TailTarget > 0 {
-			if r.task.step.Image != image {
-				return false
-			}
-			same = true
+		if r.task.step.TailTarget > 0 && r.task.step.Image != image {
+			return true
 		}
 	}
-	return same
+	return false
 }
 
 // largest returns the processors of the largest host.
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -200,6 +200,12 @@
 	return out
 }
 
+// Learned returns what was learned of images that share workers.
+func (p *Planner) Learned() []kqlearn.Fit { return p.press.Fits() }
+
+// Restore takes over what an earlier owner had learned.
+func (p *Planner) Restore(fits []kqlearn.Fit) { p.press.Restore(fits) }
+
 // Active returns how many jobs have not ended.
 func (p *Planner) Active() int { return p.active }
 
