Agents leave an owner that was replaced, and replace one that the store does not confirm sooner

Cause: an agent that was connected to an owner without the store looked for a silent beat only; the successor's beats moved, so it stayed until the old owner's end, up to 4 s.

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -95,7 +95,11 @@
 	return ActionDial
 }
 
-// Silent reports whether the owner has not moved its beat for too long.
-func (o *Observer) Silent(now time.Time) bool {
-	return o.config.Candidate && now.Sub(o.movedAt) >= SilenceBound
+// stillBound is for how long a beat must have stood still while it was watched.
+const stillBound = 400 * time.Millisecond
+
+// Unconfirmed reports whether to replace an owner that is connected: by its own
+// word the store has not confirmed it since a time, and the beat stands still.
+func (o *Observer) Unconfirmed(now, confirmed time.Time) bool {
+	return o.config.Candidate && now.Sub(confirmed) >= SilenceBound && now.Sub(o.movedAt) >= stillBound
 }
--- a/internal/flow/kqelect/elect_test.go
+++ b/internal/flow/kqelect/elect_test.go
@@ -66,6 +66,18 @@
 		Expect(o.Next(begin)).To(Equal(kqelect.ActionTake))
 	})
 
+	It("replaces a connected owner only if neither its word nor its beat speaks for it", func() {
+		owner := kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4}
+		o.Read(begin, owner)
+		Expect(o.Unconfirmed(begin, begin.Add(-2*time.Second))).To(BeFalse())
+		o.Read(at(450*time.Millisecond), owner)
+		Expect(o.Unconfirmed(at(450*time.Millisecond), begin)).To(BeFalse())
+		Expect(o.Unconfirmed(at(450*time.Millisecond), begin.Add(-time.Second))).To(BeTrue())
+		owner.Beat = 5
+		o.Read(at(500*time.Millisecond), owner)
+		Expect(o.Unconfirmed(at(500*time.Millisecond), begin.Add(-time.Second))).To(BeFalse())
+	})
+
 	It("never takes a cell without being a candidate", func() {
 		e := kqelect.New(kqelect.Config{Name: "e", Boot: "e1"})
 		e.Read(begin, kqelect.Owner{})
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -46,7 +46,8 @@
 	lookInterval   = 150 * time.Millisecond
 	takeTimeout    = 6 * time.Second
 	takeSpread     = 40 * time.Millisecond
-	suspectAge     = 1000 * time.Millisecond
+	suspectAge     = 700 * time.Millisecond
+	watchInterval  = 250 * time.Millisecond
 )
 
 // Node is the tie of a process to its cell.
@@ -60,8 +61,7 @@
 	controller *kqcontrol.Controller
 	owner      kqcontrol.OwnerRow
 	version    uint64
-	linked     bool
-	suspect    bool
+	confirmed  time.Time
 	leaving    bool
 }
 
@@ -229,6 +229,7 @@
 	node    *Node
 	welcome chan uint64
 	open    bool
+	epoch   uint64
 }
 
 // receive takes a message; it is called by one goroutine.
@@ -249,21 +250,24 @@
 		return
 	}
 	if m.Grant != nil {
-		l.node.setSuspect(m.Grant.StoreAge > suspectAge)
+		l.node.setConfirmed(l.node.config.Control.Now().Add(-m.Grant.StoreAge))
 	}
 	l.node.config.Receive(m)
 }
 
-func (n *Node) setSuspect(on bool) {
+// setConfirmed notes when the store last confirmed the owner, by its own word.
+func (n *Node) setConfirmed(at time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.suspect = on
+	n.confirmed = at
 }
 
-func (n *Node) suspected() bool {
+// state returns the owner as last read and when the store last confirmed the
+// one that this process is connected to.
+func (n *Node) state() (kqcontrol.OwnerRow, time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.suspect
+	return n.owner, n.confirmed
 }
 
 // follow waits for the end of the stream. Meanwhile an owner that the store
@@ -273,7 +277,7 @@
 	t := time.NewTimer(welcomeTimeout)
 	defer t.Stop()
 	select {
-	case <-l.welcome:
+	case l.epoch = <-l.welcome:
 	case <-t.C:
 		n.observer.Refused()
 		return false
@@ -284,9 +288,9 @@
 		return true
 	}
 	n.observer.Linked()
-	n.setSuspect(false)
+	n.setConfirmed(n.config.Control.Now())
 	defer n.config.Unlinked()
-	tick := time.NewTicker(lookInterval * 3)
+	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -296,16 +300,32 @@
 			return true
 		case <-tick.C:
 		}
-		if !n.suspected() || n.Owning() {
-			continue
-		}
-		if n.look(ctx) && n.observer.Silent(n.config.Control.Now()) {
-			n.take(ctx)
+		if n.config.Role == kqmessage.RoleAgent && !n.Owning() && l.replace(ctx) {
 			return true
 		}
 	}
 }
 
+// replace watches an owner that the store does not confirm any more: it returns
+// true if this process leaves it, for its successor or to become that.
+func (l *link) replace(ctx context.Context) bool {
+	n := l.node
+	_, confirmed := n.state()
+	if n.config.Control.Now().Sub(confirmed) < suspectAge || !n.look(ctx) {
+		return false
+	}
+	owner, confirmed := n.state()
+	if owner.Epoch > l.epoch {
+		return true
+	}
+	now := n.config.Control.Now()
+	if !n.observer.Unconfirmed(now, confirmed) {
+		return false
+	}
+	n.take(ctx)
+	return true
+}
+
 // acceptor takes streams of agents and entries.
 type acceptor struct{ node *Node }
 
