--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -36,6 +36,9 @@
 	c.sessions[h.Name] = x
 	x.send(kqmessage.FromOwner{Welcome: c.row.Epoch})
 	c.config.Events.Emit(now, kqevent.PeerLinked, kqevent.Process(h.Name), "%s with boot %s", h.Role, h.Boot)
+	if w, ok := c.planner.Known(h.Name); ok && h.Role == kqmessage.RoleAgent {
+		x.send(kqmessage.FromOwner{Known: &w})
+	}
 	if h.Role == kqmessage.RoleEntry {
 		x.registered = true
 		x.send(kqmessage.FromOwner{States: c.planner.States(), Whole: true, Pending: c.planner.Pending()})
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -242,6 +242,10 @@
 func (x *Executor) Receive(m kqmessage.FromOwner) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if m.Known != nil && x.info.Worker == "" && !x.gone[m.Known.Worker] {
+		// The first hold tells whether this incarnation is still there.
+		x.adopt(*m.Known, 0)
+	}
 	if m.Resync {
 		x.resync(m.Orders)
 	}
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -86,6 +86,9 @@
 	HandedOver bool `json:"handed_over,omitempty"`
 	// Grant is a lease for an agent.
 	Grant *Grant `json:"grant,omitempty"`
+	// Known is what the owner knows of the agent's worker, for an agent that has
+	// just started.
+	Known *kqplan.WorkerInfo `json:"known,omitempty"`
 	// Orders are for an agent.
 	Orders []*kqplan.Order `json:"orders,omitempty"`
 	// Resync is true if Orders is every order that stands.
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -135,6 +135,15 @@
 	}
 }
 
+// Known returns what was last heard of the worker of a host.
+func (p *Planner) Known(name string) (w WorkerInfo, ok bool) {
+	h := p.hosts[name]
+	if h == nil || h.info.Worker == "" {
+		return w, false
+	}
+	return h.info, true
+}
+
 // Gone notes that the worker of a host has left: what it ran is gone.
 func (p *Planner) Gone(now time.Time, name, worker string) {
 	h := p.host(name)
