--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -53,10 +54,13 @@
 
 const (
 	// BeatInterval is the time between two confirmations of the ownership.
-	BeatInterval  = 400 * time.Millisecond
-	beatTimeout   = 1200 * time.Millisecond
-	tickInterval  = 50 * time.Millisecond
-	maxCommits    = 6
+	BeatInterval = 400 * time.Millisecond
+	beatTimeout  = 1200 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+	maxCommits   = 6
+	// slowCommit is from which time of a commit on only one is under way: the
+	// store takes them one after the other, and a larger batch costs no more.
+	slowCommit    = 150 * time.Millisecond
 	maxBatch      = 40
 	followWait    = 4 * time.Second
 	followSlack   = 800 * time.Millisecond
@@ -78,6 +82,9 @@
 	sessions    map[string]*Session
 	confirmedAt time.Time
 	commits     int
+	commitTook  time.Duration
+	beatenAt    time.Time
+	beats       atomic.Uint64
 	sweptAt     time.Time
 	learnedAt   time.Time
 	learned     []kqlearn.Fit
@@ -237,7 +244,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.planner.Tick(now)
-	for c.commits < maxCommits {
+	for c.commits < c.width() {
 		ws := c.planner.Writes(maxBatch)
 		if len(ws) == 0 {
 			break
@@ -253,6 +260,14 @@
 	}
 }
 
+// width returns how many commits may be under way.
+func (c *Controller) width() int {
+	if c.commitTook >= slowCommit {
+		return 1
+	}
+	return maxCommits
+}
+
 // commit stores one batch of records.
 type commit struct {
 	controller *Controller
@@ -267,6 +282,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.commits--
+	c.commitTook = now.Sub(sent)
 	switch {
 	case err != nil:
 		return nil
@@ -275,6 +291,7 @@
 		return nil
 	}
 	c.confirm(sent)
+	c.beatenAt = sent
 	c.planner.Committed(now, x.writes, o.Version)
 	c.publish(now)
 	c.wake()
@@ -283,7 +300,7 @@
 
 func (x *commit) transaction() kqrows.Tx {
 	c := x.controller
-	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}}}
+	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}}, Puts: []kqrows.Put{c.beatPut()}}
 	for _, w := range x.writes {
 		k := ProgressKey(w.Job)
 		t.Expected = append(t.Expected, kqrows.Expect{Key: k, Version: w.Version})
@@ -323,8 +340,10 @@
 	c := b.controller
 	t := time.NewTicker(BeatInterval)
 	defer t.Stop()
-	for n := uint64(1); ; n++ {
-		c.tomb.Go((&beat{c, n}).run)
+	for {
+		if c.beatDue() {
+			c.tomb.Go((&beat{c}).run)
+		}
 		select {
 		case <-c.tomb.Dying():
 			return nil
@@ -333,12 +352,21 @@
 	}
 }
 
-// beat is one confirmation under way.
-type beat struct {
-	controller *Controller
-	number     uint64
+// beatDue reports whether no commit has moved the beat of late.
+func (c *Controller) beatDue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Now().Sub(c.beatenAt) >= BeatInterval/2
 }
 
+// beatPut moves the beat, by which others see that the owner is alive.
+func (c *Controller) beatPut() kqrows.Put {
+	return kqrows.Put{Key: BeatKey(c.config.Cell), Value: encode(beatRow{c.row.Epoch, c.beats.Add(1)})}
+}
+
+// beat is one confirmation under way.
+type beat struct{ controller *Controller }
+
 type beatRow struct {
 	Epoch  uint64 `json:"epoch"`
 	Number uint64 `json:"number"`
@@ -351,7 +379,7 @@
 	sent := c.config.Now()
 	o, err := c.config.Store.Transact(ctx, kqrows.Tx{
 		Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}},
-		Puts:     []kqrows.Put{{Key: BeatKey(c.config.Cell), Value: encode(beatRow{c.row.Epoch, b.number})}}})
+		Puts:     []kqrows.Put{c.beatPut()}})
 	if err != nil {
 		return nil
 	}
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -23,6 +23,10 @@
 	ProgressTable = "progress"
 )
 
+// SpreadTables are the tables whose rows are written one by one and should not
+// wait for each other.
+var SpreadTables = []string{SubmissionTable}
+
 // OwnerRow is the stored ownership of a cell.
 type OwnerRow struct {
 	// Name names the owner's host; empty if the cell was handed over.
--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -16,9 +16,9 @@
 
 // Commit sends a transaction until its outcome is certain or ctx ends, which
 // gives ErrUnknown if a copy may have taken effect and ErrRefused if none can.
-// Each row put must also be expected, with a value that no other write has:
-// then at most one copy can find the conditions true, and the rows show whose
-// write it was.
+// A row put must also be expected, with a value that no other write has: then at
+// most one copy can find the conditions true, and the rows show whose write it
+// was. Rows that are put without being expected tell nothing.
 func Commit(ctx context.Context, s Store, t Tx) (Outcome, error) {
 	unsure := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
@@ -47,6 +47,9 @@
 func (t Tx) settle(o Outcome) Outcome {
 	version := uint64(0)
 	for _, p := range t.Puts {
+		if !t.expects(p.Key) {
+			continue
+		}
 		r, ok := o.Find(p.Key)
 		if !ok || !bytes.Equal(r.Value, p.Value) {
 			return o
@@ -61,6 +64,15 @@
 	return Outcome{Committed: true, Version: version}
 }
 
+func (t Tx) expects(k Key) bool {
+	for _, e := range t.Expected {
+		if e.Key == k {
+			return true
+		}
+	}
+	return false
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
