--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -9,17 +9,17 @@
 // left of its server, so the disturbance takes away from the room linearly.
 const (
 	// scarceRoom is below which filling tasks are slowed down at once.
-	scarceRoom = 1.05
+	scarceRoom = 1.02
 	// tightRoom is below which they are slowed down by and by.
-	tightRoom = 1.25
+	tightRoom = 1.12
 	// easyRoom is above which they may speed up, wideRoom above which faster.
-	easyRoom = 1.5
-	wideRoom = 2.0
+	easyRoom = 1.25
+	wideRoom = 1.6
 
 	scarceFactor = 0.4
 	tightFactor  = 0.75
-	easyStep     = 6
-	wideStep     = 18
+	easyStep     = 8
+	wideStep     = 25
 
 	// Interval is the least time between two changes.
 	Interval = 250 * time.Millisecond
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -165,7 +165,7 @@
 	// from serving tasks.
 	heavyPress = 0.12
 	// heavyRoom is the room that must be left beside a heavy run.
-	heavyRoom = 1.5
+	heavyRoom = 1.3
 	// overcommit is how much of what is unused is given away, in percent.
 	overcommit = 110
 	// idleBound is after how long a job with nothing at work takes any place.
