--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -176,35 +176,35 @@
 
 // pace lets filling tasks work at the share that serving tasks bear; mu is held.
 func (x *Executor) pace(now time.Time, running []kqexecution.Running) {
-	room, press, filling := 0.0, 0.0, false
+	looks := map[string]kqpace.Look{}
+	var filling []*entry
 	for _, r := range running {
 		e := x.runs[r.Run]
-		if e == nil {
-			continue
-		}
-		filling = filling || e.order.Fills
-		if e.order.Fills && !e.stopping && kqpace.Heavy(e.order.Press) {
-			press += e.order.Press
-		}
-		if e.order.TailTarget > 0 && r.Measure > 0 {
-			if q := float64(e.order.TailTarget.Milliseconds()) / r.Measure; room == 0 || q < room {
-				room = q
+		switch {
+		case e == nil || e.stopping:
+		case e.order.Fills:
+			filling = append(filling, e)
+		case e.order.TailTarget > 0 && r.Measure > 0:
+			room := float64(e.order.TailTarget.Milliseconds()) / r.Measure
+			if l, ok := looks[e.order.Image]; !ok || room < l.Room {
+				looks[e.order.Image] = kqpace.Look{Room: room}
 			}
 		}
 	}
-	x.pacer.Observe(now, room, press)
-	x.watching = filling && room > 0
-	if !filling {
-		return
-	}
-	for _, r := range running {
-		e := x.runs[r.Run]
-		if e == nil || !e.order.Fills || e.stopping {
-			continue
+	for image, l := range looks {
+		for _, e := range filling {
+			if press := e.order.Press[image]; kqpace.Heavy(press) {
+				l.Press += press
+			}
 		}
+		looks[image] = l
+	}
+	x.pacer.Observe(now, looks)
+	x.watching = len(filling) > 0 && len(looks) > 0
+	for _, e := range filling {
 		if percent := x.pacer.For(e.order.Press); e.paced != percent {
-			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(r.Task), "run %d at %d %%, a target over its tail latency is %.2f", r.Number, percent, room)
-			x.paceRun(e, r.Run, percent)
+			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(e.order.Run.Task), "run %d at %d %%, rooms %v", e.order.Run.Number, percent, looks)
+			x.paceRun(e, e.order.Run, percent)
 		}
 	}
 }
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -80,7 +80,7 @@
 	told     uint64
 	reported time.Time
 	holds    uint64
-	pacer    *kqpace.Pacer
+	pacer    *kqpace.Group
 	watching bool
 }
 
@@ -96,7 +96,7 @@
 // Start begins to drive.
 func Start(c Config) *Executor {
 	x := &Executor{config: c, kick: make(chan struct{}, 1), gone: map[string]bool{}, runs: map[kqexecution.Run]*entry{},
-		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, pacer: kqpace.New()}
+		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, pacer: kqpace.NewGroup()}
 	x.tomb.Go(x.run)
 	return x
 }
@@ -178,7 +178,7 @@
 	x.listed = map[kqexecution.Run]bool{}
 	x.ends, x.lastEnd, x.noted, x.told = map[uint64]kqexecution.End{}, 0, 0, 0
 	x.askClocks = map[uint64]kqexecution.Clock{}
-	x.pacer = kqpace.New()
+	x.pacer = kqpace.NewGroup()
 	x.wake()
 }
 
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -136,7 +136,7 @@
 	r := kqplan.Report{Worker: x.info.Worker, Ended: fresh}
 	if now.Sub(x.reported) >= reportSpacing {
 		x.reported = now
-		r.Whole, r.Running, r.Pace, r.Room = true, h.Running, x.pacer.Percent(), x.pacer.Room()
+		r.Whole, r.Running, r.Paces = true, h.Running, x.pacer.Shares()
 	}
 	if r.Whole || len(fresh) > 0 {
 		x.send(kqmessage.ToOwner{Report: &r})
@@ -152,7 +152,7 @@
 		ended = append(ended, e)
 	}
 	slices.SortFunc(ended, func(a, b kqexecution.End) int { return int(a.Number) - int(b.Number) })
-	x.send(kqmessage.ToOwner{Worker: &w, Report: &kqplan.Report{Worker: w.Worker, Whole: true, Running: h.Running, Ended: ended, Pace: x.pacer.Percent(), Room: x.pacer.Room()}, Registered: true})
+	x.send(kqmessage.ToOwner{Worker: &w, Report: &kqplan.Report{Worker: w.Worker, Whole: true, Running: h.Running, Ended: ended, Paces: x.pacer.Shares()}, Registered: true})
 	x.asks++
 	x.askClocks[x.asks] = x.clock
 	x.send(kqmessage.ToOwner{Ask: x.asks})
--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -55,9 +55,6 @@
 // Heavy reports whether a run that takes some room is slowed down first.
 func Heavy(press float64) bool { return press >= lightPress }
 
-// Room returns the smoothed least room of the serving tasks, or 0.
-func (p *Pacer) Room() float64 { return p.room }
-
 // For returns the share of a run that takes some room at full speed.
 func (p *Pacer) For(press float64) int {
 	if Heavy(press) {
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -160,7 +160,7 @@
 		return
 	}
 	p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d on %s at %.0f %% is held back at %d %%",
-		r.number, r.worker, r.percent, h.pace)
+		r.number, r.worker, r.percent, h.paceOf(r.press))
 	r.task.shunned = h.name
 	p.stop(r)
 }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -39,12 +39,9 @@
 	Whole bool `json:"whole,omitempty"`
 	// Running is the runs at work.
 	Running []kqexecution.Running `json:"running,omitempty"`
-	// Pace is the share of their speed at which filling tasks work, in percent;
-	// it is given if Whole.
-	Pace int `json:"pace"`
-	// Room is the least target of a serving task over its tail latency, or 0; it
-	// is given if Whole.
-	Room float64 `json:"room,omitempty"`
+	// Paces is the share, in percent, at which runs work that disturb an image of
+	// serving tasks much; it is given if Whole.
+	Paces map[string]int `json:"paces,omitempty"`
 	// Ended is ends that were not noted yet.
 	Ended []kqexecution.End `json:"ended,omitempty"`
 }
@@ -68,14 +65,13 @@
 	taken       uint64
 	noted       uint64
 	health      health
-	pace        int
-	room        float64
+	paces       map[string]int
 }
 
 func (p *Planner) host(name string) *host {
 	h := p.hosts[name]
 	if h == nil {
-		h = &host{name: name, runs: map[kqexecution.Run]*run{}, strays: map[kqexecution.Run]time.Time{}, pace: fullPercent}
+		h = &host{name: name, runs: map[kqexecution.Run]*run{}, strays: map[kqexecution.Run]time.Time{}}
 		p.hosts[name] = h
 	}
 	return h
@@ -119,7 +115,7 @@
 	if w.Worker != h.info.Worker {
 		h.ends, h.taken, h.noted = nil, 0, 0
 		h.strays = map[kqexecution.Run]time.Time{}
-		h.health, h.pace, h.room = health{}, fullPercent, 0
+		h.health, h.paces = health{}, nil
 		p.press.Forget(name)
 		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.Worker), "host %s, %s, draining %t", name, w.Capacity, w.Draining)
 	}
@@ -184,7 +180,7 @@
 	if !r.Whole {
 		return
 	}
-	h.pace, h.room = r.Pace, r.Room
+	h.paces = r.Paces
 	p.learn(now, h)
 	for k := range h.strays {
 		if !present[k] {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -69,7 +69,7 @@
 	firstMove  time.Time
 	reportedAt time.Time
 	measure    float64
-	press      float64
+	press      map[string]float64
 	room       float64
 	heldAt     time.Time
 }
@@ -255,7 +255,7 @@
 		return &Order{Run: r.key(), Stop: true, Worker: r.worker}
 	}
 	s := r.task.step
-	return &Order{Run: r.key(), Worker: r.worker, Press: r.press, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint,
+	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Press: r.press, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint,
 		Size: s.Size, Fills: s.Fills, TailTarget: s.TailTarget}
 }
 
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -173,19 +173,22 @@
 )
 
 // pressOf returns the room that a filling task of a step takes at full speed of
-// the serving task on a host that it disturbs most.
-func (p *Planner) pressOf(s *kqflow.Step, h *host) float64 {
-	most := 0.0
+// each image that serves on a host.
+func (p *Planner) pressOf(s *kqflow.Step, h *host) map[string]float64 {
 	if !s.Fills {
-		return most
+		return nil
 	}
+	var out map[string]float64
 	for _, r := range h.runs {
-		if r.task.step.TailTarget > 0 {
-			press, _ := p.pressOn(s, r)
-			most = max(most, press)
+		if r.task.step.TailTarget == 0 {
+			continue
+		}
+		if out == nil {
+			out = map[string]float64{}
 		}
+		out[r.task.step.Image], _ = p.pressOn(s, r)
 	}
-	return most
+	return out
 }
 
 // pressOn returns the room that a filling task of a step takes of one serving
@@ -247,12 +250,36 @@
 // measureLag is after how long a run shows in the measurements.
 const measureLag = time.Second
 
-// paceOf returns the share at which a run of some press works on a host.
-func (h *host) paceOf(press float64) int {
-	if press < heavyPress {
-		return fullPercent
+// paceOf returns the share at which a run works that takes some room of each
+// image that serves on a host.
+func (h *host) paceOf(press map[string]float64) int {
+	pace := fullPercent
+	for image, taken := range press {
+		if share, ok := h.paces[image]; ok && taken >= heavyPress {
+			pace = min(pace, share)
+		}
+	}
+	return pace
+}
+
+// lightSomewhere reports whether a filling task disturbs little on some host
+// where others serve.
+func (p *Planner) lightSomewhere(s *kqflow.Step) bool {
+	for _, h := range p.hosts {
+		if press := p.pressOf(s, h); press != nil && heaviest(press) < heavyPress {
+			return true
+		}
 	}
-	return h.pace
+	return false
+}
+
+// heaviest returns the most room that is taken of an image.
+func heaviest(press map[string]float64) float64 {
+	most := 0.0
+	for _, taken := range press {
+		most = max(most, taken)
+	}
+	return most
 }
 
 // idleSince returns for how long a job has had nothing at work though a task's
@@ -346,9 +373,9 @@
 		press := p.pressOf(t.step, h)
 		c += float64(u.filling+t.step.Size.MilliProcessors) / float64(max(1, u.unused(h.paceOf(press))))
 		switch {
-		case u.serving > 0 && press >= heavyPress:
+		case u.serving > 0 && heaviest(press) >= heavyPress:
 			c += pressCost
-		case u.serving == 0 && press < heavyPress:
+		case u.serving == 0 && p.lightSomewhere(t.step):
 			// What disturbs little leaves the other hosts to what disturbs much.
 			c += lightCost
 		}
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -84,9 +84,11 @@
 	Size kqmodel.Resources `json:"size,omitzero"`
 	// Fills is true if the run uses what others leave unused.
 	Fills bool `json:"fills,omitempty"`
-	// Press is how much of the room of serving tasks the run is expected to take
-	// at full speed.
-	Press float64 `json:"press,omitempty"`
+	// Image names what the run is of.
+	Image string `json:"image,omitempty"`
+	// Press is the room that the run is expected to take at full speed of each
+	// image of serving tasks beside it.
+	Press map[string]float64 `json:"press,omitempty"`
 	// TailTarget is the bound on the tail latency of a serving task.
 	TailTarget time.Duration `json:"tail_target,omitempty"`
 }
