--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -497,6 +497,14 @@
 	return nil
 }
 
+// Abandon ends the work without a word, as the death of the process would.
+func (c *Controller) Abandon() {
+	c.mu.Lock()
+	c.end()
+	c.mu.Unlock()
+	_ = c.tomb.Wait()
+}
+
 // handOverTimeout bounds the write that gives the cell up.
 const handOverTimeout = 700 * time.Millisecond
 
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -28,6 +28,8 @@
 	Role kqmessage.Role
 	// Listen is where an agent takes streams.
 	Listen netip.AddrPort
+	// Network is how streams are taken and made; nil means TCP.
+	Network *Network
 	// Control is what a Controller needs; its Name, Boot, Cell, Store, Now and
 	// Events serve the node too.
 	Control kqcontrol.Config
@@ -50,6 +52,23 @@
 	watchInterval  = 250 * time.Millisecond
 )
 
+// Network is how a process reaches others.
+type Network struct {
+	// Listen takes streams at an address.
+	Listen func(at netip.AddrPort) (net.Listener, error)
+	// Dial makes a stream to an address.
+	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+}
+
+// tcp is the network of real processes.
+var tcp = Network{
+	Listen: func(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) },
+	Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		d := net.Dialer{Timeout: dialTimeout}
+		return d.DialContext(ctx, "tcp", to.String())
+	},
+}
+
 // Node is the tie of a process to its cell.
 type Node struct {
 	config   Config
@@ -67,9 +86,12 @@
 
 // Start listens, if the process is an agent, and begins to look for the owner.
 func Start(c Config) (*Node, error) {
+	if c.Network == nil {
+		c.Network = &tcp
+	}
 	n := &Node{config: c, observer: kqelect.New(kqelect.Config{Name: c.Control.Name, Boot: c.Control.Boot, Candidate: c.Role == kqmessage.RoleAgent})}
 	if c.Role == kqmessage.RoleAgent {
-		l, err := net.Listen("tcp", c.Listen.String())
+		l, err := c.Network.Listen(c.Listen)
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s", c.Listen)
 		}
@@ -102,6 +124,22 @@
 	}
 }
 
+// Kill ends the node as the death of its process would.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	n.leaving = true
+	c := n.controller
+	n.mu.Unlock()
+	n.tomb.Kill(nil)
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
+	if c != nil {
+		c.Abandon()
+	}
+	_ = n.tomb.Wait()
+}
+
 // Owning reports whether this process owns the cell.
 func (n *Node) Owning() bool { return n.owned() != nil }
 
@@ -211,8 +249,7 @@
 	n.mu.Lock()
 	owner := n.owner
 	n.mu.Unlock()
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", owner.Address.String())
+	conn, err := n.config.Network.Dial(ctx, owner.Address)
 	if err != nil {
 		n.observer.Refused()
 		return false
--- /dev/null
+++ b/internal/trial/kqflowrig/chaos_test.go
@@ -0,0 +1,204 @@
+package kqflowrig_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
+)
+
+var (
+	seeds     = flag.Uint64("seeds", 12, "how many seeds the random faults take")
+	firstSeed = flag.Uint64("first_seed", 1, "the first seed")
+)
+
+const (
+	agents   = 5
+	faultFor = 30 * time.Second
+	settleIn = 70 * time.Second
+)
+
+// run is one run of a rig under random faults.
+type run struct {
+	rig       *kqflowrig.Rig
+	rng       *rand.Rand
+	cancelled map[string]time.Time
+	asked     map[string]bool
+	log       []string
+}
+
+// fault begins a fault and returns what ends it.
+type fault struct {
+	name  string
+	begin func(r *run) (end func())
+}
+
+func nothing() {}
+
+func (r *run) agent() *kqflowrig.Agent { return r.rig.Agents[r.rng.IntN(len(r.rig.Agents))] }
+
+// owner returns the owner's agent, or any.
+func (r *run) owner() *kqflowrig.Agent {
+	for _, a := range r.rig.Agents {
+		if a.Owning() {
+			return a
+		}
+	}
+	return r.agent()
+}
+
+func storeFault(f kqrowstore.Faults, who func(r *run) string) func(r *run) func() {
+	return func(r *run) func() {
+		name := who(r)
+		r.rig.Store.SetFaults(name, f)
+		return func() { r.rig.Store.SetFaults(name, kqrowstore.Faults{}) }
+	}
+}
+
+func everyone(*run) string    { return "" }
+func theOwner(r *run) string  { return r.owner().Name() }
+func kill(a *kqflowrig.Agent) { a.Kill() }
+func restart(a *kqflowrig.Agent) func() {
+	return func() {
+		if !a.Up() {
+			a.Start()
+		}
+	}
+}
+
+func workerFault(f kqtaskhost.Faults) func(r *run) func() {
+	return func(r *run) func() {
+		a := r.agent()
+		a.Host.SetFaults(f)
+		return func() { a.Host.SetFaults(kqtaskhost.Faults{}) }
+	}
+}
+
+var faults = []fault{
+	{"store refuses all", storeFault(kqrowstore.Faults{Refuse: true}, everyone)},
+	{"store is silent", storeFault(kqrowstore.Faults{Silent: true}, everyone)},
+	{"store loses answers", storeFault(kqrowstore.Faults{LoseAnswers: 0.3}, everyone)},
+	{"store writes late", storeFault(kqrowstore.Faults{Late: 0.2}, everyone)},
+	{"store is slow", storeFault(kqrowstore.Faults{Delay: 300 * time.Millisecond}, everyone)},
+	{"store refuses the owner", storeFault(kqrowstore.Faults{Refuse: true}, theOwner)},
+	{"store is silent to the owner", storeFault(kqrowstore.Faults{Silent: true}, theOwner)},
+	{"history dropped", func(r *run) func() { r.rig.Store.Compact(); return nothing }},
+	{"owner killed", func(r *run) func() { a := r.owner(); kill(a); return restart(a) }},
+	{"agent killed", func(r *run) func() { a := r.agent(); kill(a); return restart(a) }},
+	{"owner stopped", func(r *run) func() { a := r.owner(); a.Leave(); return restart(a) }},
+	{"all killed", func(r *run) func() {
+		for _, a := range r.rig.Agents {
+			kill(a)
+		}
+		return func() {
+			for _, a := range r.rig.Agents {
+				restart(a)()
+			}
+		}
+	}},
+	{"owner cut off", func(r *run) func() {
+		a := r.owner()
+		r.rig.Network.Cut(a.Name(), true)
+		return func() { r.rig.Network.Cut(a.Name(), false) }
+	}},
+	{"agent cut off", func(r *run) func() {
+		a := r.agent()
+		r.rig.Network.Cut(a.Name(), true)
+		return func() { r.rig.Network.Cut(a.Name(), false) }
+	}},
+	{"worker reborn", func(r *run) func() { a := r.agent(); a.Host.Restart(a.Name()); return nothing }},
+	{"orders late", workerFault(kqtaskhost.Faults{Late: 0.2})},
+	{"worker unreachable", workerFault(kqtaskhost.Faults{Down: true})},
+	{"worker hangs", workerFault(kqtaskhost.Faults{Hang: true})},
+}
+
+// load submits and cancels jobs for a while.
+func (r *run) load(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(100+r.rng.IntN(500)) * time.Millisecond)
+		go func(j kqflow.Job) { r.rig.Submit(j) }(r.rig.Job())
+		if ids := r.rig.Accepted(); len(ids) > 0 && r.rng.IntN(8) == 0 {
+			r.cancel(ids[r.rng.IntN(len(ids))])
+		}
+	}
+}
+
+func (r *run) cancel(id string) {
+	if r.asked[id] {
+		return
+	}
+	r.asked[id] = true
+	if r.rig.Cancel(id) {
+		r.cancelled[id] = time.Now()
+	}
+}
+
+// play runs the load under random faults.
+func (r *run) play() {
+	done := make(chan struct{})
+	go func() { r.load(faultFor); close(done) }()
+	for end := time.Now().Add(faultFor); time.Now().Before(end); {
+		f := faults[r.rng.IntN(len(faults))]
+		r.log = append(r.log, fmt.Sprintf("%s at %s", f.name, time.Now().Format("05.000")))
+		stop := f.begin(r)
+		time.Sleep(time.Duration(500+r.rng.IntN(6000)) * time.Millisecond)
+		stop()
+		time.Sleep(time.Duration(r.rng.IntN(2500)) * time.Millisecond)
+	}
+	<-done
+	r.rig.Store.Heal()
+	r.rig.Network.Heal()
+}
+
+// verdict returns what is wrong once everything has had time to end.
+func (r *run) verdict() []string {
+	time.Sleep(settleIn)
+	out := r.rig.Ledger.Breaches()
+	for _, b := range r.rig.Counter.Breaches() {
+		out = append(out, fmt.Sprintf("asserted: %s: %s", b.Name, b.Detail))
+	}
+	if n := r.rig.Owners(); n != 1 {
+		out = append(out, fmt.Sprintf("%d owners", n))
+	}
+	for _, id := range r.rig.Accepted() {
+		s := r.rig.State(id)
+		want := s == kqflow.StateCompleted || s == kqflow.StateCancelled && r.asked[id]
+		if _, ok := r.cancelled[id]; ok && s == kqflow.StateRunning {
+			want = false
+		}
+		if !want {
+			out = append(out, fmt.Sprintf("job %s is shown as %q", id, s))
+		}
+		if n := r.rig.Ledger.AtWork(id); n > 0 {
+			out = append(out, fmt.Sprintf("job %s (%s) has %d runs at work", id, s, n))
+		}
+	}
+	return out
+}
+
+func TestRandomFaultsBreakNoPromise(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			rig := kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: agents, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}})
+			r := &run{rig: rig, rng: rand.New(rand.NewPCG(seed, 17)), cancelled: map[string]time.Time{}, asked: map[string]bool{}}
+			time.Sleep(2 * time.Second)
+			r.play()
+			bad := r.verdict()
+			if len(rig.Accepted()) < 20 || rig.Ledger.Starts() < 50 {
+				bad = append(bad, fmt.Sprintf("only %d jobs and %d starts", len(rig.Accepted()), rig.Ledger.Starts()))
+			}
+			rig.Stop()
+			if len(bad) > 0 {
+				t.Errorf("seed %d: %d breaches, first %v\nfaults: %v", seed, len(bad), bad[:min(6, len(bad))], r.log)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/trial/kqflowrig/rig.go
@@ -0,0 +1,276 @@
+// Package kqflowrig runs the real owners, agents and entries of one cell over
+// stand-ins of the store, the workers and the network. Run in a synctest bubble
+// it takes virtual time and costs a second for minutes of it.
+package kqflowrig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
+)
+
+const (
+	lease         = 7 * time.Second
+	checkInEvery  = 1500 * time.Millisecond
+	submitTimeout = 3 * time.Second
+	attempts      = 4
+	innerPort     = 7720
+	service       = "service"
+	urgentQueue   = "urgent"
+	batchQueue    = "batch"
+)
+
+// Config sets up a Rig.
+type Config struct {
+	// Seed draws everything.
+	Seed uint64
+	// Agents is how many workers there are, each with its agent.
+	Agents int
+	// Capacity is what each worker has.
+	Capacity kqmodel.Resources
+}
+
+// Rig is a cell with its callers.
+type Rig struct {
+	// Store is the store, Network the links, Ledger what really ran.
+	Store   *kqrowstore.Store
+	Network *Network
+	Ledger  *kqtaskhost.Ledger
+	// Counter is the breaches that the program saw itself.
+	Counter *kqinvariant.Counter
+	// Agents is the workers' agents.
+	Agents []*Agent
+	// Front is the entry's side for callers.
+	Front *kqfront.Front
+
+	config Config
+	rng    *rand.Rand
+	entry  *kqnode.Node
+	jobs   map[string]kqflow.Job
+	order  []string
+	policy *kqflow.Policy
+}
+
+// New returns a Rig whose processes start at once.
+func New(c Config) *Rig {
+	r := &Rig{config: c, rng: rand.New(rand.NewPCG(c.Seed, 11)), Store: kqrowstore.New(c.Seed), Network: newNetwork(), Counter: &kqinvariant.Counter{},
+		jobs: map[string]kqflow.Job{}}
+	r.Ledger = kqtaskhost.NewLedger(r.rules)
+	r.policy = &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
+		urgentQueue: {Name: urgentQueue, Service: service, Attempts: attempts, Stretch: 1.5, Target: 250 * time.Millisecond},
+		batchQueue:  {Name: batchQueue, Service: service, Priority: 2, Attempts: attempts, Stretch: 2, Target: time.Second}}}
+	for i := range c.Agents {
+		a := &Agent{rig: r, name: fmt.Sprintf("10.0.0.%d", i+1)}
+		a.Host = kqtaskhost.New(a.name, kqtaskhost.Config{Seed: c.Seed + uint64(i), Capacity: c.Capacity, Size: r.size, Ledger: r.Ledger})
+		a.Start()
+		r.Agents = append(r.Agents, a)
+	}
+	r.startEntry()
+	return r
+}
+
+// Stop ends every process.
+func (r *Rig) Stop() {
+	for _, a := range r.Agents {
+		a.Kill()
+	}
+	r.entry.Kill()
+}
+
+func (r *Rig) control(name string, boot int) kqcontrol.Config {
+	return kqcontrol.Config{Cell: "cell", Name: name, Boot: fmt.Sprintf("%s/%d", name, boot), Address: netip.AddrPortFrom(netip.MustParseAddr(name), innerPort),
+		Store: r.Store.Client(name), Lease: lease, FarFactor: 1, Keep: time.Hour, Policy: func() *kqflow.Policy { return r.policy },
+		Now: time.Now, Wall: time.Now, Counter: r.Counter}
+}
+
+const entryName = "10.0.1.1"
+
+func (r *Rig) startEntry() {
+	c := r.control(entryName, 1)
+	r.Front = kqfront.New(kqfront.Config{Store: c.Store, Now: time.Now, Wall: time.Now})
+	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleEntry, Control: c, Network: r.Network.of(entryName),
+		Linked: r.Front.Linked, Unlinked: r.Front.Unlinked, Receive: r.Front.Receive})
+	if err != nil {
+		panic(err)
+	}
+	r.entry = n
+}
+
+// rules says what must hold of a task.
+func (r *Rig) rules(task string) kqtaskhost.Rules {
+	id, _ := kqflow.ParseTaskID(task)
+	j := r.jobs[id.Job]
+	out := kqtaskhost.Rules{Attempts: attempts}
+	if id.Step >= len(j.Steps) {
+		return out
+	}
+	s := j.Steps[id.Step]
+	out.Speculative = s.Speculative
+	for _, a := range s.After {
+		for i := range j.Steps[a].Count {
+			out.After = append(out.After, kqflow.TaskID{Job: id.Job, Step: a, Index: i}.String())
+		}
+	}
+	return out
+}
+
+func (r *Rig) size(task string) (kqmodel.Resources, time.Duration) {
+	id, _ := kqflow.ParseTaskID(task)
+	s := r.jobs[id.Job].Steps[id.Step]
+	return s.Size, s.Estimate
+}
+
+// Job draws a job.
+func (r *Rig) Job() kqflow.Job {
+	id := fmt.Sprintf("%016x", r.rng.Uint64())
+	j := kqflow.Job{ID: id, Queue: urgentQueue, Payload: "p"}
+	longest := 1500
+	if r.rng.IntN(3) == 0 {
+		j.Queue, longest = batchQueue, 4000
+	}
+	for n := range 1 + r.rng.IntN(3) {
+		s := kqflow.Step{Count: 1 + r.rng.IntN(4), Size: kqmodel.Resources{MilliProcessors: int64(500 + r.rng.IntN(3000)), MemoryBytes: 1 << 30},
+			Estimate: time.Duration(200+r.rng.IntN(longest)) * time.Millisecond, Speculative: r.rng.IntN(5) == 0, Checkpoints: r.rng.IntN(2) == 0}
+		if n > 0 {
+			s.After = []int{n - 1}
+		}
+		j.Steps = append(j.Steps, s)
+	}
+	return j
+}
+
+// Submit hands a job in until it is stored or the time for it is up.
+func (r *Rig) Submit(j kqflow.Job) bool {
+	r.jobs[j.ID] = j
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	if r.Front.Submit(ctx, j) != kqcontrol.OutcomeStored {
+		return false
+	}
+	r.order = append(r.order, j.ID)
+	return true
+}
+
+// Cancel cancels a job and reports whether that is durable.
+func (r *Rig) Cancel(id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	return r.Front.Cancel(ctx, id) == kqcontrol.OutcomeStored
+}
+
+// Accepted returns the jobs that are durable, in order.
+func (r *Rig) Accepted() []string { return r.order }
+
+// State returns what callers are shown of a job.
+func (r *Rig) State(id string) kqflow.State {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	s, found, err := r.Front.State(ctx, id)
+	if err != nil || !found {
+		return ""
+	}
+	return s
+}
+
+// Owners returns how many processes own the cell.
+func (r *Rig) Owners() int {
+	n := 0
+	for _, a := range r.Agents {
+		if a.up && a.node.Owning() {
+			n++
+		}
+	}
+	return n
+}
+
+// Agent is a process beside a worker.
+type Agent struct {
+	// Host is the machine with the worker.
+	Host *kqtaskhost.Host
+
+	rig      *Rig
+	name     string
+	boots    int
+	up       bool
+	node     *kqnode.Node
+	executor *kqexecutor.Executor
+	beats    *checkIns
+}
+
+// Start starts the process.
+func (a *Agent) Start() {
+	a.boots++
+	c := a.rig.control(a.name, a.boots)
+	a.executor = kqexecutor.Start(kqexecutor.Config{Connect: a.Host.Connect, MaxLease: lease, Now: time.Now, Counter: a.rig.Counter})
+	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleAgent, Listen: c.Address, Control: c, Network: a.rig.Network.of(a.name),
+		Linked: a.executor.Linked, Unlinked: a.executor.Unlinked, Receive: a.executor.Receive})
+	if err != nil {
+		panic(err)
+	}
+	a.node, a.up = n, true
+	a.beats = &checkIns{agent: a, executor: a.executor, stop: make(chan struct{})}
+	go a.beats.loop()
+}
+
+// Kill ends the process at once.
+func (a *Agent) Kill() {
+	if !a.up {
+		return
+	}
+	a.up = false
+	close(a.beats.stop)
+	a.node.Kill()
+	a.executor.Stop()
+}
+
+// Leave ends the process as a planned stop does.
+func (a *Agent) Leave() {
+	if !a.up {
+		return
+	}
+	a.up = false
+	close(a.beats.stop)
+	a.node.Leave()
+	a.executor.Stop()
+}
+
+// Name returns the agent's address.
+func (a *Agent) Name() string { return a.name }
+
+// Up reports whether the process is there.
+func (a *Agent) Up() bool { return a.up }
+
+// Owning reports whether the process owns the cell.
+func (a *Agent) Owning() bool { return a.up && a.node.Owning() }
+
+// checkIns is what the worker says to its agent.
+type checkIns struct {
+	agent    *Agent
+	executor *kqexecutor.Executor
+	stop     chan struct{}
+}
+
+func (c *checkIns) loop() {
+	for sequence := uint64(1); ; sequence++ {
+		c.executor.CheckIn(kqplan.WorkerInfo{Worker: c.agent.Host.Worker(), Service: service, Capacity: c.agent.rig.config.Capacity}, sequence)
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(checkInEvery):
+		}
+	}
+}
