--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -29,6 +29,9 @@
 	if o.Stop {
 		e.stopping = true
 	}
+	if e.delivery == nil && o.Fills && !o.Stop {
+		x.pacer.Add(o.Press)
+	}
 	if e.delivery == nil {
 		e.delivery = &delivery{executor: x, entry: e, order: o.Run, worker: x.worker, name: x.info.Worker}
 		x.tomb.Go(e.delivery.run)
@@ -178,12 +181,15 @@
 func (x *Executor) pace(now time.Time, running []kqexecution.Running) {
 	looks := map[string]kqpace.Look{}
 	var filling []*entry
+	for _, e := range x.runs {
+		if e.order.Fills && !e.stopping {
+			filling = append(filling, e)
+		}
+	}
 	for _, r := range running {
 		e := x.runs[r.Run]
 		switch {
 		case e == nil || e.stopping:
-		case e.order.Fills:
-			filling = append(filling, e)
 		case e.order.TailTarget > 0 && r.Measure > 0:
 			room := float64(e.order.TailTarget.Milliseconds()) / r.Measure
 			if l, ok := looks[e.order.Image]; !ok || room < l.Room {
@@ -202,7 +208,7 @@
 	x.pacer.Observe(now, looks)
 	x.watching = len(filling) > 0 && len(looks) > 0
 	for _, e := range filling {
-		if percent := x.pacer.For(e.order.Press); e.paced != percent {
+		if percent := x.pacer.For(e.order.Press); e.paced != percent && x.listed[e.order.Run] {
 			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(e.order.Run.Task), "run %d at %d %%, rooms %v", e.order.Run.Number, percent, looks)
 			x.paceRun(e, e.order.Run, percent)
 		}
--- a/internal/flow/kqpace/group.go
+++ b/internal/flow/kqpace/group.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// Add makes room for a run before any measurement shows it.
+func (g *Group) Add(press map[string]float64) {
+	for image, p := range g.pacers {
+		if taken := press[image]; Heavy(taken) {
+			p.admit(p.press + taken)
+		}
+	}
+}
+
 // For returns the share of a run by the room that it takes of each image; an
 // image that is not listed is taken to be disturbed much.
 func (g *Group) For(press map[string]float64) int {
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -384,7 +384,7 @@
 		if h.mixes(t.step.Image) {
 			c += mixCost
 		}
-		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(p.largest()) + pressCost*float64(u.filling)/float64(u.total)
+		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(p.largest()) + pressCost*p.pressBy(h, t)
 	default:
 		c += loadCost * load
 	}
@@ -402,6 +402,19 @@
 	return false
 }
 
+// pressBy returns the room that the filling tasks of a host would take of a
+// serving task.
+func (p *Planner) pressBy(h *host, t *task) float64 {
+	sum := 0.0
+	for _, r := range h.runs {
+		if r.task.step.Fills {
+			whole, _ := p.press.Of(t.step.Image, r.task.step.Image)
+			sum += whole * float64(r.task.step.Size.MilliProcessors) / float64(max(1, h.info.Capacity.MilliProcessors))
+		}
+	}
+	return sum
+}
+
 // largest returns the processors of the largest host.
 func (p *Planner) largest() int64 {
 	most := int64(1)
