--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -60,6 +60,8 @@
 // placeAll starts every task whose turn has come and for which there is room.
 func (p *Planner) placeAll(now time.Time) {
 	coming := map[*host]kqmodel.Resources{}
+	waiting := 0
+	defer func() { p.backlog = waiting }()
 	for _, j := range p.queued(now) {
 		for _, t := range j.tasks {
 			if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || !t.ready() {
@@ -70,6 +72,7 @@
 				p.start(now, t, h)
 				continue
 			}
+			waiting++
 			p.wait(now, t, coming)
 		}
 	}
@@ -164,12 +167,16 @@
 	// heavyPress is the room that a run takes from which on it is kept away
 	// from serving tasks.
 	heavyPress = 0.12
-	// heavyRoom is the room that must be left beside a heavy run.
+	// heavyRoom is the room that must be left beside a heavy run, calmRoom the
+	// same while little waits.
 	heavyRoom = 1.3
+	calmRoom  = 1.8
+	// calmQueue is up to how many waiting tasks little waits.
+	calmQueue = 4
 	// overcommit is how much of what is unused is given away, in percent.
 	overcommit = 110
 	// idleBound is after how long a job with nothing at work takes any place.
-	idleBound = 1200 * time.Millisecond
+	idleBound = 2 * time.Second
 )
 
 // pressOf returns the room that a filling task of a step takes at full speed of
@@ -240,13 +247,20 @@
 				left -= taken
 			}
 		}
-		if left < heavyRoom {
+		if left < p.roomToLeave() {
 			return false
 		}
 	}
 	return true
 }
 
+func (p *Planner) roomToLeave() float64 {
+	if p.backlog <= calmQueue {
+		return calmRoom
+	}
+	return heavyRoom
+}
+
 // measureLag is after how long a run shows in the measurements.
 const measureLag = time.Second
 
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -41,6 +41,7 @@
 	effects []Effect
 	place   bool
 	active  int
+	backlog int
 
 	press     kqlearn.Press
 	watchedAt time.Time
