--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -28,6 +28,11 @@
 	}
 	if o.Stop {
 		e.stopping = true
+	} else {
+		e.order.Press = o.Press
+		if x.listed[o.Run] {
+			return
+		}
 	}
 	if e.delivery == nil && o.Fills && !o.Stop {
 		x.pacer.Add(o.Press)
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -26,7 +26,7 @@
 
 func (j *job) phase(now time.Time) phase {
 	switch {
-	case j.spec.Repeat > 0 || !now.After(j.deadline):
+	case j.spec.Repeat > 0 || j.spec.Steps[0].Standing || !now.After(j.deadline):
 		return phaseInTime
 	case now.Sub(j.spec.SubmittedAt) <= lateFactor*j.objective:
 		return phaseLate
@@ -276,6 +276,44 @@
 	return pace
 }
 
+// refreshPress tells agents anew what filling runs take of serving tasks, where
+// that has become known since they were ordered or others serve now.
+func (p *Planner) refreshPress(now time.Time) {
+	if now.Sub(p.refreshedAt) < refreshInterval {
+		return
+	}
+	p.refreshedAt = now
+	for _, h := range p.hosts {
+		for _, r := range h.runs {
+			if !r.task.step.Fills || !r.ordered || r.stopping || r.worker != h.info.Worker {
+				continue
+			}
+			press := p.pressOf(r.task.step, h)
+			if samePress(r.press, press) {
+				continue
+			}
+			r.press = press
+			p.effects = append(p.effects, Effect{Host: h.name, Order: r.order()})
+		}
+	}
+}
+
+const (
+	refreshInterval = 500 * time.Millisecond
+	// pressChange is the least change of a press that is worth telling.
+	pressChange = 0.05
+)
+
+func samePress(old, now map[string]float64) bool {
+	for image, taken := range now {
+		before, ok := old[image]
+		if d := taken - before; !ok || d > pressChange || d < -pressChange {
+			return false
+		}
+	}
+	return true
+}
+
 // lightSomewhere reports whether a filling task disturbs little on some host
 // where others serve.
 func (p *Planner) lightSomewhere(s *kqflow.Step) bool {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -43,8 +43,9 @@
 	active  int
 	backlog int
 
-	press     kqlearn.Press
-	watchedAt time.Time
+	press       kqlearn.Press
+	refreshedAt time.Time
+	watchedAt   time.Time
 }
 
 // New returns a Planner that knows nothing yet.
@@ -217,6 +218,7 @@
 	p.expire(now)
 	p.dueOccurrences(now)
 	p.watchProgress(now)
+	p.refreshPress(now)
 	if p.place {
 		p.place = false
 		p.placeAll(now)
