--- /dev/null
+++ b/internal/flow/kqflow/job_test.go
@@ -0,0 +1,59 @@
+package kqflow_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+)
+
+func TestJobsThatCannotBeAcceptedAreNamed(t *testing.T) {
+	good := kqflow.Step{Count: 2, Estimate: time.Second}
+	for says, j := range map[string]kqflow.Job{
+		"steps: expected 1":        {},
+		"count: expected 1":        {Steps: []kqflow.Step{{}}},
+		"not an earlier step":      {Steps: []kqflow.Step{good, {Count: 1, After: []int{1}}}},
+		"payload: at most":         {Payload: strings.Repeat("x", kqflow.MaxPayload+1), Steps: []kqflow.Step{good}},
+		"at most 600 tasks":        {Steps: []kqflow.Step{{Count: 601}}},
+		"repeat: 2 occurrences":    {Repeat: 2, Steps: []kqflow.Step{good}},
+		"a size or bound is below": {Steps: []kqflow.Step{{Count: 1, PerWorker: -1}}},
+	} {
+		err := j.Check()
+		if err == nil || !strings.Contains(err.Reason, says) {
+			t.Errorf("expected %q, got %v", says, err)
+		}
+	}
+}
+
+func TestObjectiveFollowsTheLongestChain(t *testing.T) {
+	g := NewWithT(t)
+	j := kqflow.Job{Steps: []kqflow.Step{{Count: 1, Estimate: time.Second}, {Count: 1, Estimate: 2 * time.Second, After: []int{0}}, {Count: 9, Estimate: 2500 * time.Millisecond}}}
+	g.Expect(j.Check()).To(BeNil())
+	g.Expect(j.Chain()).To(Equal(3 * time.Second))
+	g.Expect(kqflow.Queue{Stretch: 1.5, Target: 250 * time.Millisecond}.Objective(j)).To(Equal(4750 * time.Millisecond))
+}
+
+func TestTheLongestPrefixSelectsTheRoute(t *testing.T) {
+	g := NewWithT(t)
+	p := kqflow.Policy{Routes: []kqflow.Route{{Host: "h", Prefix: "/a/", Queue: "short"}, {Host: "h", Prefix: "/a/b/", Queue: "long"}, {Host: "i", Prefix: "/a/b/c/", Queue: "other"}}}
+	r, ok := p.Match("h", "/a/b/c/1")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.Queue).To(Equal("long"))
+	_, ok = p.Match("h", "/b/")
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestTaskNamesAreReadAsWritten(t *testing.T) {
+	g := NewWithT(t)
+	id := kqflow.TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 2, Step: 1, Index: 17}
+	back, err := kqflow.ParseTaskID(id.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(back).To(Equal(id))
+	for _, bad := range []string{"", "a.b", "j.0.0", "j.0.x.1", "j.0.-1.1", "j.0.0.0.0"} {
+		_, err := kqflow.ParseTaskID(bad)
+		g.Expect(err).To(HaveOccurred(), bad)
+	}
+}
--- /dev/null
+++ b/internal/flow/kqplan/planner_test.go
@@ -0,0 +1,317 @@
+package kqplan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+func TestPlan(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "the owner's plan", suite, reporter)
+}
+
+// cell drives a planner by hand; every write is committed at once.
+type cell struct {
+	*kqplan.Planner
+	now     time.Time
+	counter *kqinvariant.Counter
+	version uint64
+	states  map[string]kqflow.State
+	orders  []kqplan.Order
+	noted   map[string]uint64
+	records map[string]kqflow.Record
+}
+
+func newCell(epoch uint64) *cell {
+	c := &cell{now: time.Unix(1000, 0), counter: &kqinvariant.Counter{}, states: map[string]kqflow.State{}, noted: map[string]uint64{}, records: map[string]kqflow.Record{}}
+	c.Planner = kqplan.New(kqplan.Config{Epoch: epoch, TakenAt: c.now, Lease: 7 * time.Second, FarFactor: 1.5, Counter: c.counter})
+	c.SetPolicy(&kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
+		"urgent": {Name: "urgent", Service: "s", Attempts: 2, Stretch: 1.5, Target: 250 * time.Millisecond},
+		"batch":  {Name: "batch", Service: "s", Priority: 2, Attempts: 2, Stretch: 2, Target: time.Second}}})
+	return c
+}
+
+// host connects a worker with a number of processors.
+func (c *cell) host(name, worker string, processors int64) {
+	c.Describe(c.now, name, kqplan.WorkerInfo{Worker: worker, Service: "s", Capacity: kqmodel.Resources{MilliProcessors: processors * 1000, MemoryBytes: 1 << 40}})
+	c.Observe(c.now, name, kqplan.Report{Worker: worker, Whole: true})
+	c.Linked(c.now, name)
+	c.Granted(c.now, name, 7*time.Second)
+}
+
+// settle ticks and commits until nothing is left to write.
+func (c *cell) settle() {
+	for range 10 {
+		c.Tick(c.now)
+		ws := c.Writes(40)
+		for _, w := range ws {
+			c.records[w.Job] = w.Record
+		}
+		c.version++
+		c.Committed(c.now, ws, c.version)
+		c.collect()
+	}
+}
+
+func (c *cell) collect() {
+	for _, e := range c.TakeEffects() {
+		switch {
+		case e.Job != "":
+			c.states[e.Job] = e.State
+		case e.Order != nil:
+			c.orders = append(c.orders, *e.Order)
+		case e.Noted > 0:
+			c.noted[e.Host] = e.Noted
+		}
+	}
+}
+
+func (c *cell) take() []kqplan.Order {
+	out := c.orders
+	c.orders = nil
+	return out
+}
+
+func (c *cell) end(host, worker string, number uint64, o kqplan.Order, how kqexecution.How) {
+	c.Observe(c.now, host, kqplan.Report{Worker: worker, Ended: []kqexecution.End{{Number: number, Run: o.Run, How: how}}})
+}
+
+func job(id, queue string, now time.Time, steps ...kqflow.Step) kqflow.Submission {
+	return kqflow.Submission{Job: kqflow.Job{ID: id, Queue: queue, Steps: steps, SubmittedAt: now}}
+}
+
+func step(count int, processors int64) kqflow.Step {
+	return kqflow.Step{Count: count, Size: kqmodel.Resources{MilliProcessors: processors * 1000}, Estimate: time.Second}
+}
+
+var _ = Describe("a plan", func() {
+	var c *cell
+	BeforeEach(func() { c = newCell(1) })
+	AfterEach(func() { Expect(c.counter.Breaches()).To(BeEmpty()) })
+
+	It("orders a start only once it is committed, and notes an end only then", func() {
+		c.host("h1", "w1", 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.Tick(c.now)
+		c.collect()
+		Expect(c.take()).To(BeEmpty())
+		ws := c.Writes(40)
+		Expect(ws).To(HaveLen(1))
+		Expect(c.Writes(40)).To(BeEmpty(), "a job's writes follow each other")
+		c.Committed(c.now, ws, 7)
+		c.collect()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		c.end("h1", "w1", 1, o[0], kqexecution.HowDone)
+		c.collect()
+		Expect(c.noted).To(BeEmpty())
+		c.settle()
+		Expect(c.noted).To(HaveKeyWithValue("h1", uint64(1)))
+		Expect(c.states).To(HaveKeyWithValue("j", kqflow.StateCompleted))
+	})
+
+	It("starts a step after those before it, and never gives a host more than it has", func() {
+		c.host("h1", "w1", 2)
+		s := step(1, 1)
+		s.After = []int{0}
+		c.Submit(c.now, job("j", "urgent", c.now, step(3, 1), s), nil, 0)
+		c.settle()
+		first := c.take()
+		Expect(first).To(HaveLen(2))
+		c.end("h1", "w1", 1, first[0], kqexecution.HowDone)
+		c.end("h1", "w1", 2, first[1], kqexecution.HowDone)
+		c.settle()
+		third := c.take()
+		Expect(third).To(HaveLen(1))
+		c.end("h1", "w1", 3, third[0], kqexecution.HowDone)
+		c.settle()
+		Expect(c.take()[0].Run.Task).To(Equal("j.0.1.0"))
+	})
+
+	It("fails a job whose task has no attempt left, and stops the rest", func() {
+		c.host("h1", "w1", 8)
+		c.host("h2", "w2", 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(2, 1)), nil, 0)
+		number := map[string]uint64{}
+		for range 2 {
+			c.settle()
+			for _, o := range c.take() {
+				if o.Run.Task == "j.0.0.0" && !o.Stop {
+					host := map[string]string{"w1": "h1", "w2": "h2"}[o.Worker]
+					number[host]++
+					c.end(host, o.Worker, number[host], o, kqexecution.HowFailed)
+				}
+			}
+			c.now = c.now.Add(200 * time.Millisecond)
+			c.Granted(c.now, "h1", 7*time.Second)
+			c.Granted(c.now, "h2", 7*time.Second)
+		}
+		c.settle()
+		Expect(c.states).To(HaveKeyWithValue("j", kqflow.StateFailed))
+		stops := c.take()
+		Expect(stops).To(HaveLen(1))
+		Expect(stops[0].Stop).To(BeTrue())
+	})
+
+	It("never orders a run whose job was cancelled while its start was being stored", func() {
+		c.host("h1", "w1", 8)
+		s := job("j", "urgent", c.now, step(1, 1))
+		c.Submit(c.now, s, nil, 0)
+		c.Tick(c.now)
+		ws := c.Writes(40)
+		s.Cancelled = true
+		c.Submit(c.now, s, nil, 0)
+		c.Committed(c.now, ws, 5)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+		Expect(c.states).To(HaveKeyWithValue("j", kqflow.StateCancelled))
+	})
+
+	It("waits for the lease of a silent worker, and not for a worker that is gone", func() {
+		c.host("h1", "w1", 8)
+		c.Submit(c.now, job("j", "batch", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+		c.Unlinked(c.now, "h1")
+		c.now = c.now.Add(7 * time.Second)
+		c.host("h2", "w2", 8)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+		c.now = c.now.Add(500 * time.Millisecond)
+		c.Granted(c.now, "h2", 7*time.Second)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+		c.host("h2", "w2-reborn", 8)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Worker).To(Equal("w2-reborn"))
+		Expect(o[0].Run.Number).To(Equal(uint64(3)))
+	})
+
+	It("keeps what an earlier owner had stored, and the rows of jobs that have ended", func() {
+		c.host("h1", "w1", 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.Submit(c.now, job("k", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		for n, o := range c.take() {
+			if o.Run.Task == "k.0.0.0" {
+				c.end("h1", "w1", uint64(n+1), o, kqexecution.HowDone)
+			}
+		}
+		c.settle()
+		next := newCell(2)
+		for _, id := range []string{"j", "k"} {
+			r := c.records[id]
+			next.Submit(next.now, job(id, "urgent", next.now, step(1, 1)), &r, 9)
+		}
+		next.settle()
+		Expect(next.take()).To(BeEmpty(), "the run may still be at work")
+		Expect(next.states).To(HaveKeyWithValue("k", kqflow.StateCompleted))
+		Expect(next.Ended(next.now.Add(-time.Second))).To(BeEmpty(), "it has just been restored")
+		next.host("h1", "w1", 8)
+		Expect(next.Resync("h1")).To(HaveLen(1))
+	})
+
+	It("takes the room of less urgent work for urgent work", func() {
+		c.host("h1", "w1", 4)
+		c.Submit(c.now, job("b", "batch", c.now, step(3, 1)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(HaveLen(3))
+		c.Submit(c.now, job("u", "urgent", c.now, step(1, 3)), nil, 0)
+		c.settle()
+		c.settle()
+		stops := c.take()
+		Expect(stops).To(HaveLen(2))
+		for n, o := range stops {
+			Expect(o.Stop).To(BeTrue())
+			c.end("h1", "w1", uint64(n+1), o, kqexecution.HowStopped)
+		}
+		c.settle()
+		Expect(c.take()[0].Run.Task).To(Equal("u.0.0.0"))
+	})
+
+	It("probes a worker that failed, also beside standing tasks", func() {
+		c.host("h1", "w1", 8)
+		standing := step(1, 1)
+		standing.Standing = true
+		c.Submit(c.now, job("s", "urgent", c.now, standing), nil, 0)
+		c.settle()
+		c.take()
+		for n := range 2 {
+			id := fmt.Sprintf("f%d", n)
+			c.Submit(c.now, job(id, "urgent", c.now, step(1, 1)), nil, 0)
+			c.settle()
+			c.end("h1", "w1", uint64(n+1), c.take()[0], kqexecution.HowFailed)
+		}
+		c.settle()
+		c.take()
+		c.Submit(c.now, job("later", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(BeEmpty(), "quarantined")
+		c.now = c.now.Add(2 * time.Second)
+		c.Granted(c.now, "h1", 7*time.Second)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1), "one probe")
+	})
+
+	It("stops what nobody wants and uses the worker again once that is gone", func() {
+		c.host("h1", "w1", 8)
+		stray := kqexecution.Run{Task: "gone.0.0.0", Number: 4}
+		c.Observe(c.now, "h1", kqplan.Report{Worker: "w1", Whole: true, Running: []kqexecution.Running{{Run: stray}}})
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Stop).To(BeTrue())
+		Expect(o[0].Run).To(Equal(stray))
+		c.end("h1", "w1", 1, o[0], kqexecution.HowStopped)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+		Expect(c.noted).To(HaveKeyWithValue("h1", uint64(1)))
+	})
+
+	It("does not start an occurrence before it is due", func() {
+		c.host("h1", "w1", 8)
+		s := job("t", "batch", c.now, step(1, 1))
+		s.Job.Repeat, s.Job.Every, s.Job.FirstAt = 2, 5*time.Second, c.now.Add(time.Second)
+		c.Submit(c.now, s, nil, 0)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+		c.now = c.now.Add(time.Second)
+		c.Granted(c.now, "h1", 7*time.Second)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Run.Task).To(Equal("t.0.0.0"))
+	})
+
+	It("keeps filling work that presses apart from what serves", func() {
+		c.host("h1", "w1", 16)
+		c.host("h2", "w2", 16)
+		serving := step(1, 4)
+		serving.Standing, serving.Image, serving.TailTarget = true, "web", 50*time.Millisecond
+		c.Submit(c.now, job("s", "urgent", c.now, serving), nil, 0)
+		c.settle()
+		on := c.take()[0].Worker
+		filling := step(1, 4)
+		filling.Fills, filling.Image = true, "crunch"
+		c.Submit(c.now, job("f", "batch", c.now, filling), nil, 0)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Worker).NotTo(Equal(on))
+	})
+})
