--- a/internal/command/kqcommand/platform.go
+++ b/internal/command/kqcommand/platform.go
@@ -1,12 +1,14 @@
 package kqcommand
 
 import (
+	"context"
 	"os"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/platform"
 )
 
@@ -15,16 +17,26 @@
 func (a *app) platformCommands() *cobra.Command {
 	root := &cobra.Command{Use: "platform", Short: "Run on the users' platform, with its settings file"}
 	root.AddCommand(&cobra.Command{Use: "entry", Args: cobra.NoArgs, Short: "Run an entry: the jobs API for callers",
-		RunE: func(c *cobra.Command, _ []string) error { return failed(platform.RunEntry(c.Context(), outLogger())) }},
+		RunE: run(platform.RunEntry)},
 		&cobra.Command{Use: "agent", Args: cobra.NoArgs, Short: "Run the agent beside a worker",
-			RunE: func(c *cobra.Command, _ []string) error { return failed(platform.RunAgent(c.Context(), outLogger())) }})
+			RunE: run(platform.RunAgent)})
 	return root
 }
 
+// run returns a command's work: a process that logs to standard output.
+func run(role func(context.Context, platform.Logging) error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, _ []string) error {
+		logger, sink := outLogger()
+		defer sink.Close()
+		return failed(role(c.Context(), platform.Logging{Logger: logger, LeftOut: sink.LeftOut}))
+	}
+}
+
 // outLogger returns a logger of JSON lines to standard output.
-func outLogger() *zap.Logger {
+func outLogger() (*zap.Logger, *kqevent.Sink) {
 	c := zap.NewProductionEncoderConfig()
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	c.TimeKey = "time"
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(os.Stdout), zapcore.InfoLevel))
+	sink := kqevent.NewSink(os.Stdout)
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), sink, zapcore.InfoLevel)), sink
 }
--- a/internal/core/kqevent/log.go
+++ b/internal/core/kqevent/log.go
@@ -56,6 +56,17 @@
 	Logger *zap.Logger
 	// Keep is how many events are remembered; 0 means 4096.
 	Keep int
+	// PerSecond bounds how many events of a kind are logged in a second; 0 sets
+	// no bound. What is left out is counted and said with the next one logged.
+	PerSecond int
+}
+
+// rate bounds the events of one kind.
+type rate struct {
+	second  int64
+	logged  int
+	leftOut int
+	total   uint64
 }
 
 const defaultKeep = 4096
@@ -65,10 +76,13 @@
 	process string
 	logger  *zap.Logger
 
-	mu   sync.Mutex
-	ring []Event
-	next int
-	full bool
+	perSecond int
+
+	mu    sync.Mutex
+	rates map[Number]*rate
+	ring  []Event
+	next  int
+	full  bool
 }
 
 // New returns an empty Log.
@@ -79,7 +93,41 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
-	return &Log{process: c.Process, logger: c.Logger, ring: make([]Event, c.Keep)}
+	return &Log{process: c.Process, logger: c.Logger, perSecond: c.PerSecond, rates: map[Number]*rate{}, ring: make([]Event, c.Keep)}
+}
+
+// admit counts an event and returns whether it is logged, and how many of its
+// kind were left out since the last that was.
+func (l *Log) admit(now time.Time, n Number) (leftOut int, logged bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rates[n]
+	if r == nil {
+		r = &rate{}
+		l.rates[n] = r
+	}
+	r.total++
+	if s := now.Unix(); s != r.second {
+		r.second, r.logged = s, 0
+	}
+	if l.perSecond > 0 && r.logged >= l.perSecond {
+		r.leftOut++
+		return 0, false
+	}
+	r.logged++
+	leftOut, r.leftOut = r.leftOut, 0
+	return leftOut, true
+}
+
+// Counts returns how often each kind of event was emitted, by name.
+func (l *Log) Counts() map[string]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]uint64, len(l.rates))
+	for n, r := range l.rates {
+		out[n.String()] = r.total
+	}
+	return out
 }
 
 // Emit remembers an event; a nil Log drops it.
@@ -88,7 +136,9 @@
 		return
 	}
 	e := Event{Number: n, At: now, Process: l.process, Subject: s, Text: fmt.Sprintf(format, args...)}
-	l.write(e)
+	if leftOut, logged := l.admit(now, n); logged {
+		l.write(e, leftOut)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ring[l.next] = e
@@ -98,7 +148,10 @@
 	}
 }
 
-func (l *Log) write(e Event) {
+func (l *Log) write(e Event, leftOut int) {
+	if leftOut > 0 {
+		e.Text += fmt.Sprintf(" (%d more of %s left out)", leftOut, e.Number)
+	}
 	level := zap.InfoLevel
 	if e.Subject.Kind == "call" {
 		level = zap.DebugLevel
--- /dev/null
+++ b/internal/core/kqevent/log_test.go
@@ -0,0 +1,54 @@
+package kqevent_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+)
+
+// stuck is a log reader that never reads.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+func TestASinkNeverMakesItsWriterWait(t *testing.T) {
+	g := NewWithT(t)
+	out := stuck{make(chan struct{})}
+	s := kqevent.NewSink(out)
+	done := make(chan struct{})
+	go func() {
+		for range 10_000 {
+			_, _ = s.Write([]byte("line\n"))
+		}
+		close(done)
+	}()
+	g.Eventually(done, 5*time.Second).Should(BeClosed())
+	g.Expect(s.LeftOut()).To(BeNumerically(">", 7000))
+	close(out.release)
+	s.Close()
+}
+
+func TestFrequentEventsAreBoundedAndCounted(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&out), zapcore.InfoLevel))
+	l := kqevent.New(kqevent.Config{Process: "p", Logger: logger, PerSecond: 10})
+	now := time.Unix(100, 0)
+	for range 50 {
+		l.Emit(now, kqevent.FlowWaiting, kqevent.Task("t"), "no room")
+	}
+	g.Expect(bytes.Count(out.Bytes(), []byte("flow_waiting"))).To(Equal(10))
+	l.Emit(now.Add(time.Second), kqevent.FlowWaiting, kqevent.Task("t"), "no room")
+	g.Expect(out.String()).To(ContainSubstring("40 more of flow_waiting"))
+	g.Expect(l.Counts()).To(HaveKeyWithValue("flow_waiting", uint64(51)))
+	g.Expect(l.About(kqevent.Task("t"))).To(HaveLen(51))
+}
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -42,6 +42,8 @@
 	Keep time.Duration
 	// Policy returns the operator's policy as in force in this process.
 	Policy func() *kqflow.Policy
+	// Took is told how long commits took; may be nil.
+	Took func(kind string, d time.Duration)
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// Wall is the time of day.
@@ -283,6 +285,9 @@
 	defer c.mu.Unlock()
 	c.commits--
 	c.commitTook = now.Sub(sent)
+	if c.config.Took != nil {
+		c.config.Took("commit", c.commitTook)
+	}
 	switch {
 	case err != nil:
 		return nil
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -27,6 +27,8 @@
 	Wall func() time.Time
 	// Events remembers what was decided; may be nil.
 	Events *kqevent.Log
+	// Took is told how long requests took; may be nil.
+	Took func(kind string, d time.Duration)
 }
 
 const readTimeout = 900 * time.Millisecond
@@ -101,6 +103,7 @@
 	}
 	now := f.config.Now()
 	took := now.Sub(began).Round(time.Millisecond)
+	f.took("submit", now.Sub(began))
 	switch o {
 	case kqcontrol.OutcomeStored:
 		f.config.Events.Emit(now, kqevent.FlowAccepted, kqevent.Job(j.ID), "queue %s after %s", j.Queue, took)
@@ -114,11 +117,19 @@
 
 // Cancel marks a job as cancelled.
 func (f *Front) Cancel(ctx context.Context, id string) kqcontrol.Outcome {
+	began := f.config.Now()
 	o := kqcontrol.StoreCancel(ctx, f.config.Store, id)
+	f.took("cancel", f.config.Now().Sub(began))
 	f.config.Events.Emit(f.config.Now(), kqevent.JobCancelled, kqevent.Job(id), "%s", o)
 	return o
 }
 
+func (f *Front) took(kind string, d time.Duration) {
+	if f.config.Took != nil {
+		f.config.Took(kind, d)
+	}
+}
+
 // relay hands a request to the owner, once.
 func (f *Front) relay(ctx context.Context, s kqmessage.Submit, otherwise kqcontrol.Outcome) kqcontrol.Outcome {
 	f.mu.Lock()
