--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -22,7 +22,7 @@
 	registered bool
 }
 
-func (s *Session) send(m kqmessage.FromOwner) { s.stream.Send(m) }
+func (x *Session) send(m kqmessage.FromOwner) { x.stream.Send(m) }
 
 // Attach begins a session on a stream that has said hello.
 func (c *Controller) Attach(s *kqstream.Stream, h kqmessage.Hello) *Session {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -224,15 +224,6 @@
 	return true
 }
 
-func (t *task) find(worker string, number uint64) *run {
-	for _, r := range t.runs {
-		if r.number == number && r.worker == worker {
-			return r
-		}
-	}
-	return nil
-}
-
 func (t *task) remove(r *run) {
 	for i, x := range t.runs {
 		if x == r {
