--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -364,7 +364,7 @@
 	packGain  = 0.5
 	lightCost = 0.5
 	sizeCost  = 0.2
-	mixCost   = 1.0
+	mixCost   = 0.4
 	// servingUse is the share of its processors that a serving task uses, in
 	// percent, where nothing was measured.
 	servingUse = 50
