--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -13,6 +13,7 @@
 	DrainStarted         Number = 103
 	DrainFinished        Number = 104
 	LoopFailed           Number = 105
+	SettingsRead         Number = 106
 	StoreOut             Number = 110
 	StoreBack            Number = 111
 	EndpointAnnounced    Number = 201
@@ -95,6 +96,7 @@
 	{DrainStarted, "drain_started", "A process was told to stop and takes no new work."},
 	{DrainFinished, "drain_finished", "The last work of a stopping process has ended."},
 	{LoopFailed, "loop_failed", "A background loop met an error and goes on."},
+	{SettingsRead, "settings_read", "The settings file was read again."},
 	{StoreOut, "store_out", "The platform's table does not answer."},
 	{StoreBack, "store_back", "The platform's table answers again."},
 	{EndpointAnnounced, "endpoint_announced", "An endpoint is new to this process."},
--- /dev/null
+++ b/internal/flow/kqcontrol/commit.go
@@ -0,0 +1,71 @@
+package kqcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+// width returns how many commits may be under way.
+func (c *Controller) width() int {
+	if c.commitTook >= slowCommit {
+		return 1
+	}
+	return maxCommits
+}
+
+// commit stores one batch of records.
+type commit struct {
+	controller *Controller
+	writes     []kqplan.Write
+}
+
+func (x *commit) run() error {
+	c := x.controller
+	sent := c.config.Now()
+	o, err := kqrows.Commit(c.tomb.Context(context.Background()), c.config.Store, x.transaction())
+	now := c.config.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.commits--
+	c.commitTook = now.Sub(sent)
+	if c.config.Took != nil {
+		c.config.Took("commit", c.commitTook)
+	}
+	switch {
+	case err != nil:
+		return nil
+	case !o.Committed:
+		c.rejected(now, o)
+		return nil
+	}
+	c.confirm(sent)
+	c.beatenAt = sent
+	c.planner.Committed(now, x.writes, o.Version)
+	c.publish(now)
+	c.wake()
+	return nil
+}
+
+func (x *commit) transaction() kqrows.Tx {
+	c := x.controller
+	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}}, Puts: []kqrows.Put{c.beatPut()}}
+	for _, w := range x.writes {
+		k := ProgressKey(w.Job)
+		t.Expected = append(t.Expected, kqrows.Expect{Key: k, Version: w.Version})
+		t.Puts = append(t.Puts, kqrows.Put{Key: k, Value: encode(w.Record)})
+	}
+	return t
+}
+
+// rejected ends the ownership: another process has taken the cell, or rows are
+// not as this process left them.
+func (c *Controller) rejected(now time.Time, o kqrows.Outcome) {
+	r, ok := o.Find(OwnerKey(c.config.Cell))
+	c.config.Events.Emit(now, kqevent.OwnerLost, kqevent.Process(c.config.Name), "%s with epoch %d: the row was changed: %t", c.config.Cell,
+		c.row.Epoch, !ok || r.Version != c.version)
+	c.end()
+}
--- /dev/null
+++ b/internal/flow/kqcontrol/feed.go
@@ -0,0 +1,76 @@
+package kqcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+// submissionFeed follows what callers hand in.
+type submissionFeed struct{ controller *Controller }
+
+func (f *submissionFeed) loop() error {
+	c := f.controller
+	ctx := c.tomb.Context(context.Background())
+	after := c.submitAt
+	for c.tomb.Alive() {
+		call, cancel := context.WithTimeout(ctx, followWait+followSlack)
+		rows, next, err := c.config.Store.Follow(call, SubmissionTable, after, followWait)
+		cancel()
+		switch {
+		case err == nil:
+			after = next
+			f.take(rows)
+		case eris.Is(err, kqrows.ErrHistoryGone):
+			after = f.readAnew(ctx, after)
+		default:
+			pause(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+const retryPause = 60 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *submissionFeed) take(rows []kqrows.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	c := f.controller
+	now := c.config.Now()
+	c.mu.Lock()
+	for _, r := range rows {
+		if r.Removed {
+			c.planner.Forget(r.Name)
+			continue
+		}
+		c.submitted(now, r, nil)
+	}
+	c.mu.Unlock()
+	c.wake()
+}
+
+// readAnew reads the whole table after the feed's history was dropped.
+func (f *submissionFeed) readAnew(ctx context.Context, after uint64) uint64 {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, at, err := f.controller.config.Store.Read(call, SubmissionTable, "", "")
+	if err != nil {
+		pause(ctx, retryPause)
+		return after
+	}
+	f.take(rows)
+	return at
+}
--- a/internal/flow/kqcontrol/submission.go
+++ b/internal/flow/kqcontrol/submission.go
@@ -38,7 +38,7 @@
 	unsure, refused := false, 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, tryTimeout)
-		o, err := store.Transact(call, t)
+		_, err := store.Transact(call, t)
 		cancel()
 		if err == nil {
 			// A row that is there already is this job, by an earlier copy.
@@ -49,7 +49,6 @@
 		} else if refused++; refused >= maxRefused && !unsure {
 			return OutcomeRefused
 		}
-		_ = o
 		pause(ctx, tryPause)
 	}
 	if unsure {
@@ -58,38 +57,44 @@
 	return OutcomeRefused
 }
 
-// StoreCancel marks a stored job as cancelled.
+// StoreCancel marks a stored job as cancelled. It tries on while there is no
+// answer, until ctx ends, and gives up early when the store refuses.
 func StoreCancel(ctx context.Context, store kqrows.Store, id string) Outcome {
-	for ctx.Err() == nil {
+	for refused := 0; ctx.Err() == nil && refused < maxRefused; pause(ctx, tryPause) {
 		call, cancel := context.WithTimeout(ctx, tryTimeout)
-		o, done := tryCancel(call, store, id)
+		o, done, err := tryCancel(call, store, id)
 		cancel()
 		if done {
 			return o
 		}
-		pause(ctx, tryPause)
+		if errors.Is(err, kqrows.ErrRefused) {
+			refused++
+		}
+	}
+	if ctx.Err() == nil {
+		return OutcomeRefused
 	}
 	return OutcomeUnknown
 }
 
-func tryCancel(ctx context.Context, store kqrows.Store, id string) (Outcome, bool) {
+func tryCancel(ctx context.Context, store kqrows.Store, id string) (o Outcome, done bool, err error) {
 	rows, _, err := store.Read(ctx, SubmissionTable, id, After(id))
 	if err != nil {
-		return OutcomeUnknown, false
+		return OutcomeUnknown, false, err
 	}
 	if len(rows) == 0 {
-		return OutcomeAbsent, true
+		return OutcomeAbsent, true, nil
 	}
 	s, err := DecodeSubmission(rows[0])
 	if err != nil {
-		return OutcomeAbsent, true
+		return OutcomeAbsent, true, nil
 	}
 	if s.Cancelled {
-		return OutcomeStored, true
+		return OutcomeStored, true, nil
 	}
 	s.Cancelled = true
 	key := SubmissionKey(id)
 	x, err := store.Transact(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: rows[0].Version}},
 		Puts: []kqrows.Put{{Key: key, Value: encode(s)}}})
-	return OutcomeStored, err == nil && x.Committed
+	return OutcomeStored, err == nil && x.Committed, err
 }
--- /dev/null
+++ b/internal/flow/kqcontrol/sweep.go
@@ -0,0 +1,47 @@
+package kqcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+// sweep removes the rows of jobs that ended long ago; mu is held.
+func (c *Controller) sweep(now time.Time) {
+	if now.Sub(c.sweptAt) < sweepInterval {
+		return
+	}
+	c.sweptAt = now
+	ended := c.planner.Ended(now.Add(-c.config.Keep))
+	if len(ended) > 0 {
+		c.tomb.Go((&removal{c, ended[:min(len(ended), maxBatch)]}).run)
+	}
+}
+
+// removal removes the rows of ended jobs.
+type removal struct {
+	controller *Controller
+	jobs       []kqplan.Write
+}
+
+func (x *removal) run() error {
+	c := x.controller
+	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}}}
+	for _, w := range x.jobs {
+		t.Removes = append(t.Removes, ProgressKey(w.Job), SubmissionKey(w.Job))
+	}
+	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), readTimeout)
+	defer cancel()
+	o, err := c.config.Store.Transact(ctx, t)
+	if err != nil || !o.Committed {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range x.jobs {
+		c.planner.Forget(w.Job)
+	}
+	return nil
+}
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -119,6 +119,9 @@
 func (f *Front) Cancel(ctx context.Context, id string) kqcontrol.Outcome {
 	began := f.config.Now()
 	o := kqcontrol.StoreCancel(ctx, f.config.Store, id)
+	if o == kqcontrol.OutcomeRefused && ctx.Err() == nil {
+		o = f.relay(ctx, kqmessage.Submit{Cancel: id}, o)
+	}
 	f.took("cancel", f.config.Now().Sub(began))
 	f.config.Events.Emit(f.config.Now(), kqevent.JobCancelled, kqevent.Job(id), "%s", o)
 	return o
--- /dev/null
+++ b/internal/flow/kqplan/cost.go
@@ -0,0 +1,100 @@
+package kqplan
+
+import (
+	"slices"
+)
+
+const (
+	shunCost  = 0.8
+	loadCost  = 0.4
+	pressCost = 1.0
+	packGain  = 0.5
+	lightCost = 0.5
+	sizeCost  = 0.2
+	mixCost   = 0.4
+	// servingUse is the share of its processors that a serving task uses, in
+	// percent, where nothing was measured.
+	servingUse = 50
+	// leastPace bounds from below what filling tasks are expected to get beside
+	// serving ones, in percent.
+	leastPace = 10
+)
+
+// use is how the processors of a host are used, in thousandths.
+type use struct {
+	total   int64
+	plain   int64
+	serving int64
+	filling int64
+}
+
+func (h *host) use() use {
+	u := use{total: max(1, h.info.Capacity.MilliProcessors)}
+	for _, r := range h.runs {
+		s := r.task.step
+		switch {
+		case s.Fills:
+			u.filling += s.Size.MilliProcessors
+		case s.TailTarget > 0:
+			u.serving += s.Size.MilliProcessors
+		default:
+			u.plain += s.Size.MilliProcessors
+		}
+	}
+	return u
+}
+
+// unused returns what filling tasks may expect to get.
+func (u use) unused(pace int) int64 {
+	left := max(0, u.total-u.plain-u.serving*servingUse/fullPercent)
+	if u.serving > 0 {
+		left = left * int64(max(leastPace, pace)) / fullPercent
+	}
+	return left
+}
+
+// cost is about how long a task takes on a host against its estimate.
+func (p *Planner) cost(t *task, h *host) float64 {
+	c := h.health.slowdown()
+	if c < slowFactor {
+		c = 1 + (c-1)/4
+	}
+	if t.step.Rack != "" && !slices.Contains(h.info.Labels, t.step.Rack) {
+		c *= max(1, p.config.FarFactor)
+	}
+	if h.name == t.shunned {
+		c += shunCost
+	}
+	u := h.use()
+	load := float64(u.plain+u.serving) / float64(u.total)
+	switch {
+	case t.step.Fills:
+		press := p.pressOf(t.step, h)
+		c += float64(u.filling+t.step.Size.MilliProcessors) / float64(max(1, u.unused(h.paceOf(press))))
+		switch {
+		case u.serving > 0 && heaviest(press) >= heavyPress:
+			c += pressCost
+		case u.serving == 0 && p.lightSomewhere(t.step):
+			// What disturbs little leaves the other hosts to what disturbs much.
+			c += lightCost
+		}
+	case t.step.TailTarget > 0:
+		// Serving tasks are packed, so that filling ones find room apart.
+		if h.mixes(t.step.Image) {
+			c += mixCost
+		}
+		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(p.largest()) + pressCost*p.pressBy(h, t)
+	default:
+		c += loadCost * load
+	}
+	return c
+}
+
+// largest returns the processors of the largest host.
+func (p *Planner) largest() int64 {
+	most := int64(1)
+	for _, h := range p.hosts {
+		most = max(most, h.info.Capacity.MilliProcessors)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/flow/kqplan/preempt.go
@@ -0,0 +1,70 @@
+package kqplan
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+)
+
+// preempt stops less urgent runs so that an urgent task gets room, unless room
+// that comes free already is enough.
+func (p *Planner) preempt(now time.Time, t *task, coming map[*host]kqmodel.Resources) {
+	need := t.step.Reserved()
+	var best *host
+	var victims []*run
+	for _, h := range p.hosts {
+		if !h.usable(now) || h.info.Service != t.job.queue.Service || h.health.quarantined() ||
+			t.step.Label != "" && !slices.Contains(h.info.Labels, t.step.Label) ||
+			t.step.PerWorker > 0 && h.sameStep(t) >= t.step.PerWorker {
+			continue
+		}
+		v, ok := h.victims(t, need.Add(coming[h]))
+		if ok && (best == nil || len(v) < len(victims) || len(v) == len(victims) && h.name < best.name) {
+			best, victims = h, v
+		}
+	}
+	if best == nil {
+		return
+	}
+	coming[best] = coming[best].Add(need)
+	for _, r := range victims {
+		p.config.Events.Emit(now, kqevent.FlowRunPreempted, kqevent.Task(r.task.id.String()), "run %d on %s makes room for %s", r.number, r.worker, t.id)
+		p.stop(r)
+	}
+}
+
+// victims returns the runs to stop so that need fits, counting what is being
+// stopped already; ok is false if that is not enough.
+func (h *host) victims(t *task, need kqmodel.Resources) (out []*run, ok bool) {
+	free := h.free()
+	var lower []*run
+	for _, r := range h.runs {
+		switch {
+		case r.stopping:
+			free = free.Add(r.reserved())
+		case r.task.job.queue.Priority > t.job.queue.Priority && !r.task.step.Standing:
+			lower = append(lower, r)
+		}
+	}
+	slices.SortFunc(lower, func(a, b *run) int {
+		if a.task.step.Checkpoints != b.task.step.Checkpoints {
+			if a.task.step.Checkpoints {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.percent, b.percent), strings.Compare(a.task.id.String(), b.task.id.String()))
+	})
+	for _, r := range lower {
+		if need.Fits(free) {
+			break
+		}
+		free = free.Add(r.reserved())
+		out = append(out, r)
+	}
+	return out, need.Fits(free)
+}
