--- a/internal/flow/kqflow/record.go
+++ b/internal/flow/kqflow/record.go
@@ -41,8 +41,8 @@
 type TaskRecord struct {
 	// Done is true once a run has ended well.
 	Done bool `json:"done,omitempty"`
-	// Failures counts the runs that ended in failure.
-	Failures int `json:"failures,omitempty"`
+	// Failed is the numbers of the runs that ended in failure.
+	Failed []uint64 `json:"failed,omitempty"`
 	// LastRun is the highest run number given so far.
 	LastRun uint64 `json:"last_run,omitempty"`
 	// Checkpoint is where the next run resumes.
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -1,6 +1,7 @@
 package kqplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
@@ -319,7 +320,7 @@
 	case kqexecution.HowDone:
 		p.done(now, t)
 	case kqexecution.HowFailed:
-		p.failed(now, t, h)
+		p.failed(now, t, h, e.Run.Number)
 	case kqexecution.HowRefused:
 		t.shunned = h.name
 		t.retryAt = now.Add(refusedPause)
@@ -345,14 +346,16 @@
 }
 
 // failed counts a failure; the job has failed once a task has no attempt left.
-func (p *Planner) failed(now time.Time, t *task, h *host) {
-	t.failures++
-	t.shunned = h.name
-	if t.step.Standing || t.done || t.job.state.Final() {
+// An end that an earlier owner had stored, but not noted, comes again: the run's
+// number tells.
+func (p *Planner) failed(now time.Time, t *task, h *host, number uint64) {
+	if t.step.Standing || t.done || t.job.state.Final() || slices.Contains(t.failed, number) {
 		return
 	}
-	if t.failures >= max(1, t.job.queue.Attempts) {
-		p.config.Events.Emit(now, kqevent.FlowFailed, kqevent.Job(t.job.spec.ID), "task %s has failed %d times", t.id, t.failures)
+	t.failed = append(t.failed, number)
+	t.shunned = h.name
+	if len(t.failed) >= max(1, t.job.queue.Attempts) {
+		p.config.Events.Emit(now, kqevent.FlowFailed, kqevent.Job(t.job.spec.ID), "task %s has failed %d times", t.id, len(t.failed))
 		p.finish(t.job, kqflow.StateFailed)
 	}
 }
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -1,6 +1,7 @@
 package kqplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
@@ -44,7 +45,7 @@
 	job        *job
 	step       *kqflow.Step
 	done       bool
-	failures   int
+	failed     []uint64
 	lastRun    uint64
 	checkpoint string
 	runs       []*run
@@ -142,7 +143,7 @@
 }
 
 func (p *Planner) restoreTask(now time.Time, t *task, r kqflow.TaskRecord) {
-	t.done, t.failures, t.lastRun, t.checkpoint = r.Done, r.Failures, r.LastRun, r.Checkpoint
+	t.done, t.failed, t.lastRun, t.checkpoint = r.Done, r.Failed, r.LastRun, r.Checkpoint
 	for _, x := range r.Runs {
 		h := p.host(x.Host)
 		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, ordered: true, startedAt: now, movedAt: now}
@@ -182,7 +183,7 @@
 }
 
 func (t *task) record() kqflow.TaskRecord {
-	r := kqflow.TaskRecord{Done: t.done, Failures: t.failures, LastRun: t.lastRun}
+	r := kqflow.TaskRecord{Done: t.done, Failed: slices.Clone(t.failed), LastRun: t.lastRun}
 	if !t.done {
 		r.Checkpoint = t.checkpoint
 	}
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -148,7 +148,7 @@
 		return false
 	case s.PerWorker > 0 && h.sameStep(t) >= s.PerWorker:
 		return false
-	case h.health.quarantined() && !(h.mayProbe(now) && t.job.queue.Attempts-t.failures > 1):
+	case h.health.quarantined() && !(h.mayProbe(now) && t.job.queue.Attempts-len(t.failed) > 1):
 		return false
 	}
 	if s.Fills && !p.fillsIn(now, t, h) {
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -225,6 +225,23 @@
 		Expect(next.Resync("h1")).To(HaveLen(1))
 	})
 
+	It("counts a failure once, though a new owner hears of it again", func() {
+		c.host("h1", "w1", 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		o := c.take()[0]
+		c.end("h1", "w1", 1, o, kqexecution.HowFailed)
+		c.settle()
+		r := c.records["j"]
+		next := newCell(2)
+		next.Submit(next.now, job("j", "urgent", next.now, step(1, 1)), &r, 9)
+		next.host("h1", "w1", 8)
+		next.end("h1", "w1", 1, o, kqexecution.HowFailed)
+		next.settle()
+		Expect(next.states).NotTo(HaveKeyWithValue("j", kqflow.StateFailed))
+		Expect(next.noted).To(HaveKeyWithValue("h1", uint64(1)))
+	})
+
 	It("takes the room of less urgent work for urgent work", func() {
 		c.host("h1", "w1", 4)
 		c.Submit(c.now, job("b", "batch", c.now, step(3, 1)), nil, 0)
