--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -168,6 +168,13 @@
 // copyTask starts a second copy where that is likely to end earlier.
 func (p *Planner) copyTask(now time.Time, r *run, left time.Duration, stalled bool) {
 	t := r.task
+	if len(t.runs) > 1 && stalled {
+		// The other copy may stand still too, so this one makes way.
+		p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(t.id.String()), "run %d on %s stands still beside another copy", r.number, r.worker)
+		t.shunned = r.host.name
+		p.stop(r)
+		return
+	}
 	if len(t.runs) > 1 || (!stalled && left < time.Duration(moveGain*float64(t.step.Estimate))) {
 		return
 	}
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -242,6 +242,36 @@
 		Expect(next.noted).To(HaveKeyWithValue("h1", uint64(1)))
 	})
 
+	It("does not wait for ever for two copies that both stand still", func() {
+		for _, n := range []string{"1", "2", "3"} {
+			c.host("h"+n, "w"+n, 8)
+		}
+		s := step(1, 1)
+		s.Speculative = true
+		c.Submit(c.now, job("j", "urgent", c.now, s), nil, 0)
+		c.settle()
+		at := map[string]kqplan.Order{}
+		stopped := false
+		for range 60 {
+			for _, o := range c.take() {
+				at[o.Worker] = o
+				stopped = stopped || o.Stop
+			}
+			c.now = c.now.Add(200 * time.Millisecond)
+			for _, n := range []string{"1", "2", "3"} {
+				var running []kqexecution.Running
+				if o, ok := at["w"+n]; ok {
+					running = append(running, kqexecution.Running{Run: o.Run, Percent: 10})
+				}
+				c.Observe(c.now, "h"+n, kqplan.Report{Worker: "w" + n, Whole: true, Running: running})
+				c.Granted(c.now, "h"+n, 7*time.Second)
+			}
+			c.settle()
+		}
+		Expect(len(at)).To(BeNumerically(">=", 2))
+		Expect(stopped).To(BeTrue())
+	})
+
 	It("takes the room of less urgent work for urgent work", func() {
 		c.host("h1", "w1", 4)
 		c.Submit(c.now, job("b", "batch", c.now, step(3, 1)), nil, 0)
