What stands twice is called, and what is the same for every host is weighed once

The press of a pair on a host, a job's idle runs, sleeping and encoding (kqtable's) and the end of a rig's agent stood twice; the largest host and whether a task is light anywhere were worked out anew for each host weighed.

--- a/internal/flow/kqcontrol/beat.go
+++ b/internal/flow/kqcontrol/beat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // confirm notes that the ownership stood at a time; mu is held.
@@ -42,7 +43,7 @@
 
 // beatPut moves the beat, by which others see that the owner is alive.
 func (c *Controller) beatPut() kqrows.Put {
-	return kqrows.Put{Key: BeatKey(c.config.Cell), Value: encode(beatRow{c.row.Epoch, c.beats.Add(1)})}
+	return kqrows.Put{Key: BeatKey(c.config.Cell), Value: kqtable.Encode(beatRow{c.row.Epoch, c.beats.Add(1)})}
 }
 
 // beat is one confirmation under way.
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // ErrLost says that another process owns the cell.
@@ -102,7 +103,7 @@
 	row := OwnerRow{Name: c.Name, Boot: c.Boot, Address: c.Address, Epoch: old.Epoch + 1}
 	key := OwnerKey(c.Cell)
 	o, err := kqrows.Commit(ctx, c.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: version}},
-		Puts: []kqrows.Put{{Key: key, Value: encode(row)}}})
+		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}}})
 	if err != nil {
 		return nil, err
 	}
@@ -287,7 +288,7 @@
 	defer cancel()
 	key := OwnerKey(c.config.Cell)
 	_, err := kqrows.Commit(ctx, c.config.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: c.version}},
-		Puts: []kqrows.Put{{Key: key, Value: encode(OwnerRow{Boot: c.config.Boot, Epoch: c.row.Epoch})}}})
+		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(OwnerRow{Boot: c.config.Boot, Epoch: c.row.Epoch})}}})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.config.Events.Emit(c.config.Now(), kqevent.HandedOver, kqevent.Process(c.config.Name), "%s with epoch %d: %v", c.config.Cell, c.row.Epoch, err)
--- a/internal/flow/kqcontrol/feed.go
+++ b/internal/flow/kqcontrol/feed.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // submissionFeed follows what callers hand in.
@@ -27,7 +28,7 @@
 		case eris.Is(err, kqrows.ErrHistoryGone):
 			after = f.readAnew(ctx, after)
 		default:
-			pause(ctx, retryPause)
+			kqtable.Sleep(ctx, retryPause)
 		}
 	}
 	return nil
@@ -35,15 +36,6 @@
 
 const retryPause = 60 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (f *submissionFeed) take(rows []kqrows.Row) {
 	if len(rows) == 0 {
 		return
@@ -68,7 +60,7 @@
 	defer cancel()
 	rows, at, err := f.controller.config.Store.Read(call, SubmissionTable, "", "")
 	if err != nil {
-		pause(ctx, retryPause)
+		kqtable.Sleep(ctx, retryPause)
 		return after
 	}
 	f.take(rows)
--- a/internal/flow/kqcontrol/learned.go
+++ b/internal/flow/kqcontrol/learned.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // learnedInterval is the least time between two writes of what was learned.
@@ -68,6 +69,6 @@
 	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), kqrows.TryTimeout)
 	defer cancel()
 	_, _ = c.config.Store.Transact(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}},
-		Puts: []kqrows.Put{{Key: LearnedKey(c.config.Cell), Value: encode(l.fits)}}})
+		Puts: []kqrows.Put{{Key: LearnedKey(c.config.Cell), Value: kqtable.Encode(l.fits)}}})
 	return nil
 }
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -58,14 +58,6 @@
 // After returns a bound for reads of one row: no name of ours lies between.
 func After(name string) string { return name + "!" }
 
-func encode(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
-
 // DecodeSubmission reads a stored submission.
 func DecodeSubmission(r kqrows.Row) (s kqflow.Submission, err error) {
 	err = json.Unmarshal(r.Value, &s)
--- a/internal/flow/kqcontrol/submission.go
+++ b/internal/flow/kqcontrol/submission.go
@@ -7,6 +7,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // Outcome is what became of a submission or a cancellation.
@@ -34,7 +35,7 @@
 // outcome is unknown, until ctx ends, and gives up early when the store refuses.
 func StoreJob(ctx context.Context, store kqrows.Store, j kqflow.Job) Outcome {
 	key := SubmissionKey(j.ID)
-	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: key}}, Puts: []kqrows.Put{{Key: key, Value: encode(kqflow.Submission{Job: j})}}}
+	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: key}}, Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(kqflow.Submission{Job: j})}}}
 	unsure, refused := false, 0
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, tryTimeout)
@@ -49,7 +50,7 @@
 		} else if refused++; refused >= maxRefused && !unsure {
 			return OutcomeRefused
 		}
-		pause(ctx, tryPause)
+		kqtable.Sleep(ctx, tryPause)
 	}
 	if unsure {
 		return OutcomeUnknown
@@ -60,7 +61,7 @@
 // StoreCancel marks a stored job as cancelled. It tries on while there is no
 // answer, until ctx ends, and gives up early when the store refuses.
 func StoreCancel(ctx context.Context, store kqrows.Store, id string) Outcome {
-	for refused := 0; ctx.Err() == nil && refused < maxRefused; pause(ctx, tryPause) {
+	for refused := 0; ctx.Err() == nil && refused < maxRefused; kqtable.Sleep(ctx, tryPause) {
 		call, cancel := context.WithTimeout(ctx, tryTimeout)
 		o, done, err := tryCancel(call, store, id)
 		cancel()
@@ -95,6 +96,6 @@
 	s.Cancelled = true
 	key := SubmissionKey(id)
 	x, err := store.Transact(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: rows[0].Version}},
-		Puts: []kqrows.Put{{Key: key, Value: encode(s)}}})
+		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(s)}}})
 	return OutcomeStored, err == nil && x.Committed, err
 }
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -22,9 +22,7 @@
 		e = &entry{order: *o, paced: fullPercent}
 		x.runs[o.Run] = e
 	} else if !o.Stop && e.order.Size.IsZero() {
-		stop := e.order.Stop
 		e.order = *o
-		e.order.Stop = stop
 	}
 	if o.Stop {
 		e.stopping = true
--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -53,8 +53,27 @@
 	return left
 }
 
+// peers is what the cost of a task depends on beyond one host; it is the same
+// for every host that is weighed.
+type peers struct {
+	// largest is the processors of the largest host.
+	largest int64
+	// light is true if the task disturbs little on some host where others serve.
+	light bool
+}
+
+func (p *Planner) peersFor(t *task) peers {
+	switch {
+	case t.step.Fills:
+		return peers{light: p.lightSomewhere(t.step)}
+	case t.step.TailTarget > 0:
+		return peers{largest: p.largest()}
+	}
+	return peers{}
+}
+
 // cost is about how long a task takes on a host against its estimate.
-func (p *Planner) cost(t *task, h *host) float64 {
+func (p *Planner) cost(t *task, h *host, all peers) float64 {
 	c := h.health.slowdown()
 	if c < slowFactor {
 		c = 1 + (c-1)/4
@@ -74,7 +93,7 @@
 		switch {
 		case u.serving > 0 && heaviest(press) >= heavyPress:
 			c += pressCost
-		case u.serving == 0 && p.lightSomewhere(t.step):
+		case u.serving == 0 && all.light:
 			// What disturbs little leaves the other hosts to what disturbs much.
 			c += lightCost
 		}
@@ -83,7 +102,7 @@
 		if h.mixes(t.step.Image) {
 			c += mixCost
 		}
-		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(p.largest()) + pressCost*p.pressBy(h, t)
+		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(all.largest) + pressCost*p.pressBy(h, t)
 	default:
 		c += loadCost * load
 	}
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -46,8 +46,14 @@
 // pressOn returns the room that a filling task of a step takes of one serving
 // task, and whether that was measured.
 func (p *Planner) pressOn(s *kqflow.Step, serving *run) (press float64, known bool) {
-	whole, known := p.press.Of(serving.task.step.Image, s.Image)
-	return whole * float64(s.Size.MilliProcessors) / float64(max(1, serving.host.info.Capacity.MilliProcessors)), known
+	return p.pressAt(serving.host, serving.task.step, s)
+}
+
+// pressAt returns the room that a filling step's task takes of a serving step's
+// on a host, and whether that was measured.
+func (p *Planner) pressAt(h *host, serving, filling *kqflow.Step) (press float64, known bool) {
+	whole, known := p.press.Of(serving.Image, filling.Image)
+	return whole * float64(filling.Size.MilliProcessors) / float64(max(1, h.info.Capacity.MilliProcessors)), known
 }
 
 // fillsIn reports whether a filling task would get enough on a host and leave
@@ -208,8 +214,8 @@
 	sum := 0.0
 	for _, r := range h.runs {
 		if r.task.step.Fills {
-			whole, _ := p.press.Of(t.step.Image, r.task.step.Image)
-			sum += whole * float64(r.task.step.Size.MilliProcessors) / float64(max(1, h.info.Capacity.MilliProcessors))
+			press, _ := p.pressAt(h, t.step, r.task.step)
+			sum += press
 		}
 	}
 	return sum
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -89,15 +89,7 @@
 
 // idle reports whether nothing of the job is under way.
 func (j *job) idle() bool {
-	if j.inFlight || j.revision != j.stored || len(j.held) > 0 {
-		return false
-	}
-	for _, t := range j.tasks {
-		if len(t.runs) > 0 {
-			return false
-		}
-	}
-	return true
+	return !j.inFlight && j.revision == j.stored && len(j.held) == 0 && j.idleRuns()
 }
 
 // materialise makes the tasks of each occurrence that is due.
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -126,12 +126,16 @@
 // choose returns the best host for a task, or nil.
 func (p *Planner) choose(now time.Time, t *task) *host {
 	var best *host
+	var all peers
 	bestCost := 0.0
 	for _, h := range p.hosts {
 		if !p.eligible(now, t, h) {
 			continue
 		}
-		c := p.cost(t, h)
+		if best == nil {
+			all = p.peersFor(t)
+		}
+		c := p.cost(t, h, all)
 		if best == nil || c < bestCost || c == bestCost && h.name < best.name {
 			best, bestCost = h, c
 		}
--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 const (
@@ -33,7 +35,8 @@
 		case errors.Is(err, ErrUnknown):
 			unsure = true
 		}
-		if !sleep(ctx, pause) {
+		kqtable.Sleep(ctx, pause)
+		if ctx.Err() != nil {
 			break
 		}
 	}
@@ -72,14 +75,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -227,24 +227,18 @@
 }
 
 // Kill ends the process at once.
-func (a *Agent) Kill() {
-	if !a.up {
-		return
-	}
-	a.up = false
-	close(a.beats.stop)
-	a.node.Kill()
-	a.executor.Stop()
-}
+func (a *Agent) Kill() { a.end((*kqnode.Node).Kill) }
 
 // Leave ends the process as a planned stop does.
-func (a *Agent) Leave() {
+func (a *Agent) Leave() { a.end((*kqnode.Node).Leave) }
+
+func (a *Agent) end(node func(*kqnode.Node)) {
 	if !a.up {
 		return
 	}
 	a.up = false
 	close(a.beats.stop)
-	a.node.Leave()
+	node(a.node)
 	a.executor.Stop()
 }
 
