Jobs of steps have an API, commands and a demo of the product's own

Cause: kqflow jobs could only be handed in through the platform's adapters and the rig, so the product offered neither queues with targets nor steps. kqgate is the HTTP API (flows and queues, versions, result codes), flow and queue are its commands, flow demo runs real agents and an entry on loopback over the stand-ins. Ruled out: a second set of job rows in the old table (two owners of one matter).

--- a/internal/command/kqcommand/root.go
+++ b/internal/command/kqcommand/root.go
@@ -62,6 +62,7 @@
 	}
 	root.AddCommand(a.platformCommands())
 	root.AddCommand(a.operatorCommands()...)
+	root.AddCommand(a.flowCommands()...)
 	root.AddCommand(a.benchCommands()...)
 	return root, a
 }
--- /dev/null
+++ b/internal/flow/kqgate/gate.go
@@ -0,0 +1,226 @@
+// Package kqgate is the HTTP API of jobs of steps, which callers know as flows,
+// and of their queues, which operators set.
+package kqgate
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+// Config sets up a Gate.
+type Config struct {
+	// Front stores flows and shows their state.
+	Front *kqfront.Front
+	// Book knows the queues in force.
+	Book *Book
+	// Store keeps the queues.
+	Store kqrows.Store
+}
+
+const (
+	maxBody     = 256 << 10
+	callTimeout = 5 * time.Second
+	comeBack    = time.Second
+)
+
+// Gate answers callers and operators.
+type Gate struct {
+	config Config
+}
+
+// New returns a Gate.
+func New(c Config) *Gate { return &Gate{config: c} }
+
+// Handler serves the API.
+func (g *Gate) Handler() http.Handler {
+	r := bunrouter.New()
+	r.GET("/v1/queues", answered(g.listQueues))
+	r.GET("/v1/queues/:name", answered(g.getQueue))
+	r.PUT("/v1/queues/:name", answered(g.putQueue))
+	r.POST("/v1/flows", answered(g.postFlow))
+	r.GET("/v1/flows/:id", answered(g.getFlow))
+	r.DELETE("/v1/flows/:id", answered(g.deleteFlow))
+	return r
+}
+
+// answered writes what a handler returns, within callTimeout.
+func answered(h func(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error)) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, q bunrouter.Request) error {
+		ctx, cancel := context.WithTimeout(q.Context(), callTimeout)
+		defer cancel()
+		q.Body = http.MaxBytesReader(w, q.Body, maxBody)
+		v, err := h(ctx, q)
+		if err != nil {
+			return kqresult.WriteHTTP(w, err)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		return json.NewEncoder(w).Encode(v)
+	}
+}
+
+// decode reads a body; an unknown field is an error.
+func decode(q bunrouter.Request, what string, v any) *kqresult.Error {
+	d := json.NewDecoder(q.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return kqresult.Errorf(kqresult.TooLarge, "the body is over %d bytes", maxBody)
+	}
+	return kqresult.Errorf(kqresult.BadRequest, "the body is no %s: %v", what, err)
+}
+
+func unavailable() *kqresult.Error {
+	return kqresult.Errorf(kqresult.StoreUnavailable, "the store does not answer; nothing changed").After(comeBack)
+}
+
+func unresolved(what string) *kqresult.Error {
+	return kqresult.Errorf(kqresult.StoreOutcomeUnknown, "the store's answer is lost; %s may have been taken", what).After(comeBack)
+}
+
+// outcome translates what became of a write.
+func outcome(o kqcontrol.Outcome, what string) *kqresult.Error {
+	switch o {
+	case kqcontrol.OutcomeStored:
+		return nil
+	case kqcontrol.OutcomeAbsent:
+		return kqresult.Errorf(kqresult.NotFound, "there is no %s", what)
+	case kqcontrol.OutcomeRefused:
+		return unavailable()
+	}
+	return unresolved(what)
+}
+
+func (g *Gate) postFlow(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error) {
+	var f FlowSpec
+	if err := decode(q, "flow", &f); err != nil {
+		return nil, err
+	}
+	j, err := f.Job()
+	if err != nil {
+		return nil, err
+	}
+	p := g.config.Book.Policy()
+	if p == nil {
+		return nil, unavailable()
+	}
+	if _, ok := p.Queues[f.Queue]; !ok {
+		return nil, kqresult.Errorf(kqresult.BadRequest, "queue: no queue %q is in force", f.Queue)
+	}
+	if err := outcome(g.config.Front.Submit(ctx, j), "flow "+f.ID); err != nil {
+		return nil, err
+	}
+	return FlowView{ID: f.ID, State: kqflow.StateQueued}, nil
+}
+
+func (g *Gate) getFlow(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error) {
+	id := q.Param("id")
+	s, found, err := g.config.Front.State(ctx, id)
+	switch {
+	case err != nil:
+		return nil, unavailable()
+	case !found:
+		return nil, outcome(kqcontrol.OutcomeAbsent, "flow "+id)
+	}
+	return FlowView{ID: id, State: s}, nil
+}
+
+func (g *Gate) deleteFlow(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error) {
+	id := q.Param("id")
+	if err := outcome(g.config.Front.Cancel(ctx, id), "flow "+id); err != nil {
+		return nil, err
+	}
+	return FlowView{ID: id, State: kqflow.StateCancelled}, nil
+}
+
+// QueueView is a queue as operators are shown it.
+type QueueView struct {
+	QueueSpec
+	// Version rises with each change.
+	Version uint64 `json:"version"`
+	// Pending is how many flows have not begun; it may be two seconds old.
+	Pending int `json:"pending"`
+}
+
+func (g *Gate) view(q kqflow.Queue) QueueView {
+	return QueueView{QueueSpec: spec(q), Version: g.config.Book.Version(q.Name), Pending: g.config.Front.Pending(q.Name)}
+}
+
+func (g *Gate) listQueues(context.Context, bunrouter.Request) (any, *kqresult.Error) {
+	p := g.config.Book.Policy()
+	if p == nil {
+		return nil, unavailable()
+	}
+	out := []QueueView{}
+	for _, q := range p.Queues {
+		out = append(out, g.view(q))
+	}
+	slices.SortFunc(out, func(a, b QueueView) int { return strings.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+func (g *Gate) getQueue(_ context.Context, q bunrouter.Request) (any, *kqresult.Error) {
+	p := g.config.Book.Policy()
+	if p == nil {
+		return nil, unavailable()
+	}
+	x, ok := p.Queues[q.Param("name")]
+	if !ok {
+		return nil, kqresult.Errorf(kqresult.NotFound, "there is no queue %q", q.Param("name"))
+	}
+	return g.view(x), nil
+}
+
+// QueueChange is a queue with the version that it replaces.
+type QueueChange struct {
+	QueueSpec
+	// IfVersion is the version that must be in force; 0 means that there is no
+	// such queue yet.
+	IfVersion uint64 `json:"if_version,omitempty"`
+}
+
+func (g *Gate) putQueue(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error) {
+	var c QueueChange
+	if err := decode(q, "queue", &c); err != nil {
+		return nil, err
+	}
+	if c.Name != q.Param("name") {
+		return nil, kqresult.Errorf(kqresult.BadRequest, "name: %q is not the %q of the path", c.Name, q.Param("name"))
+	}
+	x, bad := c.queue()
+	if bad != nil {
+		return nil, bad
+	}
+	value, err := json.Marshal(x)
+	if err != nil {
+		return nil, kqresult.Errorf(kqresult.Internal, "queue: %v", err)
+	}
+	key := kqrows.Key{Table: QueueTable, Name: c.Name}
+	o, err := kqrows.Commit(ctx, g.config.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: c.IfVersion}}, Puts: []kqrows.Put{{Key: key, Value: value}}})
+	switch {
+	case errors.Is(err, kqrows.ErrRefused):
+		return nil, unavailable()
+	case err != nil:
+		return nil, unresolved("queue " + c.Name)
+	case !o.Committed:
+		r, _ := o.Find(key)
+		return nil, kqresult.Errorf(kqresult.VersionConflict, "queue %s: version %d is in force, not %d", c.Name, r.Version, c.IfVersion)
+	}
+	return QueueView{QueueSpec: c.QueueSpec, Version: o.Version, Pending: g.config.Front.Pending(c.Name)}, nil
+}
--- /dev/null
+++ b/internal/trial/kqflowdemo/cell.go
@@ -0,0 +1,287 @@
+// Package kqflowdemo runs a cell for jobs of steps in one process: real agents,
+// an entry and its HTTP API on loopback, over stand-ins of the store and of the
+// workers.
+package kqflowdemo
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
+)
+
+const (
+	cellName     = "cell"
+	lease        = 7 * time.Second
+	checkInEvery = time.Second
+	lookUpTime   = time.Second
+	standingTime = 24 * time.Hour
+	keepStates   = time.Hour
+	entryName    = "entry"
+)
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// CellConfig sets up a Cell.
+type CellConfig struct {
+	// Workers is how many workers there are, each with its agent.
+	Workers int
+	// Capacity is what each worker has.
+	Capacity kqmodel.Resources
+	// Service names the pool that the workers belong to.
+	Service string
+	// Listen is where the API is served; port 0 takes a free one.
+	Listen netip.AddrPort
+	// Seed draws the faults of the stand-ins.
+	Seed uint64
+	// Events remembers what was decided; may be nil.
+	Events *kqevent.Log
+}
+
+// Cell is one cell with its entry.
+type Cell struct {
+	// Store is the stand-in of the store, Ledger what the workers really ran.
+	Store  *kqrowstore.Store
+	Ledger *kqtaskhost.Ledger
+	// Counter is the breaches that the program saw itself.
+	Counter *kqinvariant.Counter
+	// Members is the agents with their workers.
+	Members []*Member
+
+	config CellConfig
+	book   *kqgate.Book
+	entry  *kqnode.Node
+	server *kqserver.Server
+}
+
+// NewCell starts a Cell.
+func NewCell(c CellConfig) (*Cell, error) {
+	x := &Cell{config: c, Store: kqrowstore.New(c.Seed), Counter: &kqinvariant.Counter{}}
+	x.Ledger = kqtaskhost.NewLedger(x.rules)
+	for i := range c.Workers {
+		m, err := newMember(x, fmt.Sprintf("worker-%d", i+1), c.Seed+uint64(i))
+		if err != nil {
+			x.Close()
+			return nil, err
+		}
+		x.Members = append(x.Members, m)
+	}
+	if err := x.startEntry(); err != nil {
+		x.Close()
+		return nil, err
+	}
+	return x, nil
+}
+
+func (x *Cell) startEntry() error {
+	store := x.Store.Client(entryName)
+	x.book = kqgate.NewBook(kqgate.BookConfig{Store: store, Now: time.Now, Events: x.config.Events})
+	front := kqfront.New(kqfront.Config{Store: store, Now: time.Now, Wall: time.Now, Events: x.config.Events})
+	var err error
+	x.entry, err = kqnode.Start(kqnode.Config{Role: kqmessage.RoleEntry, Control: x.control(entryName, 1, netip.AddrPort{}, x.book),
+		Linked: front.Linked, Unlinked: front.Unlinked, Receive: front.Receive})
+	if err != nil {
+		return err
+	}
+	x.server, err = kqserver.Start(x.config.Listen, kqgate.New(kqgate.Config{Front: front, Book: x.book, Store: store}).Handler())
+	return err
+}
+
+// Addr returns where the API is served.
+func (x *Cell) Addr() netip.AddrPort { return x.server.Addr() }
+
+// Close ends every process.
+func (x *Cell) Close() {
+	for _, m := range x.Members {
+		m.Kill()
+	}
+	if x.server != nil {
+		x.server.Kill()
+	}
+	if x.entry != nil {
+		x.entry.Kill()
+	}
+	if x.book != nil {
+		x.book.Close()
+	}
+}
+
+// Owner returns the member that owns the cell, or nil.
+func (x *Cell) Owner() *Member {
+	for _, m := range x.Members {
+		if m.up && m.node.Load().Owning() {
+			return m
+		}
+	}
+	return nil
+}
+
+func (x *Cell) control(name string, boot int, at netip.AddrPort, b *kqgate.Book) kqcontrol.Config {
+	return kqcontrol.Config{Cell: cellName, Name: name, Boot: fmt.Sprintf("%s/%d", name, boot), Address: at, Store: x.Store.Client(name),
+		Lease: lease, FarFactor: 1, Keep: keepStates, Policy: b.Policy, Now: time.Now, Wall: time.Now, Events: x.config.Events, Counter: x.Counter}
+}
+
+// step reads the step of a task as it was handed in.
+func (x *Cell) step(task string) (kqflow.TaskID, kqflow.Submission, bool) {
+	id, err := kqflow.ParseTaskID(task)
+	if err != nil {
+		return id, kqflow.Submission{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lookUpTime)
+	defer cancel()
+	rows, _, err := x.Store.Client("runtime").Read(ctx, kqcontrol.SubmissionTable, id.Job, kqcontrol.After(id.Job))
+	if err != nil || len(rows) == 0 {
+		return id, kqflow.Submission{}, false
+	}
+	s, err := kqcontrol.DecodeSubmission(rows[0])
+	return id, s, err == nil && id.Step < len(s.Job.Steps)
+}
+
+// size says what a task takes and how long it runs.
+func (x *Cell) size(task string) (kqmodel.Resources, time.Duration) {
+	id, s, ok := x.step(task)
+	if !ok {
+		return kqmodel.Resources{}, 0
+	}
+	step := s.Job.Steps[id.Step]
+	if step.Standing {
+		return step.Reserved(), standingTime
+	}
+	return step.Reserved(), step.Estimate
+}
+
+// rules says what must hold of a task.
+func (x *Cell) rules(task string) kqtaskhost.Rules {
+	id, s, ok := x.step(task)
+	if !ok {
+		return kqtaskhost.Rules{}
+	}
+	step := s.Job.Steps[id.Step]
+	r := kqtaskhost.Rules{Speculative: step.Speculative, Attempts: math.MaxInt}
+	if q, ok := x.book.Policy().Queues[s.Job.Queue]; ok && !step.Standing {
+		r.Attempts = q.Attempts
+	}
+	for _, a := range step.After {
+		for i := range s.Job.Steps[a].Count {
+			r.After = append(r.After, kqflow.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: a, Index: i}.String())
+		}
+	}
+	return r
+}
+
+// Member is an agent with the worker beside it.
+type Member struct {
+	// Host is the machine that the worker runs on.
+	Host *kqtaskhost.Host
+
+	cell     *Cell
+	name     string
+	at       netip.AddrPort
+	boots    int
+	up       bool
+	book     *kqgate.Book
+	node     atomic.Pointer[kqnode.Node]
+	executor *kqexecutor.Executor
+	beats    *checkIns
+}
+
+func newMember(x *Cell, name string, seed uint64) (*Member, error) {
+	at, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{cell: x, name: name, at: at}
+	m.Host = kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, Size: x.size, Ledger: x.Ledger})
+	return m, m.Start()
+}
+
+// freePort returns a loopback address that nobody serves on.
+func freePort() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+	if err != nil {
+		return netip.AddrPort{}, eris.Wrap(err, "free port")
+	}
+	defer l.Close()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+// Name returns the member's name.
+func (m *Member) Name() string { return m.name }
+
+// Start starts the agent's process.
+func (m *Member) Start() error {
+	m.boots++
+	m.book = kqgate.NewBook(kqgate.BookConfig{Store: m.cell.Store.Client(m.name), Now: time.Now, Events: m.cell.config.Events, Changed: m.changed})
+	m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: lease, Now: time.Now, Events: m.cell.config.Events, Counter: m.cell.Counter})
+	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleAgent, Listen: m.at, Control: m.cell.control(m.name, m.boots, m.at, m.book),
+		Linked: m.executor.Linked, Unlinked: m.executor.Unlinked, Receive: m.executor.Receive})
+	if err != nil {
+		m.executor.Stop()
+		m.book.Close()
+		return err
+	}
+	m.node.Store(n)
+	m.up = true
+	m.beats = &checkIns{member: m, executor: m.executor}
+	m.beats.tomb.Go(m.beats.loop)
+	return nil
+}
+
+// changed hands a policy to the node; an owner that starts later reads the
+// policy itself.
+func (m *Member) changed(p *kqflow.Policy) {
+	if n := m.node.Load(); n != nil {
+		n.SetPolicy(p)
+	}
+}
+
+// Kill ends the process at once.
+func (m *Member) Kill() {
+	if !m.up {
+		return
+	}
+	m.up = false
+	m.beats.tomb.Kill(nil)
+	m.book.Close()
+	m.node.Load().Kill()
+	m.executor.Stop()
+}
+
+// checkIns is what the worker says to its agent.
+type checkIns struct {
+	tomb     tomb.Tomb
+	member   *Member
+	executor *kqexecutor.Executor
+}
+
+func (c *checkIns) loop() error {
+	for sequence := uint64(1); ; sequence++ {
+		c.executor.CheckIn(kqplan.WorkerInfo{Worker: c.member.Host.Worker(), Service: c.member.cell.config.Service, Capacity: c.member.cell.config.Capacity}, sequence)
+		select {
+		case <-c.tomb.Dying():
+			return nil
+		case <-time.After(checkInEvery):
+		}
+	}
+}
--- /dev/null
+++ b/internal/trial/kqflowdemo/demo_test.go
@@ -0,0 +1,21 @@
+package kqflowdemo_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowdemo"
+)
+
+// A flow of each kind must end well over the real sockets.
+func TestFlowsEndOverSockets(t *testing.T) {
+	g := NewWithT(t)
+	r, err := kqflowdemo.Run(context.Background(), kqflowdemo.Config{Workers: 4, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Seed: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Breaches).To(BeEmpty())
+	g.Expect(r.Flows).To(HaveLen(4))
+	g.Expect(r.Broken()).To(BeFalse())
+}
