A job starts although the clock of its entry was stepped ahead

Cause: the owner made a job's tasks at its submission only if it was due by the entry's time of day, and never again for a job without occurrences. A clock far back made every job look worthless. Ruled out: the translation of the owner's own wall clock (right); the feed (rows arrive). Now a time of acceptance that lies ahead, or that is further back than a job can have been on its way, is replaced by the time of its first sight. Test: table over steps ahead, far ahead and far back, fails before.

--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -122,6 +122,7 @@
 		p.cancel(now, j, s.Cancelled)
 		return
 	}
+	s.Job.SubmittedAt = plausible(now, s.Job.SubmittedAt, record == nil)
 	j := newJob(s.Job, p.queueOf(s.Job.Queue, record))
 	p.jobs[s.Job.ID] = j
 	if record != nil {
@@ -140,6 +141,19 @@
 	p.place = true
 }
 
+// longestTransit is the most that may lie between the acceptance of a job and
+// its first sight by an owner: the store is out, or the owner changes.
+const longestTransit = 15 * time.Second
+
+// plausible returns when a job was accepted. The time of day of the entry that
+// took it may have been stepped: a time that cannot be is replaced by now.
+func plausible(now, submitted time.Time, isNew bool) time.Time {
+	if submitted.After(now) || isNew && now.Sub(submitted) > longestTransit {
+		return now
+	}
+	return submitted
+}
+
 func (p *Planner) queueOf(name string, r *kqflow.Record) kqflow.Queue {
 	if q, ok := p.queues[name]; ok {
 		return q
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -361,4 +361,20 @@
 		Expect(o).To(HaveLen(1))
 		Expect(o[0].Worker).NotTo(Equal(on))
 	})
+
+	DescribeTable("starts a job at once and in its turn though the clock of the entry that took it was stepped", func(step1 time.Duration) {
+		c.Submit(c.now, job("early", "urgent", c.now, step(1, 2)), nil, 0)
+		c.now = c.now.Add(300 * time.Millisecond)
+		c.Submit(c.now, job("skewed", "urgent", c.now.Add(step1), step(1, 2)), nil, 0)
+		c.now = c.now.Add(300 * time.Millisecond)
+		c.Submit(c.now, job("last", "urgent", c.now, step(1, 2)), nil, 0)
+		c.host("h1", "w1", 4)
+		c.settle()
+		var names []string
+		for _, o := range c.take() {
+			names = append(names, o.Run.Task)
+		}
+		Expect(names).To(ConsistOf("early.0.0.0", "skewed.0.0.0"))
+	},
+		Entry("ahead", 2*time.Second), Entry("far ahead", time.Hour), Entry("far back", -time.Hour))
 })
