Jobs take their turn by the cost of waiting for each second of work that is left

Tests: what costs most starts first, and a job whose time runs out starts before one that can wait (the first fails before).

--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -1,9 +1,7 @@
 package kqplan
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -12,51 +10,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
 
-// phase orders jobs by what meeting their objective still earns.
-type phase int
-
-const (
-	phaseInTime phase = iota
-	phaseLate
-	phaseWorthless
-)
-
-// lateFactor is how many objectives after its submission a job is worth nothing.
-const lateFactor = 3
-
-func (j *job) phase(now time.Time) phase {
-	switch {
-	case j.spec.Repeat > 0 || j.spec.Steps[0].Standing || !now.After(j.deadline):
-		return phaseInTime
-	case now.Sub(j.spec.SubmittedAt) <= lateFactor*j.objective:
-		return phaseLate
-	}
-	return phaseWorthless
-}
-
-// queued lists the jobs that have tasks to start, in order of their turn.
-func (p *Planner) queued(now time.Time) []*job {
-	var out []*job
-	for _, j := range p.jobs {
-		if !j.state.Final() {
-			out = append(out, j)
-		}
-	}
-	slices.SortFunc(out, func(a, b *job) int {
-		if c := cmp.Compare(a.queue.Priority, b.queue.Priority); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(a.phase(now), b.phase(now)); c != 0 {
-			return c
-		}
-		if c := a.deadline.Compare(b.deadline); c != 0 {
-			return c
-		}
-		return strings.Compare(a.spec.ID, b.spec.ID)
-	})
-	return out
-}
-
 // placeAll starts every task whose turn has come and for which there is room.
 func (p *Planner) placeAll(now time.Time) {
 	coming := map[*host]kqmodel.Resources{}
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -362,6 +362,33 @@
 		Expect(o[0].Worker).NotTo(Equal(on))
 	})
 
+	It("starts first what costs most to keep waiting for each second of work", func() {
+		wide, small := step(4, 2), step(1, 2)
+		wide.Estimate, small.Estimate = 4*time.Second, 4*time.Second
+		c.Submit(c.now, job("a", "batch", c.now, wide), nil, 0)
+		c.Submit(c.now, job("b", "batch", c.now.Add(time.Millisecond), small), nil, 0)
+		c.now = c.now.Add(6 * time.Second)
+		c.host("h1", "w1", 3)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Run.Task).To(Equal("b.0.0.0"))
+	})
+
+	It("starts a job whose time runs out before one that can wait", func() {
+		far, near := step(1, 2), step(1, 2)
+		far.Estimate, near.Estimate = 10*time.Second, time.Second
+		c.Submit(c.now, job("a", "batch", c.now, far), nil, 0)
+		c.now = c.now.Add(5 * time.Second)
+		c.Submit(c.now, job("b", "batch", c.now, near), nil, 0)
+		c.now = c.now.Add(1900 * time.Millisecond)
+		c.host("h1", "w1", 3)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Run.Task).To(Equal("b.0.0.0"))
+	})
+
 	DescribeTable("starts a job at once and in its turn though the clock of the entry that took it was stepped", func(step1 time.Duration) {
 		c.Submit(c.now, job("early", "urgent", c.now, step(1, 2)), nil, 0)
 		c.now = c.now.Add(300 * time.Millisecond)
--- /dev/null
+++ b/internal/flow/kqplan/turn.go
@@ -0,0 +1,135 @@
+package kqplan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// phase orders jobs by what meeting their objective still earns.
+type phase int
+
+const (
+	phaseInTime phase = iota
+	phaseLate
+	phaseWorthless
+)
+
+// lateFactor is how many objectives after its submission a job is worth nothing.
+const lateFactor = 3
+
+func (j *job) phase(now time.Time) phase {
+	switch {
+	case j.spec.Repeat > 0 || j.spec.Steps[0].Standing || !now.After(j.deadline):
+		return phaseInTime
+	case now.Sub(j.spec.SubmittedAt) <= lateFactor*j.objective:
+		return phaseLate
+	}
+	return phaseWorthless
+}
+
+// turn is what the order of two jobs depends on.
+type turn struct {
+	job     *job
+	phase   phase
+	urgency float64
+	load    load
+}
+
+// queued lists the jobs that have tasks to start, in order of their turn.
+func (p *Planner) queued(now time.Time) []*job {
+	var turns []turn
+	sums, counts := map[string]float64{}, map[string]float64{}
+	for _, j := range p.jobs {
+		if j.state.Final() {
+			continue
+		}
+		l := j.load()
+		turns = append(turns, turn{job: j, phase: j.phase(now), load: l})
+		sums[j.queue.Name] += l.whole
+		counts[j.queue.Name]++
+	}
+	for i := range turns {
+		t := &turns[i]
+		t.urgency = t.job.urgency(now, t.load, sums[t.job.queue.Name]/counts[t.job.queue.Name])
+	}
+	slices.SortFunc(turns, func(a, b turn) int {
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.phase, b.phase), cmp.Compare(b.urgency, a.urgency),
+			a.job.deadline.Compare(b.job.deadline), strings.Compare(a.job.spec.ID, b.job.spec.ID))
+	})
+	out := make([]*job, len(turns))
+	for i, t := range turns {
+		out[i] = t.job
+	}
+	return out
+}
+
+const (
+	// fixedWorth is the share of a mean job's worth that does not depend on its
+	// work, mostWorth the most that a job counts for against the mean.
+	fixedWorth = 0.3
+	mostWorth  = 4
+	// slackScale is the slack, in objectives, over which the urgency falls by e.
+	slackScale = 0.5
+	// leastWork bounds from below what is left of a job, in core-seconds.
+	leastWork = 0.1
+)
+
+// urgency returns about what a second of waiting costs for each core-second of
+// work that is left: the apparent tardiness cost of scheduling theory. Jobs that
+// stay and timed jobs have none.
+func (j *job) urgency(now time.Time, l load, mean float64) float64 {
+	if j.spec.Repeat > 0 || j.spec.Steps[0].Standing || j.objective <= 0 {
+		return 0
+	}
+	worth := min(mostWorth, fixedWorth+(1-fixedWorth)*l.whole/max(leastWork, mean))
+	slack := max(0, j.deadline.Sub(now)-l.chain)
+	objective := j.objective.Seconds()
+	return worth / objective / max(leastWork, l.left) * math.Exp(-slack.Seconds()/(slackScale*objective))
+}
+
+// load is the work of a job.
+type load struct {
+	// whole and left are all core-seconds and those that are not done.
+	whole float64
+	left  float64
+	// chain is the longest chain of what is not done.
+	chain time.Duration
+}
+
+func (j *job) load() load {
+	var l load
+	rest := make([]time.Duration, len(j.spec.Steps))
+	for _, t := range j.tasks {
+		cores := float64(t.step.Size.MilliProcessors) / 1000
+		l.whole += cores * t.step.Estimate.Seconds()
+		if t.done {
+			continue
+		}
+		r := t.rest()
+		l.left += cores * r.Seconds()
+		rest[t.id.Step] = max(rest[t.id.Step], r)
+	}
+	ends := make([]time.Duration, len(rest))
+	for n, s := range j.spec.Steps {
+		for _, a := range s.After {
+			ends[n] = max(ends[n], ends[a])
+		}
+		ends[n] += rest[n]
+		l.chain = max(l.chain, ends[n])
+	}
+	return l
+}
+
+// rest returns how long a task still has to work, by its estimate.
+func (t *task) rest() time.Duration {
+	least := t.step.Estimate
+	for _, r := range t.runs {
+		if !r.stopping {
+			least = min(least, time.Duration(float64(t.step.Estimate)*max(0, fullPercent-r.percent)/fullPercent))
+		}
+	}
+	return least
+}
