--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -30,6 +30,8 @@
 	least = 4
 	// smoothing is the weight of a new measurement.
 	smoothing = 0.6
+	// leastPress bounds from below what runs together are taken to press.
+	leastPress = 0.01
 	// lightPress is the room below which a run is slowed down only if slowing
 	// down the others was not enough.
 	lightPress = 0.06
@@ -92,9 +94,9 @@
 	case p.room < tightRoom:
 		p.slow(tightFactor)
 	case p.room > wideRoom:
-		p.speed(wideStep)
+		p.speed(max(wideStep, p.bearable()))
 	case p.room > easyRoom:
-		p.speed(easyStep)
+		p.speed(max(easyStep, p.bearable()))
 	}
 }
 
@@ -114,6 +116,12 @@
 	}
 }
 
+// bearable returns by how much the share may rise at once: half of what would
+// take the room down to easyRoom if the runs press as is known.
+func (p *Pacer) bearable() float64 {
+	return full * (p.room - easyRoom) / 2 / max(leastPress, p.press)
+}
+
 func (p *Pacer) slow(factor float64) {
 	share := &p.heavy
 	if p.heavy == 0 {
--- a/internal/flow/kqpace/pace_test.go
+++ b/internal/flow/kqpace/pace_test.go
@@ -61,3 +61,17 @@
 	p.Add(map[string]float64{"web": 2})
 	g.Expect(p.For(map[string]float64{"web": 2})).To(BeNumerically("<", 20))
 }
+
+// Runs that are known to press little must not wait for small steps.
+func TestSharesRiseByWhatIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	p := kqpace.NewGroup()
+	press := map[string]float64{"web": 0.1}
+	at := func(room float64) map[string]kqpace.Look {
+		return map[string]kqpace.Look{"web": {Room: room, Press: 0.1}}
+	}
+	now := observe(p, time.Unix(100, 0), 4*time.Second, at(0.8))
+	g.Expect(p.For(press)).To(BeZero())
+	observe(p, now, 2*time.Second, at(1.5))
+	g.Expect(p.For(press)).To(Equal(100))
+}
