--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -12,6 +12,7 @@
 	lightCost = 0.5
 	sizeCost  = 0.2
 	mixCost   = 0.4
+	openCost  = 0.3
 	// servingUse is the share of its processors that a serving task uses, in
 	// percent, where nothing was measured.
 	servingUse = 50
@@ -102,6 +103,9 @@
 		if h.mixes(t.step.Image) {
 			c += mixCost
 		}
+		if u.serving == 0 {
+			c += openCost
+		}
 		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(all.largest) + pressCost*p.pressBy(h, t)
 	default:
 		c += loadCost * load
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -21,6 +21,10 @@
 				p.place = p.place || now.Before(t.retryAt)
 				continue
 			}
+			if t.gathering(now) {
+				p.place = true
+				continue
+			}
 			if h := p.choose(now, t); h != nil {
 				p.start(now, t, h)
 				continue
@@ -31,6 +35,14 @@
 	}
 }
 
+// gatherTime is how long a standing task waits for others that are handed in at
+// the same time, so that they are packed together.
+const gatherTime = 250 * time.Millisecond
+
+func (t *task) gathering(now time.Time) bool {
+	return t.step.Standing && t.lastRun == 0 && now.Sub(t.job.spec.SubmittedAt) < gatherTime
+}
+
 // wait notes why a task is not placed, and makes room for an urgent one.
 func (p *Planner) wait(now time.Time, t *task, coming map[*host]kqmodel.Resources) {
 	if t.waitingFor == "" {
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -78,10 +78,13 @@
 )
 
 // urgency returns about what a second of waiting costs for each core-second of
-// work that is left: the apparent tardiness cost of scheduling theory. Jobs that
-// stay and timed jobs have none.
+// work that is left: the apparent tardiness cost of scheduling theory. Timed jobs
+// have none. Jobs that stay go by size: large tasks first pack best.
 func (j *job) urgency(now time.Time, l load, mean float64) float64 {
-	if j.spec.Repeat > 0 || j.spec.Steps[0].Standing || j.objective <= 0 {
+	if j.spec.Steps[0].Standing {
+		return float64(j.spec.Steps[0].Size.MilliProcessors)
+	}
+	if j.spec.Repeat > 0 || j.objective <= 0 {
 		return 0
 	}
 	worth := min(mostWorth, fixedWorth+(1-fixedWorth)*l.whole/max(leastWork, mean))
