--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -426,4 +426,29 @@
 		}
 		Expect(workers).To(HaveLen(2))
 	})
+
+	It("starts tasks only where the label is, and no more of a step on a worker than it allows", func() {
+		for i, label := range []string{"a", "b", "b"} {
+			name, worker := fmt.Sprintf("h%d", i+1), fmt.Sprintf("w%d", i+1)
+			c.host(name, worker, 8)
+			c.Describe(c.now, name, kqplan.WorkerInfo{Worker: worker, Service: "s", Labels: []string{label}, Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 1 << 40}})
+		}
+		s := step(5, 1)
+		s.Label, s.PerWorker = "b", 2
+		c.Submit(c.now, job("j", "urgent", c.now, s), nil, 0)
+		c.settle()
+		on := map[string]int{}
+		for _, o := range c.take() {
+			on[o.Worker]++
+		}
+		Expect(on).To(Equal(map[string]int{"w2": 2, "w3": 2}))
+	})
+
+	It("starts nothing on a worker of another service", func() {
+		c.host("h1", "w1", 8)
+		c.Describe(c.now, "h1", kqplan.WorkerInfo{Worker: "w1", Service: "other", Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 1 << 40}})
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+	})
 })
