Jobs of up to 2,400 tasks: large records are stored compressed

Cause: the record of a job had to fit a row of 64 KiB as plain JSON, so jobs over 600 tasks were refused. Ruled out: several rows a record (a write that is not one condition any more). A transaction takes no more records after 6,000 tasks. Tests: the largest job fits a row and is read back; broken bytes are an error.

--- a/internal/flow/kqcontrol/commit.go
+++ b/internal/flow/kqcontrol/commit.go
@@ -7,7 +7,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
-	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // width returns how many commits may be under way.
@@ -57,7 +56,7 @@
 	for _, w := range x.writes {
 		k := ProgressKey(w.Job)
 		t.Expected = append(t.Expected, kqrows.Expect{Key: k, Version: w.Version})
-		t.Puts = append(t.Puts, kqrows.Put{Key: k, Value: kqtable.Encode(w.Record)})
+		t.Puts = append(t.Puts, kqrows.Put{Key: k, Value: EncodeRecord(w.Record)})
 	}
 	return t
 }
--- /dev/null
+++ b/internal/flow/kqcontrol/encoding_test.go
@@ -0,0 +1,53 @@
+package kqcontrol_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+// record returns a progress in which every task runs, has failed and has a
+// checkpoint.
+func record(tasks int) kqflow.Record {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := kqflow.Record{State: kqflow.StateRunning, Epoch: 4, Revision: 900, Occurrences: 1}
+	workers := make([]string, 77)
+	for i := range workers {
+		workers[i] = fmt.Sprintf("i-%010x", rng.Uint64N(1<<40))
+	}
+	for range tasks {
+		w := rng.IntN(len(workers))
+		r.Tasks = append(r.Tasks, kqflow.TaskRecord{Failed: []uint64{1}, LastRun: 2, Checkpoint: fmt.Sprintf("%016x", rng.Uint64()),
+			Runs: []kqflow.Run{{Number: 2, Host: fmt.Sprintf("10.%d.0.%d", w%4, w), Worker: workers[w]}}})
+	}
+	return r
+}
+
+// The largest job that is accepted must fit a row whatever its tasks do.
+func TestTheProgressOfTheLargestJobFitsARow(t *testing.T) {
+	g := NewWithT(t)
+	for _, tasks := range []int{1, 50, kqflow.MaxTasks} {
+		in := record(tasks)
+		b := kqcontrol.EncodeRecord(in)
+		g.Expect(len(b)).To(BeNumerically("<", kqcontrol.MaxRow), "%d tasks", tasks)
+		out, err := kqcontrol.DecodeRecord(kqrows.Row{Value: b})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(out).To(Equal(in))
+		t.Logf("%d tasks: %d bytes", tasks, len(b))
+	}
+}
+
+func TestProgressThatCannotBeReadIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	whole := kqcontrol.EncodeRecord(record(kqflow.MaxTasks))
+	for _, b := range [][]byte{nil, {1}, {1, 2, 3}, []byte("{"), whole[:len(whole)/2]} {
+		_, err := kqcontrol.DecodeRecord(kqrows.Row{Value: b})
+		g.Expect(err).To(HaveOccurred())
+	}
+}
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -64,12 +64,6 @@
 	return s, err
 }
 
-// DecodeRecord reads a stored progress.
-func DecodeRecord(r kqrows.Row) (x kqflow.Record, err error) {
-	err = json.Unmarshal(r.Value, &x)
-	return x, err
-}
-
 // DecodeOwner reads a stored ownership.
 func DecodeOwner(r kqrows.Row) (o OwnerRow, err error) {
 	err = json.Unmarshal(r.Value, &o)
--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -81,7 +81,7 @@
 // Bounds of a job.
 const (
 	MaxSteps   = 64
-	MaxTasks   = 600
+	MaxTasks   = 2400
 	MaxPayload = 4000
 )
 
--- a/internal/flow/kqplan/commit.go
+++ b/internal/flow/kqplan/commit.go
@@ -16,12 +16,17 @@
 	Version uint64
 }
 
+// mostWritten is after how many tasks a transaction takes no more records, so
+// that it stays below what a store takes.
+const mostWritten = 6000
+
 // Writes returns at most most records to store in one transaction. A job whose
 // last write is under way waits.
 func (p *Planner) Writes(most int) []Write {
 	var out []Write
+	tasks := 0
 	for id, j := range p.dirty {
-		if len(out) >= most {
+		if len(out) >= most || tasks >= mostWritten {
 			break
 		}
 		if j.inFlight {
@@ -29,6 +34,7 @@
 		}
 		delete(p.dirty, id)
 		j.inFlight = true
+		tasks += len(j.tasks)
 		out = append(out, Write{Job: id, Record: j.record(p.config.Epoch), Version: j.version})
 	}
 	return out
