An entry refuses at once while the store gives no answer

Now an entry believes the store out after 1.1 s without any answer while a call waits, or after four calls in a row that broke off; it then refuses with when to come back, or has the owner store, and probes until the store answers. Ruled out: a store that is slow (answers of 0.9 s) or loses single answers counts as out (tests); 503 of the store (refused at once before).

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -77,6 +77,8 @@
 	RowUnreadable        Number = 803
 	CheckInRefused       Number = 804
 	HandedOver           Number = 805
+	StoreSilent          Number = 806
+	StoreAnswers         Number = 807
 )
 
 // Info describes an event for operators.
@@ -160,6 +162,8 @@
 	{RowUnreadable, "row_unreadable", "A stored row cannot be read and is left alone."},
 	{CheckInRefused, "check_in_refused", "A worker's check-in is stale or cannot be read and changes nothing."},
 	{HandedOver, "handed_over", "This process has given up the ownership of a cell on purpose."},
+	{StoreSilent, "store_silent", "The store gives no answer; requests that need it are refused at once."},
+	{StoreAnswers, "store_answers", "The store answers again."},
 }
 
 var names = func() map[Number]string {
--- a/internal/flow/kqcontrol/relay.go
+++ b/internal/flow/kqcontrol/relay.go
@@ -22,9 +22,9 @@
 	defer cancel()
 	var o Outcome
 	if r.submit.Job != nil {
-		o = StoreJob(ctx, c.config.Store, *r.submit.Job)
+		o = StoreJob(ctx, c.config.Store, *r.submit.Job, Always)
 	} else {
-		o = StoreCancel(ctx, c.config.Store, r.submit.Cancel)
+		o = StoreCancel(ctx, c.config.Store, r.submit.Cancel, Always)
 	}
 	r.session.send(kqmessage.FromOwner{Submitted: &kqmessage.Submitted{Number: r.submit.Number, Outcome: string(o)}})
 	return nil
--- a/internal/flow/kqcontrol/submission.go
+++ b/internal/flow/kqcontrol/submission.go
@@ -32,13 +32,14 @@
 )
 
 // StoreJob stores a job under its ID unless it is there. It tries on while the
-// outcome is unknown, until ctx ends, and gives up early when the store refuses.
-func StoreJob(ctx context.Context, store kqrows.Store, j kqflow.Job) Outcome {
+// outcome is unknown, until ctx ends or waits says no, and gives up early when
+// the store refuses.
+func StoreJob(ctx context.Context, store kqrows.Store, j kqflow.Job, waits func() bool) Outcome {
 	key := SubmissionKey(j.ID)
 	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: key}}, Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(kqflow.Submission{Job: j})}}}
 	unsure, refused := false, 0
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, tryTimeout)
+	for try := 1; ctx.Err() == nil && (try == 1 || waits()); try++ {
+		call, cancel := context.WithTimeout(ctx, time.Duration(try)*tryTimeout)
 		_, err := store.Transact(call, t)
 		cancel()
 		if err == nil {
@@ -59,10 +60,12 @@
 }
 
 // StoreCancel marks a stored job as cancelled. It tries on while there is no
-// answer, until ctx ends, and gives up early when the store refuses.
-func StoreCancel(ctx context.Context, store kqrows.Store, id string) Outcome {
-	for refused := 0; ctx.Err() == nil && refused < maxRefused; kqtable.Sleep(ctx, tryPause) {
-		call, cancel := context.WithTimeout(ctx, tryTimeout)
+// answer, until ctx ends or waits says no, and gives up early when the store
+// refuses.
+func StoreCancel(ctx context.Context, store kqrows.Store, id string, waits func() bool) Outcome {
+	refused := 0
+	for try := 1; ctx.Err() == nil && refused < maxRefused && (try == 1 || waits()); try++ {
+		call, cancel := context.WithTimeout(ctx, time.Duration(try)*tryTimeout)
 		o, done, err := tryCancel(call, store, id)
 		cancel()
 		if done {
@@ -71,13 +74,17 @@
 		if errors.Is(err, kqrows.ErrRefused) {
 			refused++
 		}
+		kqtable.Sleep(ctx, tryPause)
 	}
-	if ctx.Err() == nil {
+	if refused >= maxRefused {
 		return OutcomeRefused
 	}
 	return OutcomeUnknown
 }
 
+// Always lets a caller wait until its context ends.
+func Always() bool { return true }
+
 func tryCancel(ctx context.Context, store kqrows.Store, id string) (o Outcome, done bool, err error) {
 	rows, _, err := store.Read(ctx, SubmissionTable, id, After(id))
 	if err != nil {
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -31,7 +31,10 @@
 	Took func(kind string, d time.Duration)
 }
 
-const readTimeout = 900 * time.Millisecond
+const (
+	readTimeout  = 900 * time.Millisecond
+	relayTimeout = 800 * time.Millisecond
+)
 
 // Front is the jobs of one entry. It keeps nothing that must last.
 type Front struct {
@@ -44,6 +47,7 @@
 	send    func(kqmessage.ToOwner)
 	number  uint64
 	waiting map[uint64]chan kqcontrol.Outcome
+	health  health
 }
 
 // New returns a Front without an owner.
@@ -97,10 +101,7 @@
 func (f *Front) Submit(ctx context.Context, j kqflow.Job) kqcontrol.Outcome {
 	began := f.config.Now()
 	j.SubmittedAt = f.config.Wall().Round(0)
-	o := kqcontrol.StoreJob(ctx, f.config.Store, j)
-	if o == kqcontrol.OutcomeRefused && ctx.Err() == nil {
-		o = f.relay(ctx, kqmessage.Submit{Job: &j}, o)
-	}
+	o := f.store(ctx, kqmessage.Submit{Job: &j})
 	now := f.config.Now()
 	took := now.Sub(began).Round(time.Millisecond)
 	f.took("submit", now.Sub(began))
@@ -118,10 +119,7 @@
 // Cancel marks a job as cancelled.
 func (f *Front) Cancel(ctx context.Context, id string) kqcontrol.Outcome {
 	began := f.config.Now()
-	o := kqcontrol.StoreCancel(ctx, f.config.Store, id)
-	if o == kqcontrol.OutcomeRefused && ctx.Err() == nil {
-		o = f.relay(ctx, kqmessage.Submit{Cancel: id}, o)
-	}
+	o := f.store(ctx, kqmessage.Submit{Cancel: id})
 	f.took("cancel", f.config.Now().Sub(began))
 	f.config.Events.Emit(f.config.Now(), kqevent.JobCancelled, kqevent.Job(id), "%s", o)
 	return o
@@ -133,7 +131,26 @@
 	}
 }
 
-// relay hands a request to the owner, once.
+// store makes a request durable: by itself unless the store is out, and else
+// through the owner, which may reach the store.
+func (f *Front) store(ctx context.Context, s kqmessage.Submit) kqcontrol.Outcome {
+	waits := func() bool { return !f.health.out(f.config.Now()) }
+	o := kqcontrol.OutcomeRefused
+	switch {
+	case !waits():
+	case s.Job != nil:
+		o = kqcontrol.StoreJob(ctx, f.observed(), *s.Job, waits)
+	default:
+		o = kqcontrol.StoreCancel(ctx, f.observed(), s.Cancel, waits)
+	}
+	if o == kqcontrol.OutcomeStored || o == kqcontrol.OutcomeAbsent || ctx.Err() != nil {
+		return o
+	}
+	return f.relay(ctx, s, o)
+}
+
+// relay hands a request to the owner, once; otherwise is what is known without
+// it.
 func (f *Front) relay(ctx context.Context, s kqmessage.Submit, otherwise kqcontrol.Outcome) kqcontrol.Outcome {
 	f.mu.Lock()
 	send := f.send
@@ -146,10 +163,13 @@
 	c := make(chan kqcontrol.Outcome, 1)
 	f.waiting[s.Number] = c
 	f.mu.Unlock()
+	defer f.forget(s.Number)
 	send(kqmessage.ToOwner{Submit: &s})
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
 	select {
 	case o, ok := <-c:
-		if ok {
+		if ok && (o != kqcontrol.OutcomeRefused || otherwise == kqcontrol.OutcomeRefused) {
 			return o
 		}
 	case <-ctx.Done():
@@ -157,6 +177,12 @@
 	return kqcontrol.OutcomeUnknown
 }
 
+func (f *Front) forget(number uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.waiting, number)
+}
+
 // State returns the state of a job; found is false if there is no such job.
 func (f *Front) State(ctx context.Context, id string) (s kqflow.State, found bool, err error) {
 	f.mu.Lock()
@@ -176,9 +202,13 @@
 // read asks the store. The owner's record is not read while the owner is
 // connected and has not told of the job: it has not begun then.
 func (f *Front) read(ctx context.Context, id string, linked bool) (kqflow.State, bool, error) {
+	if f.health.out(f.config.Now()) {
+		return "", false, ErrUnavailable
+	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	rows, _, err := f.config.Store.Read(ctx, kqcontrol.SubmissionTable, id, kqcontrol.After(id))
+	store := f.observed()
+	rows, _, err := store.Read(ctx, kqcontrol.SubmissionTable, id, kqcontrol.After(id))
 	if err != nil {
 		return "", false, ErrUnavailable
 	}
@@ -192,7 +222,7 @@
 	if linked {
 		return state, true, nil
 	}
-	rows, _, err = f.config.Store.Read(ctx, kqcontrol.ProgressTable, id, kqcontrol.After(id))
+	rows, _, err = store.Read(ctx, kqcontrol.ProgressTable, id, kqcontrol.After(id))
 	if err != nil {
 		return "", false, ErrUnavailable
 	}
--- /dev/null
+++ b/internal/flow/kqfront/health.go
@@ -0,0 +1,142 @@
+package kqfront
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+const (
+	// outAfter is after how long without any answer, while some call waits for
+	// one, the store counts as out.
+	outAfter = 1100 * time.Millisecond
+	// outFailures is how many calls in a row that broke off do the same.
+	outFailures   = 4
+	probeTimeout  = 1200 * time.Millisecond
+	probeInterval = 200 * time.Millisecond
+)
+
+// health is what an entry believes of the store: while it is out, requests are
+// refused at once, and only probes are sent.
+type health struct {
+	mu          sync.Mutex
+	answeredAt  time.Time
+	waitingFrom time.Time
+	failures    int
+	probing     bool
+}
+
+// out reports whether requests should not wait for the store.
+func (h *health) out(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures >= outFailures || !h.waitingFrom.IsZero() && now.Sub(h.waitingFrom) >= outAfter
+}
+
+// answered notes any answer of the store, also a refusal.
+func (h *health) answered(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answeredAt, h.waitingFrom, h.failures = now, time.Time{}, 0
+}
+
+// unanswered notes a call that ended without an answer, and reports whether the
+// caller should begin to probe.
+func (h *health) unanswered(sent time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sent.Before(h.answeredAt) {
+		return false
+	}
+	h.failures++
+	if h.waitingFrom.IsZero() {
+		h.waitingFrom = sent
+	}
+	begin := !h.probing
+	h.probing = true
+	return begin
+}
+
+// probed ends the probing once the store has answered.
+func (h *health) probed(now time.Time) {
+	h.answered(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.probing = false
+}
+
+// isAnswer reports whether a call that ended so shows that the store is there.
+func isAnswer(err error) bool {
+	return !errors.Is(err, kqrows.ErrUnknown) && !errors.Is(err, kqrows.ErrUnreached)
+}
+
+// prober asks the store until it answers.
+type prober struct {
+	front *Front
+	told  bool
+}
+
+func (p *prober) run() {
+	f := p.front
+	began := f.config.Now()
+	for !p.probe(began) {
+		time.Sleep(probeInterval)
+	}
+}
+
+// probe reports whether the store answers.
+func (p *prober) probe(began time.Time) bool {
+	f := p.front
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	_, _, err := f.config.Store.Read(ctx, kqcontrol.SubmissionTable, probeName, kqcontrol.After(probeName))
+	cancel()
+	now := f.config.Now()
+	if isAnswer(err) {
+		f.health.probed(now)
+		if p.told {
+			f.config.Events.Emit(now, kqevent.StoreAnswers, kqevent.Process("store"), "after %s", now.Sub(began).Round(time.Millisecond))
+		}
+		return true
+	}
+	if f.health.out(now) && !p.told {
+		p.told = true
+		f.config.Events.Emit(now, kqevent.StoreSilent, kqevent.Process("store"), "no answer for %s", now.Sub(began).Round(time.Millisecond))
+	}
+	return false
+}
+
+// probeName is no job's name, so nothing is read.
+const probeName = "-"
+
+// observed returns the store with each outcome of a call noted.
+func (f *Front) observed() kqrows.Store {
+	note := func(sent time.Time, err error) {
+		switch {
+		case isAnswer(err):
+			f.health.answered(f.config.Now())
+		case f.health.unanswered(sent):
+			go (&prober{front: f}).run()
+		}
+	}
+	s := f.config.Store
+	return kqrows.Store{
+		Transact: func(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
+			sent := f.config.Now()
+			o, err := s.Transact(ctx, t)
+			note(sent, err)
+			return o, err
+		},
+		Read: func(ctx context.Context, table, from, to string) ([]kqrows.Row, uint64, error) {
+			sent := f.config.Now()
+			rows, version, err := s.Read(ctx, table, from, to)
+			note(sent, err)
+			return rows, version, err
+		},
+		Follow: s.Follow,
+	}
+}
--- a/internal/seam/kqrows/rows.go
+++ b/internal/seam/kqrows/rows.go
@@ -13,6 +13,8 @@
 var (
 	// ErrRefused says that the store did not do what it was asked.
 	ErrRefused = eris.New("store: refused, nothing was done")
+	// ErrUnreached says the same where the store could not be reached at all.
+	ErrUnreached = eris.Wrap(ErrRefused, "not reached")
 	// ErrUnknown says that the answer is lost: a write may have taken effect.
 	ErrUnknown = eris.New("store: no answer, the outcome is unknown")
 	// ErrHistoryGone says that a feed must be begun anew from a read.
