A cancelled job does not go on after an outage of the store

Ruled out: the entry (its acknowledgement is the store's), late orders. The feed waits for one second, and nothing is started while it has not answered for two. Test: a cancellation after outages of 6 to 12 s in the rig, fails before.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -65,8 +65,11 @@
 	// store takes them one after the other, and a larger batch costs no more.
 	slowCommit    = 150 * time.Millisecond
 	maxBatch      = 40
-	followWait    = 4 * time.Second
-	followSlack   = 800 * time.Millisecond
+	followWait    = time.Second
+	followSlack   = 400 * time.Millisecond
+	// feedAge is after how long without an answer of the feed nothing is started:
+	// a job may have been cancelled since.
+	feedAge = 2 * time.Second
 	readTimeout   = 3 * time.Second
 	sweepInterval = 2 * time.Second
 )
@@ -84,6 +87,7 @@
 	planner     *kqplan.Planner
 	sessions    map[string]*Session
 	confirmedAt time.Time
+	fedAt       time.Time
 	commits     int
 	commitTook  time.Duration
 	beatenAt    time.Time
@@ -110,7 +114,7 @@
 	if !o.Committed {
 		return nil, ErrLost
 	}
-	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent,
+	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent, fedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.Wall().Round(0))}
 	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, Lease: c.Lease, FarFactor: c.FarFactor, Events: c.Events, Counter: c.Counter})
 	if err := x.load(ctx); err != nil {
@@ -246,6 +250,7 @@
 	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.planner.Hold(now.Sub(c.fedAt) > feedAge)
 	c.planner.Tick(now)
 	for c.commits < c.width() {
 		ws := c.planner.Writes(maxBatch)
--- a/internal/flow/kqcontrol/feed.go
+++ b/internal/flow/kqcontrol/feed.go
@@ -37,12 +37,10 @@
 const retryPause = 60 * time.Millisecond
 
 func (f *submissionFeed) take(rows []kqrows.Row) {
-	if len(rows) == 0 {
-		return
-	}
 	c := f.controller
 	now := c.config.Now()
 	c.mu.Lock()
+	c.fedAt = now
 	for _, r := range rows {
 		if r.Removed {
 			c.planner.Forget(r.Name)
@@ -51,7 +49,9 @@
 		c.submitted(now, r, nil)
 	}
 	c.mu.Unlock()
-	c.wake()
+	if len(rows) > 0 {
+		c.wake()
+	}
 }
 
 // readAnew reads the whole table after the feed's history was dropped.
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -90,6 +90,9 @@
 
 // choose returns the best host for a task, or nil.
 func (p *Planner) choose(now time.Time, t *task) *host {
+	if p.hold {
+		return nil
+	}
 	var best *host
 	var all peers
 	bestCost := 0.0
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -40,6 +40,7 @@
 	dirty   map[string]*job
 	effects []Effect
 	place   bool
+	hold    bool
 	active  int
 	backlog int
 
@@ -227,6 +228,14 @@
 // Active returns how many jobs have not ended.
 func (p *Planner) Active() int { return p.active }
 
+// Hold says whether nothing may be started for now.
+func (p *Planner) Hold(on bool) {
+	if p.hold && !on {
+		p.place = true
+	}
+	p.hold = on
+}
+
 // Tick carries out what is due.
 func (p *Planner) Tick(now time.Time) {
 	p.expire(now)
--- /dev/null
+++ b/internal/trial/kqflowrig/outage_test.go
@@ -0,0 +1,49 @@
+package kqflowrig_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
+)
+
+// cancelBound is after how long a cancelled job starts nothing any more.
+const cancelBound = 2500 * time.Millisecond
+
+// A job that is cancelled as the store comes back must not go on, whenever the
+// outage caught the owner's feed.
+func TestACancellationAfterAnOutageIsHeardInTime(t *testing.T) {
+	for outage := 6 * time.Second; outage < 12*time.Second; outage += 400 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			rig := kqflowrig.New(kqflowrig.Config{Seed: 1, Agents: agents, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}})
+			time.Sleep(3 * time.Second)
+			s := kqflow.Step{Count: 2, Size: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}, Estimate: 700 * time.Millisecond}
+			j := kqflow.Job{ID: fmt.Sprintf("%016x", 1), Queue: "urgent", Payload: "p"}
+			for n := range 30 {
+				if n > 0 {
+					s.After = []int{n - 1}
+				}
+				j.Steps = append(j.Steps, s)
+			}
+			rig.Submit(j)
+			rig.Store.SetFaults("", kqrowstore.Faults{Silent: true})
+			time.Sleep(outage)
+			rig.Store.Heal()
+			for !rig.Cancel(j.ID) {
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(cancelBound)
+			rig.Ledger.Forbid(j.ID)
+			time.Sleep(5 * time.Second)
+			rig.Stop()
+			if bad := rig.Ledger.Breaches(); len(bad) > 0 {
+				t.Errorf("outage of %s: %v", outage, bad)
+			}
+		})
+	}
+}
