Gangs start whole or not at all

Cause: members of a gang were started one by one, each with its own number and checkpoint, and nothing restarted the rest when one ended. gang.go: room for every member is found before any starts, in one rack where asked for as long as spreading would cost; one run number, one checkpoint; an end done is that of all; any other end stops the rest and starts all again; failures count for the gang; a gang that stands still starts anew elsewhere; one without room keeps others from what comes free for 4 s of every 8. Ruled out: reserving hosts for it (holds room idle).

--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -104,7 +104,11 @@
 
 func (p *Planner) watchRun(now time.Time, h *host, r *run) {
 	s := r.task.step
-	if r.stopping || !r.seen || s.Standing || s.Gang || r.task.job.state.Final() || r.percent >= fullPercent {
+	if r.stopping || !r.seen || s.Standing || r.task.job.state.Final() || r.percent >= fullPercent {
+		return
+	}
+	if s.Gang {
+		p.watchGang(now, r)
 		return
 	}
 	if s.Fills {
@@ -210,7 +214,7 @@
 func (p *Planner) evacuate(now time.Time, h *host) {
 	for _, r := range h.list() {
 		s := r.task.step
-		if r.stopping || s.Standing || s.Gang {
+		if r.stopping || s.Standing {
 			continue
 		}
 		left := time.Duration(float64(s.Estimate) * h.health.slowdown() * (fullPercent - r.percent) / fullPercent)
@@ -218,6 +222,7 @@
 			p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d: worker %s leaves in %s, %s left",
 				r.number, r.worker, h.info.Remaining, left.Round(time.Millisecond))
 			p.stop(r)
+			p.breakUp(r.task)
 		}
 	}
 }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -22,6 +22,8 @@
 	Zone string `json:"zone,omitempty"`
 	// Labels are the worker's kind and rack.
 	Labels []string `json:"labels,omitempty"`
+	// Rack is the rack that the machine stands in.
+	Rack string `json:"rack,omitempty"`
 	// Capacity is what the worker has.
 	Capacity kqmodel.Resources `json:"capacity,omitzero"`
 	// Draining is true if the worker takes no new tasks.
@@ -245,7 +247,7 @@
 	}
 	r.measure, r.reportedAt = x.Measure, now
 	if x.Saved != "" && !r.stopping {
-		r.task.checkpoint = x.Saved
+		r.task.keep(x.Saved)
 	}
 }
 
@@ -313,7 +315,7 @@
 		t.remove(r)
 	}
 	if e.Saved != "" && (r != nil || len(t.runs) == 0) {
-		t.checkpoint = e.Saved
+		t.keep(e.Saved)
 	}
 	p.config.Events.Emit(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), "run %d on %s: %s", e.Run.Number, h.info.Worker, e.How)
 	h.health.ended(now, r, e.How)
@@ -326,6 +328,7 @@
 		t.shunned = h.name
 		t.retryAt = now.Add(refusedPause)
 	}
+	p.breakUp(t)
 }
 
 const refusedPause = 100 * time.Millisecond
@@ -335,9 +338,15 @@
 	if t.step.Standing || t.job.state.Final() {
 		return
 	}
-	t.done = true
-	for _, r := range t.runs {
-		p.stop(r)
+	ended := []*task{t}
+	if t.step.Gang {
+		ended = t.members()
+	}
+	for _, m := range ended {
+		m.done = true
+		for _, r := range m.runs {
+			p.stop(r)
+		}
 	}
 	if t.job.allDone() {
 		p.config.Events.Emit(now, kqevent.FlowCompleted, kqevent.Job(t.job.spec.ID), "after %s, objective %s",
@@ -355,8 +364,8 @@
 	}
 	t.failed = append(t.failed, number)
 	t.shunned = h.name
-	if len(t.failed) >= max(1, t.job.queue.Attempts) {
-		p.config.Events.Emit(now, kqevent.FlowFailed, kqevent.Job(t.job.spec.ID), "task %s has failed %d times", t.id, len(t.failed))
+	if n := t.failures(); n >= max(1, t.job.queue.Attempts) {
+		p.config.Events.Emit(now, kqevent.FlowFailed, kqevent.Job(t.job.spec.ID), "task %s has failed %d times", t.id, n)
 		p.finish(t.job, kqflow.StateFailed)
 	}
 }
@@ -384,6 +393,7 @@
 	r.task.remove(r)
 	p.write(r.task.job)
 	p.place = true
+	p.breakUp(r.task)
 }
 
 // expire gives up what ran under leases that have ended.
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -52,6 +52,7 @@
 	retryAt    time.Time
 	shunned    string
 	waitingFor string
+	waitingAt  time.Time
 }
 
 // run is a start of a task that has been decided and has not ended.
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -27,6 +27,8 @@
 	// could be preempted.
 	full map[likes]bool
 	firm map[likes]bool
+	// held is true if a gang waits for what comes free.
+	held bool
 }
 
 const (
@@ -54,7 +56,7 @@
 	defer func() { p.backlog = waiting }()
 	for _, j := range p.queued(now) {
 		for _, t := range j.tasks {
-			if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || !t.ready() {
+			if t.done || !t.step.Gang && len(t.runs) > 0 || now.Before(t.retryAt) || !t.ready() {
 				p.place = p.place || now.Before(t.retryAt)
 				continue
 			}
@@ -62,6 +64,17 @@
 				p.place = true
 				continue
 			}
+			if t.step.Gang {
+				if t.id.Index == 0 && p.placeGang(now, t, x) {
+					waiting += t.step.Count
+				}
+				continue
+			}
+			if x.held && !t.step.Fills && !t.step.Standing {
+				waiting++
+				p.place = true
+				continue
+			}
 			if !x.full[t.likes()] {
 				if h := p.choose(now, t); h != nil {
 					p.start(now, t, h)
@@ -130,6 +143,11 @@
 
 // choose returns the best host for a task, or nil.
 func (p *Planner) choose(now time.Time, t *task) *host {
+	return p.chooseAmong(now, t, func(*host) bool { return true })
+}
+
+// chooseAmong returns the best host of those that are allowed, or nil.
+func (p *Planner) chooseAmong(now time.Time, t *task, allowed func(*host) bool) *host {
 	if p.hold {
 		return nil
 	}
@@ -137,7 +155,7 @@
 	var all peers
 	bestCost := 0.0
 	for _, h := range p.hosts {
-		if !p.eligible(now, t, h) {
+		if !allowed(h) || !p.eligible(now, t, h) {
 			continue
 		}
 		if best == nil {
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -47,7 +47,7 @@
 		switch {
 		case r.stopping:
 			free = free.Add(r.reserved())
-		case r.task.job.queue.Priority > t.job.queue.Priority && !r.task.step.Standing:
+		case r.task.job.queue.Priority > t.job.queue.Priority && !r.task.step.Standing && !r.task.step.Gang:
 			lower = append(lower, r)
 		}
 	}
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -121,6 +121,10 @@
 	s := j.Steps[id.Step]
 	out.Speculative = s.Speculative
 	for _, a := range s.After {
+		if j.Steps[a].Gang {
+			// The first end of a member is that of all.
+			continue
+		}
 		for i := range j.Steps[a].Count {
 			out.After = append(out.After, kqflow.TaskID{Job: id.Job, Step: a, Index: i}.String())
 		}
@@ -148,6 +152,9 @@
 		if n > 0 {
 			s.After = []int{n - 1}
 		}
+		if r.rng.IntN(6) == 0 {
+			s.Gang, s.Speculative = true, false
+		}
 		j.Steps = append(j.Steps, s)
 	}
 	return j
