Queues whose policy service approves workers

Cause: starts on a queue with advice need a ticket; the product had no words for it and every such start would have been refused. kqapproval is the seam, approval.go of the plan decides whom to ask about and when (few workers, early, not twice, one question a step at a time), agents put the questions, since the service answers each machine's in turn, and starts carry the ticket. Ruled out: asking from the owner's machine only (one answer after the other).

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -71,6 +71,8 @@
 	FlowRunPreempted     Number = 713
 	FlowRunPaced         Number = 714
 	OrderUnanswered      Number = 715
+	ApprovalAsked        Number = 717
+	ApprovalGiven        Number = 718
 	OrderRefused         Number = 716
 	PeerLinked           Number = 801
 	PeerLost             Number = 802
@@ -157,6 +159,8 @@
 	{FlowRunPaced, "flow_run_paced", "A run that disturbs a serving task works at another share."},
 	{OrderUnanswered, "order_unanswered", "A worker has not answered an order; it is repeated."},
 	{OrderRefused, "order_refused", "A worker has refused an order."},
+	{ApprovalAsked, "approval_asked", "The policy service is asked which workers may run a step."},
+	{ApprovalGiven, "approval_given", "The policy service has answered."},
 	{PeerLinked, "peer_linked", "A process of the system has connected."},
 	{PeerLost, "peer_lost", "The connection with a process of the system has ended."},
 	{RowUnreadable, "row_unreadable", "A stored row cannot be read and is left alone."},
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -100,6 +100,9 @@
 	if m.Ask != 0 {
 		x.grant(now, m.Ask)
 	}
+	if m.Approved != nil {
+		c.planner.Approved(now, name, *m.Approved)
+	}
 	if m.Submit != nil {
 		c.tomb.Go((&relay{session: x, submit: *m.Submit}).run)
 	}
@@ -152,6 +155,9 @@
 	if e.Order != nil {
 		m.Orders = append(m.Orders, e.Order)
 	}
+	if e.Ask != nil {
+		m.Ask = append(m.Ask, e.Ask)
+	}
 	m.Noted = max(m.Noted, e.Noted)
 }
 
--- /dev/null
+++ b/internal/flow/kqexecutor/approval.go
@@ -0,0 +1,36 @@
+package kqexecutor
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+)
+
+// approvalTimeout bounds a question to the policy service, which answers the
+// questions of one machine in turn.
+const approvalTimeout = 8 * time.Second
+
+// question is one question of the owner to the policy service.
+type question struct {
+	executor *Executor
+	ask      kqplan.Ask
+}
+
+func (q *question) run() error {
+	x := q.executor
+	out := kqplan.Approved{Step: q.ask.Step, Workers: q.ask.Workers}
+	if x.config.Policy.Ask != nil {
+		ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), approvalTimeout)
+		answer, err := x.config.Policy.Ask(ctx, q.ask.Step, q.ask.Workers)
+		cancel()
+		out.Answer, out.Answered = answer, err == nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.send != nil {
+		x.send(kqmessage.ToOwner{Approved: &out})
+	}
+	return nil
+}
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -105,7 +105,7 @@
 		return s, true, true, true
 	}
 	o := d.entry.order
-	return kqexecution.Start{Run: d.order, Payload: o.Payload, Checkpoint: o.Checkpoint, Until: max(x.until, x.estimate(x.config.Now())+1), Token: x.epoch}, false, true, true
+	return kqexecution.Start{Run: d.order, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Until: max(x.until, x.estimate(x.config.Now())+1), Token: x.epoch}, false, true, true
 }
 
 // finished reports whether the last order needs no more tries.
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -16,6 +16,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -23,6 +24,8 @@
 type Config struct {
 	// Connect returns the operations of an incarnation of the worker.
 	Connect func(worker string) kqexecution.Worker
+	// Policy is the policy service; it may be missing.
+	Policy kqapproval.Service
 	// MaxLease is the longest lease that the worker takes.
 	MaxLease time.Duration
 	// Now is the clock.
@@ -252,6 +255,11 @@
 	for _, o := range m.Orders {
 		x.order(o)
 	}
+	for _, a := range m.Ask {
+		if x.tomb.Alive() {
+			x.tomb.Go((&question{x, *a}).run)
+		}
+	}
 	if m.Noted > x.noted {
 		x.note(m.Noted)
 	}
--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -195,6 +195,20 @@
 	Stretch float64 `json:"stretch"`
 	// Target is the part of the target that does not depend on the job.
 	Target time.Duration `json:"target"`
+	// Approval is set if a policy service says which workers may run a step.
+	Approval Approval `json:"approval,omitzero"`
+}
+
+// Approval is how the policy service of a queue answers.
+type Approval struct {
+	// Needed is true if workers have to be approved.
+	Needed bool `json:"needed,omitempty"`
+	// Decide and Each are how long an answer takes, and how much longer for each
+	// worker that is asked about.
+	Decide time.Duration `json:"decide,omitempty"`
+	Each   time.Duration `json:"each,omitempty"`
+	// Valid is how long an approval stands.
+	Valid time.Duration `json:"valid,omitempty"`
 }
 
 // Objective returns how long a job may take to meet the target.
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -46,6 +46,8 @@
 	Registered bool `json:"registered,omitempty"`
 	// Submit asks the owner to store a job for an entry.
 	Submit *Submit `json:"submit,omitempty"`
+	// Approved answers an Ask.
+	Approved *kqplan.Approved `json:"approved,omitempty"`
 }
 
 // Submit is a job or a cancellation that an entry cannot store by itself.
@@ -95,6 +97,8 @@
 	Resync bool `json:"resync,omitempty"`
 	// Noted is the number of ends that the worker may forget.
 	Noted uint64 `json:"noted,omitempty"`
+	// Ask is questions to the policy service, for an agent.
+	Ask []*kqplan.Ask `json:"ask,omitempty"`
 	// States is the states of jobs, for an entry.
 	States map[string]kqflow.State `json:"states,omitempty"`
 	// Whole is true if States lists every job.
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -70,6 +70,7 @@
 	health      health
 	paces       map[string]int
 	tally       tally
+	asks        int
 }
 
 func (p *Planner) host(name string) *host {
@@ -109,7 +110,10 @@
 }
 
 // Unlinked notes that the agent of a host is not connected any more.
-func (p *Planner) Unlinked(_ time.Time, name string) { p.host(name).linked = false }
+func (p *Planner) Unlinked(_ time.Time, name string) {
+	h := p.host(name)
+	h.linked, h.asks = false, 0
+}
 
 // Describe takes over what an agent knows of its worker. Another incarnation
 // proves that what the last one ran is gone.
@@ -327,6 +331,7 @@
 	case kqexecution.HowRefused:
 		t.shunned = h.name
 		t.retryAt = now.Add(refusedPause)
+		p.unticket(t, h)
 	}
 	p.breakUp(t)
 }
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -74,6 +74,7 @@
 	reportedAt time.Time
 	measure    float64
 	press      map[string]float64
+	ticket     string
 	room       float64
 	heldAt     time.Time
 }
@@ -242,7 +243,7 @@
 		return &Order{Run: r.key(), Stop: true, Worker: r.worker}
 	}
 	s := r.task.step
-	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Press: r.press, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint,
+	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Press: r.press, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket,
 		Size: s.Size, Fills: s.Fills, TailTarget: s.TailTarget}
 }
 
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -12,11 +12,12 @@
 
 // likes are tasks for which the same hosts have room.
 type likes struct {
-	step       *kqflow.Step
+	job        string
 	occurrence int
+	number     int
 }
 
-func (t *task) likes() likes { return likes{t.step, t.id.Occurrence} }
+func (t *task) likes() likes { return likes{t.job.spec.ID, t.id.Occurrence, t.id.Step} }
 
 // pass is what one look at all waiting tasks has found so far. Room only
 // shrinks meanwhile, so what one task does not find its likes do not find.
@@ -114,6 +115,7 @@
 	p.config.Counter.Check(t.step.Speculative || len(t.runs) == 0, kqinvariant.TaskInTwoPlaces, "task %s", t.id)
 	t.lastRun++
 	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, movedAt: now, press: p.pressOf(t.step, h)}
+	r.ticket, _ = p.ticketFor(now, t, h)
 	t.runs = append(t.runs, r)
 	h.add(r)
 	p.checkRoom(h)
@@ -170,6 +172,27 @@
 }
 
 func (p *Planner) eligible(now time.Time, t *task, h *host) bool {
+	if !p.allowed(now, t, h) {
+		return false
+	}
+	if t.job.queue.Approval.Needed {
+		if _, ok := p.ticketFor(now, t, h); !ok {
+			return false
+		}
+	}
+	s := t.step
+	if s.Fills && !p.fillsIn(now, t, h) {
+		return false
+	}
+	need := s.Reserved()
+	if t.job.queue.Priority > 0 && !s.Fills {
+		need.MilliProcessors += h.info.Capacity.MilliProcessors * headroom / 100
+	}
+	return need.Fits(h.free())
+}
+
+// allowed reports whether a host may run a task, whatever room it has.
+func (p *Planner) allowed(now time.Time, t *task, h *host) bool {
 	s := t.step
 	switch {
 	case !h.usable(now), h.info.Service != t.job.queue.Service:
@@ -181,14 +204,7 @@
 	case h.health.quarantined() && !(h.mayProbe(now) && t.job.queue.Attempts-len(t.failed) > 1):
 		return false
 	}
-	if s.Fills && !p.fillsIn(now, t, h) {
-		return false
-	}
-	need := s.Reserved()
-	if t.job.queue.Priority > 0 && !s.Fills {
-		need.MilliProcessors += h.info.Capacity.MilliProcessors * headroom / 100
-	}
-	return need.Fits(h.free())
+	return true
 }
 
 // sameStep counts the tasks of the same step and occurrence on a host.
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -33,17 +33,19 @@
 
 // Planner is the owner's state. It is not safe for concurrent use.
 type Planner struct {
-	config   Config
-	queues   map[string]kqflow.Queue
-	jobs     map[string]*job
-	hosts    map[string]*host
-	dirty    map[string]*job
-	effects  []Effect
-	place    bool
-	hold     bool
-	active   int
-	backlog  int
-	placedAt time.Time
+	config    Config
+	queues    map[string]kqflow.Queue
+	jobs      map[string]*job
+	hosts     map[string]*host
+	dirty     map[string]*job
+	effects   []Effect
+	place     bool
+	hold      bool
+	active    int
+	backlog   int
+	placedAt  time.Time
+	approvals map[likes]*approval
+	askedAt   time.Time
 
 	press       kqlearn.Press
 	refreshedAt time.Time
@@ -53,7 +55,7 @@
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
 	return &Planner{config: c, queues: map[string]kqflow.Queue{}, jobs: map[string]*job{}, hosts: map[string]*host{},
-		dirty: map[string]*job{}}
+		dirty: map[string]*job{}, approvals: map[likes]*approval{}}
 }
 
 // Epoch returns the owner's epoch.
@@ -87,6 +89,8 @@
 	// Payload and Checkpoint are passed to a start.
 	Payload    string `json:"payload,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Ticket is the policy service's permission, if one is needed.
+	Ticket string `json:"ticket,omitempty"`
 	// Size is what the run takes of the worker.
 	Size kqmodel.Resources `json:"size,omitzero"`
 	// Fills is true if the run uses what others leave unused.
@@ -108,6 +112,8 @@
 	Order *Order
 	// Noted is the number of ends that the host's worker may forget.
 	Noted uint64
+	// Ask is a question to put to the policy service, if not nil.
+	Ask *Ask
 	// Job and State are a state to show, for the entries.
 	Job   string
 	State kqflow.State
@@ -246,6 +252,7 @@
 	p.dueOccurrences(now)
 	p.watchProgress(now)
 	p.refreshPress(now)
+	p.seekApprovals(now)
 	if p.place && now.Sub(p.placedAt) >= p.spacing() {
 		p.place, p.placedAt = false, now
 		p.placeAll(now)
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -22,6 +22,9 @@
 			t.step.PerWorker > 0 && h.sameStep(t) >= t.step.PerWorker {
 			continue
 		}
+		if _, approved := p.ticketFor(now, t, h); t.job.queue.Approval.Needed && !approved {
+			continue
+		}
 		v, ok := h.victims(t, need.Add(coming[h]))
 		if ok && (best == nil || len(v) < len(victims) || len(v) == len(victims) && h.name < best.name) {
 			best, victims = h, v
--- a/internal/seam/kqexecution/execution.go
+++ b/internal/seam/kqexecution/execution.go
@@ -25,6 +25,8 @@
 	Payload string
 	// Checkpoint is where to resume, if not empty.
 	Checkpoint string
+	// Ticket is the policy service's permission, if not empty.
+	Ticket string
 	// Until is the end of the lease of everything on the worker.
 	Until Clock
 	// Token is the fencing token.
