Entries take requests again as soon as the store answers

Probes go out every 250 ms and do not wait for each other. Ruled out: refusals of the store itself (its 503 shows as an answer).

--- a/internal/flow/kqfront/front_test.go
+++ b/internal/flow/kqfront/front_test.go
@@ -60,10 +60,17 @@
 			g.Expect(err).To(MatchError(kqfront.ErrUnavailable))
 			time.Sleep(200 * time.Millisecond)
 		}
+		for range 8 {
+			e.store.Heal()
+			time.Sleep(300 * time.Millisecond)
+			o, _ = e.submit()
+			g.Expect(o).To(Equal(kqcontrol.OutcomeStored))
+			e.store.SetFaults("entry", kqrowstore.Faults{Silent: true})
+			e.submit()
+			time.Sleep(500 * time.Millisecond)
+		}
 		e.store.Heal()
-		time.Sleep(1500 * time.Millisecond)
-		o, _ = e.submit()
-		g.Expect(o).To(Equal(kqcontrol.OutcomeStored))
+		time.Sleep(2 * time.Second)
 	})
 }
 
--- a/internal/flow/kqfront/health.go
+++ b/internal/flow/kqfront/health.go
@@ -18,7 +18,7 @@
 	// outFailures is how many calls in a row that broke off do the same.
 	outFailures   = 4
 	probeTimeout  = 1200 * time.Millisecond
-	probeInterval = 200 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
 )
 
 // health is what an entry believes of the store: while it is out, requests are
@@ -75,39 +75,54 @@
 	return !errors.Is(err, kqrows.ErrUnknown) && !errors.Is(err, kqrows.ErrUnreached)
 }
 
-// prober asks the store until it answers.
+// prober asks the store until it answers. It does not wait for the answer to one
+// question before it puts the next: one that an outage caught stays unanswered
+// after the store is back.
 type prober struct {
 	front *Front
-	told  bool
+	began time.Time
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newProber(f *Front) *prober {
+	return &prober{front: f, began: f.config.Now(), done: make(chan struct{})}
 }
 
 func (p *prober) run() {
 	f := p.front
-	began := f.config.Now()
-	for !p.probe(began) {
-		time.Sleep(probeInterval)
+	told := false
+	for {
+		go (&probe{p}).run()
+		select {
+		case <-p.done:
+			if now := f.config.Now(); told {
+				f.config.Events.Emit(now, kqevent.StoreAnswers, kqevent.Process("store"), "after %s", now.Sub(p.began).Round(time.Millisecond))
+			}
+			return
+		case <-time.After(probeInterval):
+		}
+		if now := f.config.Now(); !told && f.health.out(now) {
+			told = true
+			f.config.Events.Emit(now, kqevent.StoreSilent, kqevent.Process("store"), "no answer for %s", now.Sub(p.began).Round(time.Millisecond))
+		}
 	}
 }
 
-// probe reports whether the store answers.
-func (p *prober) probe(began time.Time) bool {
-	f := p.front
+// probe is one question of a prober.
+type probe struct{ prober *prober }
+
+func (x *probe) run() {
+	f := x.prober.front
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	_, _, err := f.config.Store.Read(ctx, kqcontrol.SubmissionTable, probeName, kqcontrol.After(probeName))
-	cancel()
-	now := f.config.Now()
-	if isAnswer(err) {
-		f.health.probed(now)
-		if p.told {
-			f.config.Events.Emit(now, kqevent.StoreAnswers, kqevent.Process("store"), "after %s", now.Sub(began).Round(time.Millisecond))
-		}
-		return true
-	}
-	if f.health.out(now) && !p.told {
-		p.told = true
-		f.config.Events.Emit(now, kqevent.StoreSilent, kqevent.Process("store"), "no answer for %s", now.Sub(began).Round(time.Millisecond))
+	defer cancel()
+	if _, _, err := f.config.Store.Read(ctx, kqcontrol.SubmissionTable, probeName, kqcontrol.After(probeName)); !isAnswer(err) {
+		return
 	}
-	return false
+	x.prober.once.Do(func() {
+		f.health.probed(f.config.Now())
+		close(x.prober.done)
+	})
 }
 
 // probeName is no job's name, so nothing is read.
@@ -120,7 +135,7 @@
 		case isAnswer(err):
 			f.health.answered(f.config.Now())
 		case f.health.unanswered(sent):
-			go (&prober{front: f}).run()
+			go newProber(f).run()
 		}
 	}
 	s := f.config.Store
