Explain for jobs of steps

flow explain gathers what processes remember of a job and its tasks: from the API's entry, or from the metrics addresses of processes on the users' platform. Test: the events of a flow and its tasks and of no other.

--- a/internal/command/kqcommand/flow.go
+++ b/internal/command/kqcommand/flow.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -20,7 +22,7 @@
 func (a *app) flowCommands() []*cobra.Command {
 	return []*cobra.Command{
 		parent("flow", "Jobs of steps", a.flowSubmit(), a.flowRequest("get", "Read the state of a flow", http.MethodGet),
-			a.flowRequest("cancel", "Cancel a flow; may be sent again", http.MethodDelete), a.flowDemo()),
+			a.flowRequest("cancel", "Cancel a flow; may be sent again", http.MethodDelete), a.flowExplain(), a.flowDemo()),
 		parent("queue", "Classes of work for jobs of steps", a.queueApply(), a.queueList()),
 	}
 }
@@ -90,6 +92,39 @@
 	return o.cobra
 }
 
+// flowExplain gathers what processes remember of a flow: one that stands or has
+// gone says nothing, the others still do.
+func (a *app) flowExplain() *cobra.Command {
+	var processes []netip.AddrPort
+	o := a.operator(&cobra.Command{Use: "explain ID", Args: cobra.ExactArgs(1), Short: "Tell what was decided about a flow and its tasks"})
+	o.settings.AddrPorts(&processes, "processes", "", "metrics addresses of the processes to ask; none means the entry")
+	o.cobra.RunE = func(cmd *cobra.Command, args []string) error {
+		if len(processes) == 0 {
+			processes = []netip.AddrPort{o.entry}
+		}
+		var all []kqgate.ExplainEvent
+		var last error
+		for _, p := range processes {
+			var es []kqgate.ExplainEvent
+			o.entry = p
+			if err := o.request(cmd.Context(), http.MethodGet, "/v1/explain/flow/"+url.PathEscape(args[0]), nil, &es); err != nil {
+				last = err
+			}
+			all = append(all, es...)
+		}
+		if len(all) == 0 && last != nil {
+			return last
+		}
+		slices.SortStableFunc(all, func(a, b kqgate.ExplainEvent) int { return a.At.Compare(b.At) })
+		t := table{head: []string{"AT", "EVENT", "PROCESS", "FLOW OR TASK", "WHY"}}
+		for _, e := range all {
+			t.add(e.At.Format("15:04:05.000"), fmt.Sprintf("%d %s", e.Number, e.Name), e.Process, e.ID, e.Text)
+		}
+		return o.print(all, t)
+	}
+	return o.cobra
+}
+
 func queueTable(vs []kqgate.QueueView) table {
 	t := table{head: []string{"QUEUE", "SERVICE", "PRIORITY", "ATTEMPTS", "STRETCH", "TARGET", "PENDING", "VERSION"}}
 	for _, v := range vs {
--- a/internal/core/kqevent/log.go
+++ b/internal/core/kqevent/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -164,6 +165,21 @@
 
 // About returns the remembered events of a subject, oldest first.
 func (l *Log) About(s Subject) []Event {
+	return l.find(func(x Subject) bool { return x == s })
+}
+
+// AboutJob returns the remembered events of a job and of its tasks, whose names
+// begin with the job's and a dot, oldest first.
+func (l *Log) AboutJob(id string) []Event {
+	return l.find(func(x Subject) bool {
+		return x == Job(id) || x.Kind == "task" && strings.HasPrefix(x.ID, id+".")
+	})
+}
+
+func (l *Log) find(wanted func(Subject) bool) []Event {
+	if l == nil {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Event
@@ -173,7 +189,7 @@
 	}
 	for i := range l.ring {
 		e := l.ring[(start+i)%len(l.ring)]
-		if e.Number != 0 && e.Subject == s {
+		if e.Number != 0 && wanted(e.Subject) {
 			out = append(out, e)
 		}
 	}
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -13,6 +13,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -28,6 +29,8 @@
 	Book *Book
 	// Store keeps the queues.
 	Store kqrows.Store
+	// Events is what the process remembers; may be nil.
+	Events *kqevent.Log
 }
 
 const (
@@ -53,6 +56,7 @@
 	r.POST("/v1/flows", answered(g.postFlow))
 	r.GET("/v1/flows/:id", answered(g.getFlow))
 	r.DELETE("/v1/flows/:id", answered(g.deleteFlow))
+	r.GET(ExplainRoute, answered(g.explain))
 	return r
 }
 
--- a/internal/flow/kqgate/gate_test.go
+++ b/internal/flow/kqgate/gate_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
@@ -19,14 +20,15 @@
 type gate struct {
 	store  *kqrowstore.Store
 	server *httptest.Server
+	events *kqevent.Log
 }
 
 func start(t *testing.T) *gate {
-	x := &gate{store: kqrowstore.New(1)}
+	x := &gate{store: kqrowstore.New(1), events: kqevent.New(kqevent.Config{Process: "entry"})}
 	c := x.store.Client("entry")
 	book := kqgate.NewBook(kqgate.BookConfig{Store: c, Now: time.Now})
-	front := kqfront.New(kqfront.Config{Store: c, Now: time.Now, Wall: time.Now})
-	x.server = httptest.NewServer(kqgate.New(kqgate.Config{Front: front, Book: book, Store: c}).Handler())
+	front := kqfront.New(kqfront.Config{Store: c, Now: time.Now, Wall: time.Now, Events: x.events})
+	x.server = httptest.NewServer(kqgate.New(kqgate.Config{Front: front, Book: book, Store: c, Events: x.events}).Handler())
 	t.Cleanup(func() { x.server.Close(); book.Close() })
 	return x
 }
@@ -117,6 +119,13 @@
 	g.Expect(s).To(Equal(http.StatusOK))
 	_, b = x.send("GET", "/v1/flows/a", "")
 	g.Expect(b).To(MatchJSON(`{"id":"a","state":"cancelled"}`))
+	x.events.Emit(time.Now(), kqevent.FlowRunPlaced, kqevent.Task("a.0.0.1"), "run 1")
+	x.events.Emit(time.Now(), kqevent.FlowRunPlaced, kqevent.Task("ab.0.0.1"), "run 1")
+	_, b = x.send("GET", "/v1/explain/flow/a", "")
+	for _, says := range []string{"flow_accepted", "job_cancelled", `"id":"a.0.0.1"`} {
+		g.Expect(b).To(ContainSubstring(says))
+	}
+	g.Expect(b).NotTo(ContainSubstring("ab.0"))
 	s, _ = x.send("DELETE", "/v1/flows/b", "")
 	g.Expect(s).To(Equal(http.StatusNotFound))
 }
--- a/internal/trial/kqflowdemo/cell.go
+++ b/internal/trial/kqflowdemo/cell.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	x.server, err = kqserver.Start(x.config.Listen, kqgate.New(kqgate.Config{Front: front, Book: x.book, Store: store}).Handler())
+	x.server, err = kqserver.Start(x.config.Listen, kqgate.New(kqgate.Config{Front: front, Book: x.book, Store: store, Events: x.config.Events}).Handler())
 	return err
 }
 
--- a/internal/trial/kqflowdemo/demo.go
+++ b/internal/trial/kqflowdemo/demo.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -100,7 +101,7 @@
 // Run runs a demo to its end.
 func Run(ctx context.Context, c Config) (Report, error) {
 	x, err := NewCell(CellConfig{Workers: c.Workers, Capacity: kqmodel.Resources{MilliProcessors: workerSize, MemoryBytes: workerMemory},
-		Service: service, Listen: c.Listen, Seed: c.Seed})
+		Service: service, Listen: c.Listen, Seed: c.Seed, Events: kqevent.New(kqevent.Config{Process: "demo"})})
 	if err != nil {
 		return Report{}, err
 	}
