Placing reads step by step; words of the plan

What waits is sorted out by isDue, placeGang and placeTask; a gang without room holds others back in its own service only.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -64,11 +64,11 @@
 	until time.Time
 }
 
-func (k likes) name(job string) string { return fmt.Sprintf("%s.%d.%d", job, k.occurrence, k.number) }
+func (k stepKey) name(job string) string { return fmt.Sprintf("%s.%d.%d", job, k.occurrence, k.number) }
 
 // ticketFor returns the ticket with which a task may start on a host.
 func (p *Planner) ticketFor(now time.Time, t *task, h *host) (string, bool) {
-	a := p.approvals[t.likes()]
+	a := p.approvals[t.stepKey()]
 	if a == nil {
 		return "", false
 	}
@@ -87,9 +87,9 @@
 		if !j.queue.Approval.Needed || j.state.Final() {
 			continue
 		}
-		seen := map[likes]bool{}
+		seen := map[stepKey]bool{}
 		for _, t := range j.tasks {
-			if k := t.likes(); !t.done && !seen[k] {
+			if k := t.stepKey(); !t.done && !seen[k] {
 				seen[k] = true
 				p.seek(now, t)
 			}
@@ -101,10 +101,10 @@
 
 // seek asks for a step unless enough workers are approved.
 func (p *Planner) seek(now time.Time, t *task) {
-	a := p.approvals[t.likes()]
+	a := p.approvals[t.stepKey()]
 	if a == nil {
 		a = &approval{refused: map[string]bool{}, tickets: map[string]ticket{}}
-		p.approvals[t.likes()] = a
+		p.approvals[t.stepKey()] = a
 	}
 	if now.Before(a.until) || now.Before(a.retryAt) || t.turnIn() > t.job.queue.Approval.Decide+askAhead {
 		return
@@ -123,7 +123,7 @@
 	a.asked, a.until = by.name, now.Add(x.Decide+time.Duration(len(workers))*x.Each+askSlack)
 	by.asks++
 	p.config.Events.Emit(now, kqevent.ApprovalAsked, kqevent.Job(t.job.spec.ID), "step %d: %d workers through %s, %d tasks wait", t.id.Step, len(workers), by.name, needed)
-	p.effects = append(p.effects, Effect{Host: by.name, Ask: &Ask{Step: t.likes().name(t.job.spec.ID), Workers: workers}})
+	p.effects = append(p.effects, Effect{Host: by.name, Ask: &Ask{Step: t.stepKey().name(t.job.spec.ID), Workers: workers}})
 }
 
 // turnIn returns about how long it takes until the turn of a task.
@@ -241,7 +241,7 @@
 
 // unticket drops a ticket that a worker did not take.
 func (p *Planner) unticket(t *task, h *host) {
-	if a := p.approvals[t.likes()]; a != nil {
+	if a := p.approvals[t.stepKey()]; a != nil {
 		delete(a.tickets, h.info.Worker)
 	}
 }
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -106,7 +106,9 @@
 			p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.id.String()), "no room for %d of %s at once", len(members), t.step.Size)
 		}
 		waited := now.Sub(t.waitingAt) % (gangHold + gangPause)
-		x.held = x.held || waited < gangHold && p.couldFit(now, t, len(members))
+		if waited < gangHold && p.couldFit(now, t, len(members)) {
+			x.held[t.job.queue.Service] = true
+		}
 		return true
 	}
 	t.waitingAt = time.Time{}
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -10,26 +10,27 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
 
-// likes are tasks for which the same hosts have room.
-type likes struct {
+// stepKey names a step of one occurrence of a job; the same hosts have room for
+// all its tasks.
+type stepKey struct {
 	job        string
 	occurrence int
 	number     int
 }
 
-func (t *task) likes() likes { return likes{t.job.spec.ID, t.id.Occurrence, t.id.Step} }
+func (t *task) stepKey() stepKey { return stepKey{t.job.spec.ID, t.id.Occurrence, t.id.Step} }
 
 // pass is what one look at all waiting tasks has found so far. Room only
-// shrinks meanwhile, so what one task does not find its likes do not find.
+// shrinks meanwhile, so what one task of a step does not find no other finds.
 type pass struct {
 	// coming is the room that preempted runs will leave.
 	coming map[*host]kqmodel.Resources
-	// full and firm are the tasks for which no host has room, and for which none
+	// full and firm are the steps for which no host has room, and for which nothing
 	// could be preempted.
-	full map[likes]bool
-	firm map[likes]bool
-	// held is true if a gang waits for what comes free.
-	held bool
+	full map[stepKey]bool
+	firm map[stepKey]bool
+	// held is the services in which a gang waits for what comes free.
+	held map[string]bool
 }
 
 const (
@@ -42,7 +43,7 @@
 )
 
 // spacing is the least time between two passes: while many tasks wait, a pass
-// is dear and a little time costs them nothing.
+// is expensive and a short delay costs them little.
 func (p *Planner) spacing() time.Duration {
 	if p.backlog <= shortQueue {
 		return 0
@@ -52,41 +53,51 @@
 
 // placeAll starts every task whose turn has come and for which there is room.
 func (p *Planner) placeAll(now time.Time) {
-	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[likes]bool{}, firm: map[likes]bool{}}
+	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[stepKey]bool{}, firm: map[stepKey]bool{}, held: map[string]bool{}}
 	waiting := 0
-	defer func() { p.backlog = waiting }()
 	for _, j := range p.queued(now) {
 		for _, t := range j.tasks {
-			if t.done || !t.step.Gang && len(t.runs) > 0 || now.Before(t.retryAt) || !t.ready() {
-				p.place = p.place || now.Before(t.retryAt)
-				continue
-			}
-			if t.gathering(now) {
-				p.place = true
-				continue
-			}
-			if t.step.Gang {
+			switch {
+			case !p.isDue(now, t):
+			case t.step.Gang:
 				if t.id.Index == 0 && p.placeGang(now, t, x) {
 					waiting += t.step.Count
 				}
-				continue
-			}
-			if x.held && !t.step.Fills && !t.step.Standing {
+			case !p.placeTask(now, t, x):
 				waiting++
-				p.place = true
-				continue
-			}
-			if !x.full[t.likes()] {
-				if h := p.choose(now, t); h != nil {
-					p.start(now, t, h)
-					continue
-				}
-				x.full[t.likes()] = true
 			}
-			waiting++
-			p.wait(now, t, x)
 		}
 	}
+	p.backlog = waiting
+}
+
+// isDue reports whether a task may start; a pass will follow if it may soon.
+func (p *Planner) isDue(now time.Time, t *task) bool {
+	if t.done || !t.step.Gang && len(t.runs) > 0 || !t.ready() {
+		return false
+	}
+	if now.Before(t.retryAt) || t.gathering(now) {
+		p.place = true
+		return false
+	}
+	return true
+}
+
+// placeTask starts a task that is no member of a gang if a host has room.
+func (p *Planner) placeTask(now time.Time, t *task, x *pass) bool {
+	if x.held[t.job.queue.Service] && !t.step.Fills && !t.step.Standing {
+		p.place = true
+		return false
+	}
+	if !x.full[t.stepKey()] {
+		if h := p.choose(now, t); h != nil {
+			p.start(now, t, h)
+			return true
+		}
+		x.full[t.stepKey()] = true
+	}
+	p.wait(now, t, x)
+	return false
 }
 
 // gatherTime is how long a standing task waits for others that are handed in at
@@ -103,8 +114,8 @@
 		t.waitingFor = "room"
 		p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.id.String()), "no worker of service %s has room for %s", t.job.queue.Service, t.step.Size)
 	}
-	if !x.firm[t.likes()] && t.job.phase(now) == phaseInTime {
-		x.firm[t.likes()] = !p.preempt(now, t, x.coming)
+	if !x.firm[t.stepKey()] && t.job.phase(now) == phaseInTime {
+		x.firm[t.stepKey()] = !p.preempt(now, t, x.coming)
 	}
 }
 
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -44,7 +44,7 @@
 	active    int
 	backlog   int
 	placedAt  time.Time
-	approvals map[likes]*approval
+	approvals map[stepKey]*approval
 	askedAt   time.Time
 
 	press       kqlearn.Press
@@ -55,7 +55,7 @@
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
 	return &Planner{config: c, queues: map[string]kqflow.Queue{}, jobs: map[string]*job{}, hosts: map[string]*host{},
-		dirty: map[string]*job{}, approvals: map[likes]*approval{}}
+		dirty: map[string]*job{}, approvals: map[stepKey]*approval{}}
 }
 
 // Epoch returns the owner's epoch.
