--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -393,10 +393,10 @@
 		Expect(o[0].Run.Task).To(Equal("b.0.0.0"))
 	})
 
-	DescribeTable("starts a job at once and in its turn though the clock of the entry that took it was stepped", func(step1 time.Duration) {
+	DescribeTable("starts a job at once and in its turn though the clock of the entry that took it was stepped", func(stepped time.Duration) {
 		c.Submit(c.now, job("early", "urgent", c.now, step(1, 2)), nil, 0)
 		c.now = c.now.Add(300 * time.Millisecond)
-		c.Submit(c.now, job("skewed", "urgent", c.now.Add(step1), step(1, 2)), nil, 0)
+		c.Submit(c.now, job("skewed", "urgent", c.now.Add(stepped), step(1, 2)), nil, 0)
 		c.now = c.now.Add(300 * time.Millisecond)
 		c.Submit(c.now, job("last", "urgent", c.now, step(1, 2)), nil, 0)
 		c.host("h1", "w1", 4)
