An overloaded owner of 77 workers keeps up with lasting tasks

With a thousand filling tasks waiting the owner was at its limit: every 200 ms each held filling run looked for another host, each step of filling tasks that finds no room was weighed against every host in every pass, and preempting sorted the runs of hosts whose runs free too little. Now at most 12 held runs look at a time, a pass gives up on filling tasks after 24 steps without room, and hosts that cannot free enough are passed over before sorting. No test of its own: the load shows only against a processor that is charged.

--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -83,6 +83,9 @@
 	moveGain       = 1.6
 	fullPercent    = 100
 	watchInterval  = 200 * time.Millisecond
+	// mostMoves is for how many held runs another host is sought at a time: each
+	// search weighs every host.
+	mostMoves = 12
 )
 
 // watchProgress finds runs that stand still or are slow: a speculative task
@@ -92,6 +95,7 @@
 		return
 	}
 	p.watchedAt = now
+	p.moves = mostMoves
 	for _, h := range p.hosts {
 		if !h.usable(now) {
 			continue
@@ -159,6 +163,9 @@
 	if now.Sub(r.heldAt) < heldTime || r.percent > keepShare || (!s.Checkpoints && r.percent > keepPercent) {
 		return
 	}
+	if p.moves--; p.moves < 0 {
+		return
+	}
 	to := p.choose(now, r.task)
 	if to == nil || to == h || to.paceOf(p.pressOf(s, to)) <= heldPace {
 		return
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -29,6 +29,8 @@
 	// could be preempted.
 	full map[stepKey]bool
 	firm map[stepKey]bool
+	// misses counts the steps of filling tasks for which no host has room.
+	misses int
 	// held is the services in which a gang waits for what comes free.
 	held map[string]bool
 }
@@ -40,6 +42,10 @@
 	// mostSpacing.
 	spacingOf   = 500 * time.Microsecond
 	mostSpacing = 100 * time.Millisecond
+	// mostMisses is for how many steps of filling tasks a pass finds no room
+	// before it leaves those whose turn is later: looking for their room
+	// costs most, since every run on a host counts.
+	mostMisses = 24
 )
 
 // spacing is the least time between two passes: while many tasks wait, a pass
@@ -89,12 +95,15 @@
 		p.place = true
 		return false
 	}
-	if !x.full[t.stepKey()] {
+	if !x.full[t.stepKey()] && (!t.step.Fills || x.misses < mostMisses) {
 		if h := p.choose(now, t); h != nil {
 			p.start(now, t, h)
 			return true
 		}
 		x.full[t.stepKey()] = true
+		if t.step.Fills {
+			x.misses++
+		}
 	}
 	p.wait(now, t, x)
 	return false
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -44,6 +44,7 @@
 	active    int
 	backlog   int
 	placedAt  time.Time
+	moves     int
 	approvals map[stepKey]*approval
 	askedAt   time.Time
 
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -45,15 +45,19 @@
 // stopped already; ok is false if that is not enough.
 func (h *host) victims(t *task, need kqmodel.Resources) (out []*run, ok bool) {
 	free := h.free()
+	most := free
 	var lower []*run
 	for _, r := range h.runs {
 		switch {
 		case r.stopping:
-			free = free.Add(r.reserved())
+			free, most = free.Add(r.reserved()), most.Add(r.reserved())
 		case r.task.job.queue.Priority > t.job.queue.Priority && !r.task.step.Standing && !r.task.step.Gang:
-			lower = append(lower, r)
+			lower, most = append(lower, r), most.Add(r.reserved())
 		}
 	}
+	if !need.Fits(most) {
+		return nil, false
+	}
 	slices.SortFunc(lower, func(a, b *run) int {
 		if a.task.step.Checkpoints != b.task.step.Checkpoints {
 			if a.task.step.Checkpoints {
