One follower of a table, one test of what a host may run, one tally

Read over the change once more; behaviour stays as it is. kqrows.Follower serves the manifest and the queues, which each had a loop of their own. Preempting asks allowed and approved like placing does; a gang's room and a step's questions count by the same fitting. The type use repeated the tally and is gone. An entry builds its watched store once instead of with each request. Left: the rig's Agent and the demo's Member are much alike (virtual network and fixed policy against TCP and a followed one); the steps of the API, of the platform and of the store are three types on purpose, one for each wire form.

--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -48,11 +48,15 @@
 	number  uint64
 	waiting map[uint64]chan kqcontrol.Outcome
 	health  health
+	// watched is the store, with each outcome noted in health.
+	watched kqrows.Store
 }
 
 // New returns a Front without an owner.
 func New(c Config) *Front {
-	return &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}}
+	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}}
+	f.watched = f.observed()
+	return f
 }
 
 // Linked takes over a stream with the owner.
@@ -139,9 +143,9 @@
 	switch {
 	case !waits():
 	case s.Job != nil:
-		o = kqcontrol.StoreJob(ctx, f.observed(), *s.Job, waits)
+		o = kqcontrol.StoreJob(ctx, f.watched, *s.Job, waits)
 	default:
-		o = kqcontrol.StoreCancel(ctx, f.observed(), s.Cancel, waits)
+		o = kqcontrol.StoreCancel(ctx, f.watched, s.Cancel, waits)
 	}
 	if o == kqcontrol.OutcomeStored || o == kqcontrol.OutcomeAbsent || ctx.Err() != nil {
 		return o
@@ -207,8 +211,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	store := f.observed()
-	rows, _, err := store.Read(ctx, kqcontrol.SubmissionTable, id, kqcontrol.After(id))
+	rows, _, err := f.watched.Read(ctx, kqcontrol.SubmissionTable, id, kqcontrol.After(id))
 	if err != nil {
 		return "", false, ErrUnavailable
 	}
@@ -222,7 +225,7 @@
 	if linked {
 		return state, true, nil
 	}
-	rows, _, err = store.Read(ctx, kqcontrol.ProgressTable, id, kqcontrol.After(id))
+	rows, _, err = f.watched.Read(ctx, kqcontrol.ProgressTable, id, kqcontrol.After(id))
 	if err != nil {
 		return "", false, ErrUnavailable
 	}
--- a/internal/flow/kqfront/health.go
+++ b/internal/flow/kqfront/health.go
@@ -42,6 +42,10 @@
 func (h *health) answered(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.reopen(now)
+}
+
+func (h *health) reopen(now time.Time) {
 	h.answeredAt, h.waitingFrom, h.failures = now, time.Time{}, 0
 }
 
@@ -64,9 +68,9 @@
 
 // probed ends the probing once the store has answered.
 func (h *health) probed(now time.Time) {
-	h.answered(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.reopen(now)
 	h.probing = false
 }
 
--- a/internal/flow/kqgate/queue.go
+++ b/internal/flow/kqgate/queue.go
@@ -126,44 +126,11 @@
 }
 
 func (b *Book) loop() error {
-	ctx := b.tomb.Context(context.Background())
-	for b.tomb.Alive() {
-		after, ok := b.readAnew(ctx)
-		for ok && b.tomb.Alive() {
-			after, ok = b.follow(ctx, after)
-		}
-		select {
-		case <-b.tomb.Dying():
-		case <-time.After(followPause):
-		}
-	}
+	kqrows.Follower{Store: b.config.Store, Table: QueueTable, Wait: followWait, Slack: followSlack, Pause: followPause,
+		Take: b.take}.Run(b.tomb.Context(context.Background()))
 	return nil
 }
 
-func (b *Book) readAnew(ctx context.Context) (uint64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, followWait)
-	defer cancel()
-	rows, at, err := b.config.Store.Read(ctx, QueueTable, "", "")
-	if err != nil {
-		return 0, false
-	}
-	b.take(rows)
-	return at, true
-}
-
-func (b *Book) follow(ctx context.Context, after uint64) (uint64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
-	defer cancel()
-	rows, next, err := b.config.Store.Follow(ctx, QueueTable, after, followWait)
-	if err != nil {
-		return after, false
-	}
-	if len(rows) > 0 {
-		b.take(rows)
-	}
-	return next, true
-}
-
 // take puts newer rows in force. Policies are replaced, never changed.
 func (b *Book) take(rows []kqrows.Row) {
 	b.mu.Lock()
--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
 )
 
@@ -76,6 +77,15 @@
 	return x.text, ok && now.Before(x.until)
 }
 
+// approved reports whether the queue of a task lets it start on a host.
+func (p *Planner) approved(now time.Time, t *task, h *host) bool {
+	if !t.job.queue.Approval.Needed {
+		return true
+	}
+	_, ok := p.ticketFor(now, t, h)
+	return ok
+}
+
 // seekApprovals asks for the workers that steps need soon.
 func (p *Planner) seekApprovals(now time.Time) {
 	if now.Sub(p.askedAt) < askInterval {
@@ -147,7 +157,7 @@
 	}
 	for _, h := range p.hosts {
 		if x, ok := a.tickets[h.info.Worker]; ok && now.Before(x.until) && h.usable(now) {
-			waiting -= t.fitting(h)
+			waiting -= t.fitting(h.free())
 		}
 	}
 	if waiting <= 0 {
@@ -156,14 +166,14 @@
 	// Workers take several tasks each; the largest tells how many.
 	each := 1
 	for _, h := range p.hosts {
-		each = max(each, t.fitting(h))
+		each = max(each, t.fitting(h.free()))
 	}
 	return (waiting + each - 1) / each
 }
 
-// fitting returns how many tasks like t a host has room for.
-func (t *task) fitting(h *host) int {
-	n, left, need := 0, h.free(), t.step.Reserved()
+// fitting returns how many tasks of the step a worker with some room takes.
+func (t *task) fitting(left kqmodel.Resources) int {
+	n, need := 0, t.step.Reserved()
 	for need.Fits(left) && n < t.step.Count && (t.step.PerWorker == 0 || n < t.step.PerWorker) {
 		left = left.Sub(need)
 		n++
@@ -184,7 +194,7 @@
 		if a.refused[h.info.Worker] || held && now.Before(x.until) || !p.allowed(now, t, h) {
 			continue
 		}
-		if n := t.fitting(h); n > 0 {
+		if n := t.fitting(h.free()); n > 0 {
 			all = append(all, candidate{h.info.Worker, n})
 		}
 	}
--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -21,22 +21,13 @@
 	leastPace = 10
 )
 
-// use is how the processors of a host are used, in thousandths.
-type use struct {
-	total   int64
-	plain   int64
-	serving int64
-	filling int64
-}
-
-func (h *host) use() use {
-	return use{total: max(1, h.info.Capacity.MilliProcessors), plain: h.tally.plain, serving: h.tally.serving, filling: h.tally.filling}
-}
+// total returns the processors of a host, in thousandths.
+func (h *host) total() int64 { return max(1, h.info.Capacity.MilliProcessors) }
 
-// unused returns what filling tasks may expect to get.
-func (u use) unused(pace int) int64 {
-	left := max(0, u.total-u.plain-u.serving*servingUse/fullPercent)
-	if u.serving > 0 {
+// unused returns the processors that filling tasks may expect to get.
+func (h *host) unused(pace int) int64 {
+	left := max(0, h.total()-h.tally.plain-h.tally.serving*servingUse/fullPercent)
+	if h.tally.serving > 0 {
 		left = left * int64(max(leastPace, pace)) / fullPercent
 	}
 	return left
@@ -73,16 +64,15 @@
 	if h.name == t.shunned {
 		c += shunCost
 	}
-	u := h.use()
-	load := float64(u.plain+u.serving) / float64(u.total)
+	load := float64(h.tally.plain+h.tally.serving) / float64(h.total())
 	switch {
 	case t.step.Fills:
 		press := p.pressOf(t.step, h)
-		c += float64(u.filling+t.step.Size.MilliProcessors) / float64(max(1, u.unused(h.paceOf(press))))
+		c += float64(h.tally.filling+t.step.Size.MilliProcessors) / float64(max(1, h.unused(h.paceOf(press))))
 		switch {
-		case u.serving > 0 && heaviest(press) >= heavyPress:
+		case h.tally.serving > 0 && heaviest(press) >= heavyPress:
 			c += pressCost
-		case u.serving == 0 && all.light:
+		case h.tally.serving == 0 && all.light:
 			// What disturbs little leaves the other hosts to what disturbs much.
 			c += lightCost
 		}
@@ -91,10 +81,10 @@
 		if h.mixes(t.step.Image) {
 			c += mixCost
 		}
-		if u.serving == 0 {
+		if h.tally.serving == 0 {
 			c += openCost
 		}
-		c += packGain*(1-load) + sizeCost*float64(u.total)/float64(all.largest) + pressCost*p.pressBy(h, t)
+		c += packGain*(1-load) + sizeCost*float64(h.total())/float64(all.largest) + pressCost*p.pressBy(h, t)
 	default:
 		c += loadCost * load
 	}
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -62,12 +62,11 @@
 	if t.job.idleSince(now) >= idleBound {
 		return true
 	}
-	u := h.use()
-	if u.serving > 0 && !p.leavesRoom(now, t, h) {
+	if h.tally.serving > 0 && !p.leavesRoom(now, t, h) {
 		return false
 	}
 	need := t.step.Size.MilliProcessors
-	return u.filling == 0 || u.filling+need <= u.unused(h.paceOf(p.pressOf(t.step, h)))*overcommit/fullPercent
+	return h.tally.filling == 0 || h.tally.filling+need <= h.unused(h.paceOf(p.pressOf(t.step, h)))*overcommit/fullPercent
 }
 
 // leavesRoom reports whether the serving tasks of a host bear one more filling
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -1,7 +1,9 @@
 package kqplan
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -155,13 +157,7 @@
 		out = append(out, rack)
 	}
 	slices.SortFunc(out, func(a, b string) int {
-		if free[a] != free[b] {
-			return int(free[b] - free[a])
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(free[b], free[a]), strings.Compare(a, b))
 	})
 	return out
 }
@@ -197,15 +193,9 @@
 
 // couldFit reports whether a gang had room if nothing else ran.
 func (p *Planner) couldFit(now time.Time, t *task, count int) bool {
-	need := t.step.Reserved()
 	for _, h := range p.hosts {
-		if !h.usable(now) || h.info.Service != t.job.queue.Service {
-			continue
-		}
-		left := h.info.Capacity
-		for n := 0; count > 0 && need.Fits(left) && (t.step.PerWorker == 0 || n < t.step.PerWorker); n++ {
-			left = left.Sub(need)
-			count--
+		if h.usable(now) && h.info.Service == t.job.queue.Service {
+			count -= t.fitting(h.info.Capacity)
 		}
 	}
 	return count <= 0
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -152,7 +152,7 @@
 // watchFill moves a filling run that serving tasks hold back to a host where
 // it can work.
 func (p *Planner) watchFill(now time.Time, h *host, r *run) {
-	if h.paceOf(r.press) > heldPace || h.use().serving == 0 {
+	if h.paceOf(r.press) > heldPace || h.tally.serving == 0 {
 		r.heldAt = time.Time{}
 		return
 	}
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -192,14 +192,9 @@
 }
 
 func (p *Planner) eligible(now time.Time, t *task, h *host) bool {
-	if !p.allowed(now, t, h) {
+	if !p.allowed(now, t, h) || !p.approved(now, t, h) {
 		return false
 	}
-	if t.job.queue.Approval.Needed {
-		if _, ok := p.ticketFor(now, t, h); !ok {
-			return false
-		}
-	}
 	s := t.step
 	if s.Fills && !p.fillsIn(now, t, h) {
 		return false
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -17,12 +17,7 @@
 	var best *host
 	var victims []*run
 	for _, h := range p.hosts {
-		if h.tally.stopping == 0 && !h.hasBelow(t.job.queue.Priority) || !h.usable(now) || h.info.Service != t.job.queue.Service || h.health.quarantined() ||
-			t.step.Label != "" && !slices.Contains(h.info.Labels, t.step.Label) ||
-			t.step.PerWorker > 0 && h.sameStep(t) >= t.step.PerWorker {
-			continue
-		}
-		if _, approved := p.ticketFor(now, t, h); t.job.queue.Approval.Needed && !approved {
+		if h.tally.stopping == 0 && !h.hasBelow(t.job.queue.Priority) || h.health.quarantined() || !p.allowed(now, t, h) || !p.approved(now, t, h) {
 			continue
 		}
 		v, ok := h.victims(t, need.Add(coming[h]))
--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -6,9 +6,11 @@
 // that waits is weighed against every host.
 type tally struct {
 	reserved kqmodel.Resources
-	plain    int64
-	serving  int64
-	filling  int64
+	// plain, serving and filling are the processors of each kind of task, in
+	// thousandths.
+	plain   int64
+	serving int64
+	filling int64
 	// byPriority counts the runs of tasks that end, which may be preempted.
 	byPriority map[int]int
 	// stopping counts the runs that are being stopped.
--- a/internal/trial/kqflowdemo/demo.go
+++ b/internal/trial/kqflowdemo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // Config sets up a demo.
@@ -115,7 +116,7 @@
 			return Report{}, err
 		}
 	}
-	sleep(ctx, c.Hold)
+	kqtable.Sleep(ctx, c.Hold)
 	return d.report, nil
 }
 
@@ -224,7 +225,7 @@
 		if ctx.Err() != nil || time.Now().After(end) {
 			return eris.Errorf("waited %s for %s", bound, what)
 		}
-		sleep(ctx, pollInterval)
+		kqtable.Sleep(ctx, pollInterval)
 	}
 	return nil
 }
@@ -234,10 +235,3 @@
 		fmt.Fprintf(d.config.Progress, format+"\n", args...)
 	}
 }
-
-func sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
--- a/internal/trial/kqflowdemo/faults.go
+++ b/internal/trial/kqflowdemo/faults.go
@@ -6,6 +6,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 )
 
@@ -22,11 +23,11 @@
 
 func (f *faults) run(ctx context.Context) error {
 	d := f.demo
-	sleep(ctx, faultEvery)
+	kqtable.Sleep(ctx, faultEvery)
 	if m := d.cell.Owner(); m != nil {
 		d.say("kill the owner %s", m.Name())
 		m.Kill()
-		sleep(ctx, faultEvery)
+		kqtable.Sleep(ctx, faultEvery)
 		if err := m.Start(); err != nil {
 			return err
 		}
@@ -34,10 +35,10 @@
 	m := d.cell.Members[len(d.cell.Members)-1]
 	d.say("restart the worker of %s", m.Name())
 	m.Host.Restart(m.Name())
-	sleep(ctx, faultEvery)
+	kqtable.Sleep(ctx, faultEvery)
 	d.say("take the store away for %s", outage)
 	d.cell.Store.SetFaults("", kqrowstore.Faults{Refuse: true})
-	sleep(ctx, outage)
+	kqtable.Sleep(ctx, outage)
 	d.cell.Store.Heal()
 	return nil
 }
