A line for each decision on a request at any load, and a table of what was lost to what

Change: decisions on requests are bounded at 4,000 a second of each kind (others stay at 100), shares of filling runs are folded into one line a worker and second, tries of a start are logged by powers of two, queued lines share a write. kumquatswitch flow losses reads the logs. Tests: no decision missing under load; losses along the chain.

--- /dev/null
+++ b/internal/command/kqcommand/losses.go
@@ -0,0 +1,65 @@
+package kqcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqloss"
+)
+
+// flowLosses reads logs, so that it works where no process is left to ask.
+func (a *app) flowLosses() *cobra.Command {
+	o := a.operator(&cobra.Command{Use: "losses FILE...", Args: cobra.MinimumNArgs(1),
+		Short: "Tell from logs what flows did not earn and what kept them; - reads standard input"})
+	o.cobra.RunE = func(cmd *cobra.Command, args []string) error {
+		var account kqloss.Account
+		for _, file := range args {
+			if err := readLog(&account, cmd.InOrStdin(), file); err != nil {
+				return err
+			}
+		}
+		r := account.Report()
+		if len(r.Rows) == 0 && r.Pace.ServingMS == 0 {
+			return kqresult.Errorf(kqresult.BadDocument, "no flow was taken in these logs (%d lines could not be read)", r.Unread)
+		}
+		return o.print(r, lossTable(r))
+	}
+	return o.cobra
+}
+
+func readLog(account *kqloss.Account, in io.Reader, file string) error {
+	if file == "-" {
+		return account.Read(in)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return kqresult.Errorf(kqresult.BadDocument, "%v", err)
+	}
+	defer f.Close()
+	return account.Read(f)
+}
+
+const msPerSecond = 1000
+
+func lossTable(r kqloss.Report) table {
+	t := table{head: []string{"QUEUE", "FLOWS", "IN TIME", "LATE", "FAILED", "OPEN", "OWED", "LOST"}}
+	for c := range kqloss.CauseCount {
+		t.head = append(t.head, c.String())
+	}
+	for _, q := range r.Rows {
+		row := []any{q.Queue, q.Jobs, q.InTime, q.Late, q.Failed, q.Open, fmt.Sprintf("%.1f", q.Owed), fmt.Sprintf("%.1f", q.Lost)}
+		for c := range kqloss.CauseCount {
+			row = append(row, fmt.Sprintf("%.1f (%.1f s)", q.By[c.String()], q.Seconds[c.String()]))
+		}
+		t.add(row...)
+	}
+	t.add()
+	t.add(fmt.Sprintf("serving tasks: %.0f s at work, %.0f s over their target by what fills beside them, %.0f s by their own load",
+		r.Pace.ServingMS/msPerSecond, r.Pace.OverByFillingMS/msPerSecond, r.Pace.OverByLoadMS/msPerSecond))
+	t.add(fmt.Sprintf("filling tasks: %.0f core-seconds there, %.0f of it withheld", r.Pace.FillingMS/msPerSecond, r.Pace.WithheldMS/msPerSecond))
+	return t
+}
--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -69,11 +69,11 @@
 	FlowRunLost          Number = 711
 	FlowRunMoved         Number = 712
 	FlowRunPreempted     Number = 713
-	FlowRunPaced         Number = 714
 	OrderUnanswered      Number = 715
 	ApprovalAsked        Number = 717
 	ApprovalGiven        Number = 718
 	OrderRefused         Number = 716
+	FlowPaced            Number = 719
 	PeerLinked           Number = 801
 	PeerLost             Number = 802
 	RowUnreadable        Number = 803
@@ -156,11 +156,11 @@
 	{FlowRunLost, "flow_run_lost", "A run of a task cannot be at work any more."},
 	{FlowRunMoved, "flow_run_moved", "A run of a task is stopped to go on elsewhere."},
 	{FlowRunPreempted, "flow_run_preempted", "A run of a task is stopped to make room for a more urgent one."},
-	{FlowRunPaced, "flow_run_paced", "A run that disturbs a serving task works at another share."},
 	{OrderUnanswered, "order_unanswered", "A worker has not answered an order; it is repeated."},
 	{OrderRefused, "order_refused", "A worker has refused an order."},
 	{ApprovalAsked, "approval_asked", "The policy service is asked which workers may run a step."},
 	{ApprovalGiven, "approval_given", "The policy service has answered."},
+	{FlowPaced, "flow_paced", "What serves on a worker, what presses it and at which shares that works, over the last interval."},
 	{PeerLinked, "peer_linked", "A process of the system has connected."},
 	{PeerLost, "peer_lost", "The connection with a process of the system has ended."},
 	{RowUnreadable, "row_unreadable", "A stored row cannot be read and is left alone."},
@@ -178,5 +178,15 @@
 	return m
 }()
 
+// decisions are the events that each decide on one request, one of its tasks or
+// one of their runs.
+var decisions = map[Number]bool{
+	FlowAccepted: true, FlowRefused: true, FlowUnresolved: true, FlowTaken: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true,
+	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true,
+}
+
+// decides reports whether n is a decision on a request.
+func (n Number) decides() bool { return decisions[n] }
+
 // String returns the name of n.
 func (n Number) String() string { return names[n] }
--- a/internal/core/kqevent/log.go
+++ b/internal/core/kqevent/log.go
@@ -60,6 +60,9 @@
 	// PerSecond bounds how many events of a kind are logged in a second; 0 sets
 	// no bound. What is left out is counted and said with the next one logged.
 	PerSecond int
+	// DecisionsPerSecond is the same bound for each kind that is a decision on a
+	// request, of which none should be missing; 0 sets no bound.
+	DecisionsPerSecond int
 }
 
 // rate bounds the events of one kind.
@@ -77,7 +80,8 @@
 	process string
 	logger  *zap.Logger
 
-	perSecond int
+	perSecond          int
+	decisionsPerSecond int
 
 	mu    sync.Mutex
 	rates map[Number]*rate
@@ -94,7 +98,7 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
-	return &Log{process: c.Process, logger: c.Logger, perSecond: c.PerSecond, rates: map[Number]*rate{}, ring: make([]Event, c.Keep)}
+	return &Log{process: c.Process, logger: c.Logger, perSecond: c.PerSecond, decisionsPerSecond: c.DecisionsPerSecond, rates: map[Number]*rate{}, ring: make([]Event, c.Keep)}
 }
 
 // admit counts an event and returns whether it is logged, and how many of its
@@ -111,7 +115,11 @@
 	if s := now.Unix(); s != r.second {
 		r.second, r.logged = s, 0
 	}
-	if l.perSecond > 0 && r.logged >= l.perSecond {
+	bound := l.perSecond
+	if n.decides() {
+		bound = l.decisionsPerSecond
+	}
+	if bound > 0 && r.logged >= bound {
 		r.leftOut++
 		return 0, false
 	}
@@ -133,12 +141,17 @@
 
 // Emit remembers an event; a nil Log drops it.
 func (l *Log) Emit(now time.Time, n Number, s Subject, format string, args ...any) {
+	l.EmitFields(now, n, s, nil, format, args...)
+}
+
+// EmitFields is Emit with fields for programs that read the log.
+func (l *Log) EmitFields(now time.Time, n Number, s Subject, fields []Field, format string, args ...any) {
 	if l == nil {
 		return
 	}
 	e := Event{Number: n, At: now, Process: l.process, Subject: s, Text: fmt.Sprintf(format, args...)}
 	if leftOut, logged := l.admit(now, n); logged {
-		l.write(e, leftOut)
+		l.write(e, leftOut, fields)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -149,7 +162,7 @@
 	}
 }
 
-func (l *Log) write(e Event, leftOut int) {
+func (l *Log) write(e Event, leftOut int, fields []Field) {
 	if leftOut > 0 {
 		e.Text += fmt.Sprintf(" (%d more of %s left out)", leftOut, e.Number)
 	}
@@ -158,8 +171,8 @@
 		level = zap.DebugLevel
 	}
 	if c := l.logger.Check(level, e.Number.String()); c != nil {
-		c.Write(zap.Uint32("event", uint32(e.Number)), zap.String("process", e.Process),
-			zap.String("kind", e.Subject.Kind), zap.String("id", e.Subject.ID), zap.String("text", e.Text))
+		c.Write(append([]Field{zap.Uint32("event", uint32(e.Number)), zap.String("process", e.Process),
+			zap.String("kind", e.Subject.Kind), zap.String("id", e.Subject.ID), zap.String("text", e.Text)}, fields...)...)
 	}
 }
 
--- a/internal/core/kqevent/log_test.go
+++ b/internal/core/kqevent/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync"
 	"testing"
 	"time"
 
@@ -52,3 +53,47 @@
 	g.Expect(l.Counts()).To(HaveKeyWithValue("flow_waiting", uint64(51)))
 	g.Expect(l.About(kqevent.Task("t"))).To(HaveLen(51))
 }
+
+// The load is that of the largest of the users' deployments: commits of 400
+// starts and ends four times a second, and other events beside them.
+func TestNoDecisionOnARequestIsMissingUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	var out lockedBuffer
+	sink := kqevent.NewSink(&out)
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), sink, zapcore.InfoLevel))
+	l := kqevent.New(kqevent.Config{Process: "p", Logger: logger, PerSecond: 100, DecisionsPerSecond: 4000})
+	now := time.Unix(100, 0)
+	for range 20 {
+		now = now.Add(250 * time.Millisecond)
+		for range 400 {
+			l.EmitFields(now, kqevent.FlowRunPlaced, kqevent.Task("t"), []kqevent.Field{kqevent.Run(1)}, "run")
+			l.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task("t"), []kqevent.Field{kqevent.Run(1), kqevent.How("done")}, "run")
+			l.Emit(now, kqevent.FlowWaiting, kqevent.Task("t"), "no room")
+		}
+		g.Eventually(sink.Queued, time.Second).Should(BeZero())
+	}
+	sink.Close()
+	g.Expect(sink.LeftOut()).To(BeZero())
+	g.Expect(bytes.Count(out.Bytes(), []byte("flow_run_placed"))).To(Equal(20 * 400))
+	g.Expect(bytes.Count(out.Bytes(), []byte("flow_run_ended"))).To(Equal(20 * 400))
+	g.Expect(bytes.Count(out.Bytes(), []byte(`"msg":"flow_waiting"`))).To(BeNumerically("<=", 600))
+}
+
+// lockedBuffer is a buffer that one goroutine writes and another reads.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (x *lockedBuffer) Write(b []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.b.Write(b)
+}
+
+// Bytes returns what was written.
+func (x *lockedBuffer) Bytes() []byte {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return bytes.Clone(x.b.Bytes())
+}
--- a/internal/core/kqevent/sink.go
+++ b/internal/core/kqevent/sink.go
@@ -11,6 +11,9 @@
 const (
 	sinkLines  = 2048
 	flushBound = 300 * time.Millisecond
+	// writeBytes is from how many bytes on no further line is written together
+	// with others: a pipe takes a page whole or not at all.
+	writeBytes = 2 << 10
 )
 
 // Sink passes log lines on without ever making the writer wait: lines that find
@@ -45,6 +48,9 @@
 // LeftOut returns how many lines were left out.
 func (s *Sink) LeftOut() uint64 { return s.left.Load() }
 
+// Queued returns how many lines wait to be written.
+func (s *Sink) Queued() int { return len(s.lines) }
+
 // Close writes what is queued, for a short while at most.
 func (s *Sink) Close() {
 	s.tomb.Kill(nil)
@@ -58,17 +64,31 @@
 	for {
 		select {
 		case line := <-s.lines:
-			_, _ = s.out.Write(line)
+			s.write(line)
 			continue
 		case <-s.tomb.Dying():
 		}
 		for {
 			select {
 			case line := <-s.lines:
-				_, _ = s.out.Write(line)
+				s.write(line)
 			default:
 				return nil
 			}
 		}
 	}
 }
+
+// write writes a line together with those that are queued behind it.
+func (s *Sink) write(line []byte) {
+	for len(line) < writeBytes {
+		select {
+		case more := <-s.lines:
+			line = append(line, more...)
+			continue
+		default:
+		}
+		break
+	}
+	_, _ = s.out.Write(line)
+}
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -139,7 +140,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if err != nil {
-		x.config.Events.Emit(now, kqevent.OrderUnanswered, kqevent.Task(d.order.Task), "start of run %d on %s, try %d", d.order.Number, d.name, d.tries)
+		if bits.OnesCount(uint(d.tries)) == 1 {
+			x.config.Events.Emit(now, kqevent.OrderUnanswered, kqevent.Task(d.order.Task), "start of run %d on %s, try %d", d.order.Number, d.name, d.tries)
+		}
 		return
 	}
 	if clock > x.clock && x.info.Worker == d.name {
@@ -194,10 +197,12 @@
 		switch {
 		case e == nil || e.stopping:
 		case e.order.TailTarget > 0 && r.Measure > 0:
-			room := float64(e.order.TailTarget.Milliseconds()) / r.Measure
+			room := e.room(r)
 			if l, ok := looks[e.order.Image]; !ok || room < l.Room {
 				looks[e.order.Image] = kqpace.Look{Room: room}
 			}
+		case e.order.Fills:
+			e.use = r.Measure / float64(max(1, e.order.Size.MilliProcessors))
 		}
 	}
 	for image, l := range looks {
@@ -212,7 +217,7 @@
 	x.watching = len(filling) > 0 && len(looks) > 0
 	for _, e := range filling {
 		if percent := x.pacer.For(e.order.Press); e.paced != percent && x.listed[e.order.Run] {
-			x.config.Events.Emit(now, kqevent.FlowRunPaced, kqevent.Task(e.order.Run.Task), "run %d at %d %%, rooms %v", e.order.Run.Number, percent, looks)
+			x.watch.change(e.order.Run, percent)
 			x.paceRun(e, e.order.Run, percent)
 		}
 	}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -85,6 +85,7 @@
 	holds    uint64
 	pacer    *kqpace.Group
 	watching bool
+	watch    watch
 }
 
 // entry is a run that was ordered and has not ended.
@@ -94,6 +95,8 @@
 	stopping  bool
 	stoppedAt uint64
 	paced     int
+	// use is the share of its size that a filling run has used lately.
+	use float64
 }
 
 // Start begins to drive.
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -126,6 +126,7 @@
 	fresh := x.takeEnds(h.Ended)
 	fresh = append(fresh, x.absent()...)
 	x.pace(now, h.Running)
+	x.look(now, h.Running)
 	if x.send == nil {
 		return
 	}
--- /dev/null
+++ b/internal/flow/kqloss/loss_test.go
@@ -0,0 +1,121 @@
+package kqloss_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqloss"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+// history drives a planner with one worker and keeps what it logs.
+type history struct {
+	log     bytes.Buffer
+	now     time.Time
+	planner *kqplan.Planner
+}
+
+func newHistory() *history {
+	h := &history{now: time.Unix(1000, 0)}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime, c.TimeKey = zapcore.RFC3339NanoTimeEncoder, "time"
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.AddSync(&h.log), zapcore.InfoLevel), zap.WithClock(h))
+	h.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: h.now, Lease: time.Minute, FarFactor: 1, Events: kqevent.New(kqevent.Config{Process: "p", Logger: logger})})
+	h.planner.SetPolicy(&kqflow.Policy{Queues: map[string]kqflow.Queue{
+		"batch": {Name: "batch", Service: "s", Priority: 2, Attempts: 4, Stretch: 2, Target: time.Second}}})
+	h.planner.Describe(h.now, "h", kqplan.WorkerInfo{Worker: "w", Service: "s", Capacity: kqmodel.Resources{MilliProcessors: 4000, MemoryBytes: 1 << 40}})
+	h.planner.Linked(h.now, "h")
+	h.pass(0)
+	return h
+}
+
+// Now makes history the clock of its log.
+func (h *history) Now() time.Time { return h.now }
+
+// NewTicker makes history a zap clock; nothing ticks.
+func (h *history) NewTicker(d time.Duration) *time.Ticker { return time.NewTicker(d) }
+
+// pass lets time pass and the planner decide and commit.
+func (h *history) pass(d time.Duration) {
+	h.now = h.now.Add(d)
+	h.planner.Granted(h.now, "h", time.Minute)
+	h.planner.Tick(h.now)
+	h.planner.Committed(h.now, h.planner.Writes(100), 1)
+	h.planner.TakeEffects()
+}
+
+func (h *history) submit(id string, steps ...kqflow.Step) {
+	h.planner.Submit(h.now, kqflow.Submission{Job: kqflow.Job{ID: id, Queue: "batch", Steps: steps, SubmittedAt: h.now}}, nil, 0)
+	h.pass(0)
+}
+
+func (h *history) end(number uint64, task string, run uint64, how kqexecution.How) {
+	h.planner.Observe(h.now, "h", kqplan.Report{Worker: "w", Ended: []kqexecution.End{{Number: number, Run: kqexecution.Run{Task: task, Number: run}, How: how}}})
+	h.pass(0)
+}
+
+func (h *history) report(g *WithT) kqloss.Report {
+	var a kqloss.Account
+	g.Expect(a.Read(strings.NewReader("  0.1 host " + h.log.String()))).To(Succeed())
+	return a.Report()
+}
+
+func step(after ...int) kqflow.Step {
+	return kqflow.Step{Count: 1, Size: kqmodel.Resources{MilliProcessors: 3000, MemoryBytes: 1}, Estimate: time.Second, After: after, Fills: true}
+}
+
+// A job that is late because a task waited for room and its second step failed
+// once has lost what these took, and nothing else.
+func TestALossIsAttributedAlongTheChain(t *testing.T) {
+	g := NewWithT(t)
+	h := newHistory()
+	h.submit("a", step())
+	h.submit("b", step(), step(0))
+	h.pass(4 * time.Second)
+	h.end(1, "a.0.0.0", 1, kqexecution.HowDone)
+	h.pass(time.Second)
+	h.end(2, "b.0.0.0", 1, kqexecution.HowDone)
+	h.pass(500 * time.Millisecond)
+	h.end(3, "b.0.1.0", 1, kqexecution.HowFailed)
+	h.pass(time.Second)
+	h.end(4, "b.0.1.0", 2, kqexecution.HowDone)
+	r := h.report(g)
+	g.Expect(r.Rows).To(HaveLen(1))
+	row := r.Rows[0]
+	g.Expect([]int{row.Jobs, row.InTime, row.Late, row.Failed, row.Open}).To(Equal([]int{2, 0, 2, 0, 0}))
+	g.Expect(row.Lost).To(BeNumerically("~", 0.85*row.Owed, 1e-6))
+	g.Expect(row.Seconds["wait"] * 2).To(BeNumerically("~", 4, 0.2))
+	g.Expect(row.Seconds["failed"] * 2).To(BeNumerically("~", 0.5, 0.1))
+	g.Expect(row.Seconds["slow"] * 2).To(BeNumerically("~", 3, 0.1))
+	g.Expect(row.Seconds).NotTo(HaveKey("lost"))
+}
+
+func TestAJobThatNeverEndsIsOpen(t *testing.T) {
+	g := NewWithT(t)
+	h := newHistory()
+	h.submit("a", step())
+	h.pass(time.Second)
+	h.submit("b", step())
+	h.pass(time.Second)
+	h.submit("c", step())
+	r := h.report(g)
+	g.Expect(r.Rows[0].Open).To(Equal(3))
+	g.Expect(r.Rows[0].By["wait"]).To(BeNumerically(">", 0))
+}
+
+func TestWhatCannotBeReadIsCounted(t *testing.T) {
+	g := NewWithT(t)
+	var a kqloss.Account
+	g.Expect(a.Read(strings.NewReader("plain words\n{\"event\": oh\n"))).To(Succeed())
+	g.Expect(a.Report().Unread).To(Equal(1))
+}
--- /dev/null
+++ b/internal/flow/kqloss/table.go
@@ -0,0 +1,131 @@
+package kqloss
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+)
+
+// Row is what became of the jobs of one queue. Worth is counted in jobs of the
+// queue's mean size.
+type Row struct {
+	// Queue names the class of work.
+	Queue string `json:"queue"`
+	// Jobs is how many were taken that have an objective, InTime and Late how many
+	// of them completed, Failed and Open the others but for those that were
+	// cancelled.
+	Jobs   int `json:"jobs"`
+	InTime int `json:"in_time"`
+	Late   int `json:"late"`
+	Failed int `json:"failed"`
+	Open   int `json:"open"`
+	// Owed is what the jobs were worth, Lost what of it was not earned.
+	Owed float64 `json:"owed"`
+	Lost float64 `json:"lost"`
+	// By is the part of Lost by cause, and Seconds the mean time for each job that
+	// was not in time.
+	By      map[string]float64 `json:"by"`
+	Seconds map[string]float64 `json:"seconds"`
+}
+
+// Report is what an Account has found.
+type Report struct {
+	// Rows is the queues in order of what was lost.
+	Rows []Row `json:"queues"`
+	// Pace is what became of serving and filling tasks beside each other.
+	Pace kqpace.Tally `json:"pace"`
+	// Unread is how many lines could not be read.
+	Unread int `json:"unread,omitempty"`
+}
+
+// Report adds up what was found.
+func (a *Account) Report() Report {
+	byQueue := map[string][]*job{}
+	for _, j := range a.jobs {
+		if !j.standing() && j.event != kqevent.FlowCancelled {
+			byQueue[j.queue] = append(byQueue[j.queue], j)
+		}
+	}
+	out := Report{Pace: a.pace, Unread: a.unread}
+	for _, queue := range slices.Sorted(maps.Keys(byQueue)) {
+		out.Rows = append(out.Rows, a.row(queue, byQueue[queue]))
+	}
+	slices.SortStableFunc(out.Rows, func(x, y Row) int { return cmp.Compare(y.Lost, x.Lost) })
+	return out
+}
+
+func (a *Account) row(queue string, jobs []*job) Row {
+	mean := 0.0
+	for _, j := range jobs {
+		mean += j.work() / float64(len(jobs))
+	}
+	out := Row{Queue: queue, Jobs: len(jobs), By: map[string]float64{}, Seconds: map[string]float64{}}
+	missed := 0
+	for _, j := range jobs {
+		value := j.value()
+		weight := min(kqplan.MostWorth, kqplan.FixedWorth+(1-kqplan.FixedWorth)*j.work()/max(mean, leastWork))
+		out.count(j, value)
+		out.Owed += weight
+		out.Lost += weight * (1 - value)
+		if value < 1 && j.event != kqevent.FlowFailed {
+			missed++
+			out.attribute(a.chain(j), weight*(1-value))
+		}
+	}
+	for cause := range out.Seconds {
+		out.Seconds[cause] /= float64(missed)
+	}
+	return out
+}
+
+const leastWork = 1e-9
+
+func (r *Row) count(j *job, value float64) {
+	switch {
+	case value == 1:
+		r.InTime++
+	case j.event == kqevent.FlowCompleted:
+		r.Late++
+	case j.event == kqevent.FlowFailed:
+		r.Failed++
+	default:
+		r.Open++
+	}
+}
+
+// attribute splits a loss by the time that each cause took.
+func (r *Row) attribute(s spent, lost float64) {
+	all := time.Duration(0)
+	for _, d := range s {
+		all += d
+	}
+	for c, d := range s {
+		if d > 0 {
+			r.By[Cause(c).String()] += lost * float64(d) / float64(all)
+			r.Seconds[Cause(c).String()] += d.Seconds()
+		}
+	}
+}
+
+// stepOf returns the step in the name of a task.
+func stepOf(task string) int {
+	parts := strings.Split(task, ".")
+	if len(parts) != taskParts {
+		return -1
+	}
+	n, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+// taskParts is how many parts a task's name has: job, occurrence, step, index.
+const taskParts = 4
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -74,7 +74,7 @@
 	if now.Sub(r.movedAt) <= max(gangStall, time.Duration(gangStallShare*float64(r.task.step.Estimate))) {
 		return
 	}
-	p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d of a gang stands still at %.0f %%", r.number, r.percent)
+	p.moved(now, r, "of a gang stands still at %.0f %%", r.percent)
 	for _, m := range r.task.members() {
 		for _, x := range m.runs {
 			m.shunned = x.host.name
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -170,8 +169,7 @@
 	if to == nil || to == h || to.paceOf(p.pressOf(s, to)) <= heldPace {
 		return
 	}
-	p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d on %s at %.0f %% is held back at %d %%",
-		r.number, r.worker, r.percent, h.paceOf(r.press))
+	p.moved(now, r, "at %.0f %% held back at %d %%", r.percent, h.paceOf(r.press))
 	r.task.shunned = h.name
 	p.stop(r)
 }
@@ -181,7 +179,7 @@
 	t := r.task
 	if len(t.runs) > 1 && stalled {
 		// The other copy may stand still too, so this one makes way.
-		p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(t.id.String()), "run %d on %s stands still beside another copy", r.number, r.worker)
+		p.moved(now, r, "stands still beside another copy")
 		t.shunned = r.host.name
 		p.stop(r)
 		return
@@ -208,8 +206,7 @@
 	if to := p.choose(now, r.task); to == nil || to == h || to.health.slowdown() > slowFactor {
 		return
 	}
-	p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d on %s at %.0f %%, stands still %t, left %s",
-		r.number, r.worker, r.percent, stalled, left.Round(time.Millisecond))
+	p.moved(now, r, "at %.0f %%, stands still %t, left %s", r.percent, stalled, left.Round(time.Millisecond))
 	r.task.shunned = h.name
 	p.stop(r)
 }
@@ -226,8 +223,7 @@
 		}
 		left := time.Duration(float64(s.Estimate) * h.health.slowdown() * (fullPercent - r.percent) / fullPercent)
 		if left > h.info.Remaining {
-			p.config.Events.Emit(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), "run %d: worker %s leaves in %s, %s left",
-				r.number, r.worker, h.info.Remaining, left.Round(time.Millisecond))
+			p.moved(now, r, "its worker leaves in %s, %s left", h.info.Remaining, left.Round(time.Millisecond))
 			p.stop(r)
 			p.breakUp(r.task)
 		}
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -321,7 +321,8 @@
 	if e.Saved != "" && (r != nil || len(t.runs) == 0) {
 		t.keep(e.Saved)
 	}
-	p.config.Events.Emit(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), "run %d on %s: %s", e.Run.Number, h.info.Worker, e.How)
+	p.config.Events.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), []kqevent.Field{kqevent.Run(e.Run.Number), kqevent.How(string(e.How))},
+		"run %d on %s: %s", e.Run.Number, h.info.Worker, e.How)
 	h.health.ended(now, r, e.How)
 	switch e.How {
 	case kqexecution.HowDone:
@@ -394,7 +395,8 @@
 
 // lose takes a run off a host where it cannot be any more.
 func (p *Planner) lose(now time.Time, r *run, why string) {
-	p.config.Events.Emit(now, kqevent.FlowRunLost, kqevent.Task(r.task.id.String()), "run %d on %s: %s", r.number, r.worker, why)
+	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+		"run %d on %s: %s", r.number, r.worker, why)
 	r.task.remove(r)
 	p.write(r.task.job)
 	p.place = true
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -145,7 +145,8 @@
 	}
 	p.write(j)
 	j.held = append(j.held, heldEffect{revision: j.revision, effect: Effect{Host: h.name, Order: r.order()}, run: r})
-	p.config.Events.Emit(now, kqevent.FlowRunPlaced, kqevent.Task(t.id.String()), "run %d on %s of host %s, free %s", r.number, r.worker, h.name, h.free())
+	p.config.Events.EmitFields(now, kqevent.FlowRunPlaced, kqevent.Task(t.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+		"run %d on %s of host %s, free %s", r.number, r.worker, h.name, h.free())
 }
 
 const (
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -144,8 +144,9 @@
 		p.active++
 		j.materialise(now)
 		if j.version == 0 {
-			p.config.Events.Emit(now, kqevent.FlowTaken, kqevent.Job(j.spec.ID), "queue %s, steps %s, objective %s, accepted %s ago",
-				j.spec.Queue, j.spec.Summary(), j.objective, now.Sub(s.Job.SubmittedAt).Round(time.Millisecond))
+			age := now.Sub(s.Job.SubmittedAt)
+			p.config.Events.EmitFields(now, kqevent.FlowTaken, kqevent.Job(j.spec.ID), j.fields(age), "queue %s, steps %s, objective %s, accepted %s ago",
+				j.spec.Queue, j.spec.Summary(), j.objective, age.Round(time.Millisecond))
 		}
 		p.cancel(now, j, s.Cancelled)
 	}
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -30,7 +30,8 @@
 	}
 	coming[best] = coming[best].Add(need)
 	for _, r := range victims {
-		p.config.Events.Emit(now, kqevent.FlowRunPreempted, kqevent.Task(r.task.id.String()), "run %d on %s makes room for %s", r.number, r.worker, t.id)
+		p.config.Events.EmitFields(now, kqevent.FlowRunPreempted, kqevent.Task(r.task.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+			"run %d on %s makes room for %s", r.number, r.worker, t.id)
 		p.stop(r)
 	}
 	return true
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -17,14 +17,14 @@
 	phaseWorthless
 )
 
-// lateFactor is how many objectives after its submission a job is worth nothing.
-const lateFactor = 3
+// LateFactor is how many objectives after its submission a job is worth nothing.
+const LateFactor = 3
 
 func (j *job) phase(now time.Time) phase {
 	switch {
 	case j.spec.Repeat > 0 || j.spec.Steps[0].Standing || !now.After(j.deadline):
 		return phaseInTime
-	case now.Sub(j.spec.SubmittedAt) <= lateFactor*j.objective:
+	case now.Sub(j.spec.SubmittedAt) <= LateFactor*j.objective:
 		return phaseLate
 	}
 	return phaseWorthless
@@ -67,10 +67,10 @@
 }
 
 const (
-	// fixedWorth is the share of a mean job's worth that does not depend on its
-	// work, mostWorth the most that a job counts for against the mean.
-	fixedWorth = 0.3
-	mostWorth  = 4
+	// FixedWorth is the share of a mean job's worth that does not depend on its
+	// work, MostWorth the most that a job counts for against the mean.
+	FixedWorth = 0.3
+	MostWorth  = 4
 	// slackScale is the slack, in objectives, over which the urgency falls by e.
 	slackScale = 0.5
 	// leastWork bounds from below what is left of a job, in core-seconds.
@@ -87,7 +87,7 @@
 	if j.spec.Repeat > 0 || j.objective <= 0 {
 		return 0
 	}
-	worth := min(mostWorth, fixedWorth+(1-fixedWorth)*l.whole/max(leastWork, mean))
+	worth := min(MostWorth, FixedWorth+(1-FixedWorth)*l.whole/max(leastWork, mean))
 	slack := max(0, j.deadline.Sub(now)-l.chain)
 	objective := j.objective.Seconds()
 	return worth / objective / max(leastWork, l.left) * math.Exp(-slack.Seconds()/(slackScale*objective))
