--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -95,7 +95,7 @@
 	if m.Registered {
 		x.registered = true
 		c.planner.Linked(now, name)
-		x.send(kqmessage.FromOwner{Resync: true, Orders: c.planner.Resync(name)})
+		x.send(kqmessage.FromOwner{Resync: true, Orders: c.planner.Resync(now, name)})
 	}
 	if m.Ask != 0 {
 		x.grant(now, m.Ask)
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -7,7 +7,6 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -29,12 +28,13 @@
 		e.stopping = true
 	} else {
 		e.order.Press = o.Press
+		e.due = x.config.Now().Add(o.Left)
 		if x.listed[o.Run] {
 			return
 		}
 	}
 	if e.delivery == nil && o.Fills && !o.Stop {
-		x.pacer.Add(o.Press)
+		x.pacer.Add(e.filling())
 	}
 	if e.delivery == nil {
 		e.delivery = &delivery{executor: x, entry: e, order: o.Run, worker: x.worker, name: x.info.Worker}
@@ -151,7 +151,7 @@
 	switch answer {
 	case kqexecution.AnswerDone:
 		d.entry.delivery = nil
-		if p := x.pacer.For(d.entry.order.Press); d.entry.order.Fills && p != d.entry.paced {
+		if p := x.pacer.Share(d.order); d.entry.order.Fills && p != d.entry.paced {
 			x.paceRun(d.entry, d.order, p)
 		}
 		return
@@ -182,76 +182,3 @@
 	d.entry.stoppedAt = x.holds
 	x.wake()
 }
-
-// pace lets filling tasks work at the share that serving tasks bear; mu is held.
-func (x *Executor) pace(now time.Time, running []kqexecution.Running) {
-	looks := map[string]kqpace.Look{}
-	var filling []*entry
-	for _, e := range x.runs {
-		if e.order.Fills && !e.stopping {
-			filling = append(filling, e)
-		}
-	}
-	for _, r := range running {
-		e := x.runs[r.Run]
-		switch {
-		case e == nil || e.stopping:
-		case e.order.TailTarget > 0 && r.Measure > 0:
-			room := e.room(r)
-			if l, ok := looks[e.order.Image]; !ok || room < l.Room {
-				looks[e.order.Image] = kqpace.Look{Room: room}
-			}
-		case e.order.Fills:
-			e.use = r.Measure / float64(max(1, e.order.Size.MilliProcessors))
-		}
-	}
-	for image, l := range looks {
-		for _, e := range filling {
-			if press := e.order.Press[image]; kqpace.Heavy(press) {
-				l.Press += press
-			}
-		}
-		looks[image] = l
-	}
-	x.pacer.Observe(now, looks)
-	x.watching = len(filling) > 0 && len(looks) > 0
-	for _, e := range filling {
-		if percent := x.pacer.For(e.order.Press); e.paced != percent && x.listed[e.order.Run] {
-			x.watch.change(e.order.Run, percent)
-			x.paceRun(e, e.order.Run, percent)
-		}
-	}
-}
-
-// paceRun tells the worker at which share a run works; mu is held.
-func (x *Executor) paceRun(e *entry, r kqexecution.Run, percent int) {
-	e.paced = percent
-	x.tomb.Go((&pacing{x, e, r, percent}).run)
-}
-
-// pacing tells the worker at which share a run works.
-type pacing struct {
-	executor *Executor
-	entry    *entry
-	of       kqexecution.Run
-	percent  int
-}
-
-func (p *pacing) run() error {
-	x := p.executor
-	x.mu.Lock()
-	worker, token := x.worker, x.epoch
-	x.mu.Unlock()
-	ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), orderTimeout)
-	defer cancel()
-	answer, err := worker.Pace(ctx, p.of, token, p.percent)
-	if err == nil && answer == kqexecution.AnswerDone {
-		return nil
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if p.entry.paced == p.percent {
-		p.entry.paced = -1
-	}
-	return nil
-}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -83,7 +83,7 @@
 	told     uint64
 	reported time.Time
 	holds    uint64
-	pacer    *kqpace.Group
+	pacer    *kqpace.Pacer
 	watching bool
 	watch    watch
 }
@@ -95,14 +95,16 @@
 	stopping  bool
 	stoppedAt uint64
 	paced     int
-	// use is the share of its size that a filling run has used lately.
+	// use is the share of its size that a filling run has used lately, due when
+	// its job is to end.
 	use float64
+	due time.Time
 }
 
 // Start begins to drive.
 func Start(c Config) *Executor {
 	x := &Executor{config: c, kick: make(chan struct{}, 1), gone: map[string]bool{}, runs: map[kqexecution.Run]*entry{},
-		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, pacer: kqpace.NewGroup()}
+		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, pacer: kqpace.New()}
 	x.tomb.Go(x.run)
 	return x
 }
@@ -184,7 +186,7 @@
 	x.listed = map[kqexecution.Run]bool{}
 	x.ends, x.lastEnd, x.noted, x.told = map[uint64]kqexecution.End{}, 0, 0, 0
 	x.askClocks = map[uint64]kqexecution.Clock{}
-	x.pacer = kqpace.NewGroup()
+	x.pacer = kqpace.New()
 	x.wake()
 }
 
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -137,7 +137,8 @@
 	r := kqplan.Report{Worker: x.info.Worker, Ended: fresh}
 	if now.Sub(x.reported) >= reportSpacing {
 		x.reported = now
-		r.Whole, r.Running, r.Paces = true, h.Running, x.pacer.Shares()
+		r.Whole, r.Running = true, h.Running
+		r.Paces, r.Slowed = x.paces()
 	}
 	if r.Whole || len(fresh) > 0 {
 		x.send(kqmessage.ToOwner{Report: &r})
@@ -153,7 +154,9 @@
 		ended = append(ended, e)
 	}
 	slices.SortFunc(ended, func(a, b kqexecution.End) int { return int(a.Number) - int(b.Number) })
-	x.send(kqmessage.ToOwner{Worker: &w, Report: &kqplan.Report{Worker: w.Worker, Whole: true, Running: h.Running, Ended: ended, Paces: x.pacer.Shares()}, Registered: true})
+	r := kqplan.Report{Worker: w.Worker, Whole: true, Running: h.Running, Ended: ended}
+	r.Paces, r.Slowed = x.paces()
+	x.send(kqmessage.ToOwner{Worker: &w, Report: &r, Registered: true})
 	x.asks++
 	x.askClocks[x.asks] = x.clock
 	x.send(kqmessage.ToOwner{Ask: x.asks})
--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -2,141 +2,267 @@
 // beside serving tasks on one worker. It does no I/O.
 package kqpace
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
 
 // The room of a serving task is its target over its tail latency: 1 at the
 // target, more below it. A queue's latency goes with the inverse of what is
 // left of its server, so the disturbance takes away from the room linearly.
 const (
-	// scarceRoom is below which filling tasks are slowed down at once.
+	// scarceRoom is below which filling tasks are slowed down whatever they are
+	// thought to press, tightRoom below which they are by and by.
 	scarceRoom = 1.02
-	// tightRoom is below which they are slowed down by and by.
-	tightRoom = 1.12
-	// easyRoom is above which they may speed up, wideRoom above which faster.
-	easyRoom = 1.25
-	wideRoom = 1.6
+	tightRoom  = 1.12
+	// lostRoom is below which what they press is certainly not known.
+	lostRoom = 0.5
+	// leftRoom is what filling tasks leave, lightLeftRoom what those leave that
+	// press hardly.
+	leftRoom      = 1.22
+	lightLeftRoom = 1.05
 
 	scarceFactor = 0.4
 	tightFactor  = 0.75
-	easyStep     = 8
-	wideStep     = 25
+	// rise is the part of what is left over that is given away at once.
+	rise = 0.5
 
 	// Interval is the least time between two changes.
 	Interval = 250 * time.Millisecond
-	// scarceBound is after how long all filling tasks stand still.
-	scarceBound = 1500 * time.Millisecond
+	// scarceBound is after how long all stand still that are known to press at
+	// all, harmlessBound after how long the others do, too: what was learned of
+	// them may be wrong.
+	scarceBound   = 1500 * time.Millisecond
+	harmlessBound = 2400 * time.Millisecond
 	full        = 100
 	// least is the lowest share; below it filling tasks stand still.
 	least = 4
-	// smoothing is the weight of a new measurement.
+	// smoothing is the weight of a new measurement of more room.
 	smoothing = 0.6
-	// leastPress bounds from below what runs together are taken to press.
-	leastPress = 0.01
-	// lightPress is the room below which a run is slowed down only if slowing
-	// down the others was not enough.
+	// lightPress is the room below which a run presses hardly.
 	lightPress = 0.06
+	// harmlessPress is the room below which a run is taken not to press at all.
+	harmlessPress = 0.005
+	// leastSlack bounds from below the time that a job has left, and lateSlack
+	// stands for a job that is late.
+	leastSlack = 500 * time.Millisecond
+	lateSlack  = time.Minute
 )
 
-// Pacer holds the shares of the filling tasks of one worker: those that
-// disturb much are slowed down first and sped up last.
-type Pacer struct {
-	heavy       float64
-	light       float64
+// Run is a filling run on the worker.
+type Run struct {
+	// Key names the run.
+	Key kqexecution.Run
+	// Press is the room that the run takes at full speed of each image that
+	// serves.
+	Press map[string]float64
+	// Use is the share of its size that the run has used lately.
+	Use float64
+	// Due is when its job is to end.
+	Due time.Time
+}
+
+// press returns the room that a run takes of an image; one that is not listed
+// is taken to be disturbed much.
+func (r Run) press(image string) float64 {
+	if taken, ok := r.Press[image]; ok {
+		return taken
+	}
+	return full
+}
+
+// worst returns the most room that a run takes of any image.
+func (r Run) worst() float64 {
+	most := 0.0
+	for _, taken := range r.Press {
+		most = max(most, taken)
+	}
+	return most
+}
+
+// slack returns the time that the run's job has left.
+func (r Run) slack(now time.Time) time.Duration {
+	if now.After(r.Due) {
+		return lateSlack
+	}
+	return max(leastSlack, r.Due.Sub(now))
+}
+
+// budget is the room of the serving tasks of one image.
+type budget struct {
+	// base is the room that they would have by themselves.
+	base  float64
+	given float64
+	// room is the smoothed room that they have.
 	room        float64
-	press       float64
-	changedAt   time.Time
+	left        float64
 	scarceSince time.Time
+	// scarceFor is how long the room has been scarce.
+	scarceFor time.Duration
 }
 
-// New returns a Pacer that lets filling tasks work at full speed.
-func New() *Pacer { return &Pacer{heavy: full, light: full} }
-
-// Percent returns the share of the runs that disturb much.
-func (p *Pacer) Percent() int { return int(p.heavy) }
+// Pacer holds the shares of the filling runs of one worker. The load pattern
+// that it answers is serving tasks whose own load swings within seconds beside
+// filling tasks of which a few press much: each is given what the room bears,
+// those first that press little and end soon.
+type Pacer struct {
+	budgets   map[string]*budget
+	shares    map[kqexecution.Run]int
+	changedAt time.Time
+}
 
-// Heavy reports whether a run that takes some room is slowed down first.
-func Heavy(press float64) bool { return press >= lightPress }
+// New returns a Pacer that lets filling runs work at full speed.
+func New() *Pacer { return &Pacer{budgets: map[string]*budget{}, shares: map[kqexecution.Run]int{}} }
 
-// For returns the share of a run that takes some room at full speed.
-func (p *Pacer) For(press float64) int {
-	if Heavy(press) {
-		return int(p.heavy)
+// Share returns the share of a run, in percent.
+func (p *Pacer) Share(k kqexecution.Run) int {
+	if s, ok := p.shares[k]; ok {
+		return s
 	}
-	return int(p.light)
+	return full
 }
 
-// Observe takes over the least room of the serving tasks, or 0 if none serves,
-// and the sum of the room that the runs which disturb much take at full speed.
-func (p *Pacer) Observe(now time.Time, room, press float64) {
-	if room <= 0 {
-		*p = Pacer{heavy: full, light: full, changedAt: p.changedAt}
-		return
+// Paces returns the share, in percent, of what presses each image that works.
+func (p *Pacer) Paces(runs []Run) map[string]int {
+	out := make(map[string]int, len(p.budgets))
+	for image := range p.budgets {
+		asked, given := 0.0, 0.0
+		for _, r := range runs {
+			if taken := r.Press[image]; taken >= lightPress {
+				asked += taken
+				given += taken * float64(p.Share(r.Key)) / full
+			}
+		}
+		out[image] = full
+		if asked > 0 {
+			out[image] = int(full * given / asked)
+		}
 	}
-	p.admit(press)
-	if p.room == 0 || room < p.room && room < scarceRoom {
-		p.room = room
+	return out
+}
+
+// Observe takes over the least room of the serving tasks of each image and
+// shares it out.
+func (p *Pacer) Observe(now time.Time, rooms map[string]float64, runs []Run) {
+	for image := range p.budgets {
+		if _, ok := rooms[image]; !ok {
+			delete(p.budgets, image)
+		}
 	}
-	p.room += smoothing * (room - p.room)
-	if p.room >= scarceRoom {
-		p.scarceSince = time.Time{}
-	} else if p.scarceSince.IsZero() {
-		p.scarceSince = now
+	scarce := false
+	for image, room := range rooms {
+		scarce = p.measure(now, image, room, runs) || scarce
 	}
-	if now.Sub(p.changedAt) < Interval {
+	if now.Sub(p.changedAt) < Interval && !scarce {
 		return
 	}
 	p.changedAt = now
-	switch {
-	case p.room < scarceRoom && now.Sub(p.scarceSince) >= scarceBound:
-		p.heavy, p.light = 0, 0
-	case p.room < scarceRoom:
-		p.slow(scarceFactor)
-	case p.room < tightRoom:
-		p.slow(tightFactor)
-	case p.room > wideRoom:
-		p.speed(max(wideStep, p.bearable()))
-	case p.room > easyRoom:
-		p.speed(max(easyStep, p.bearable()))
+	for image, room := range rooms {
+		p.budgets[image].open(now, room)
 	}
+	p.allot(now, runs)
 }
 
-// admit lets no more be taken than there is room for when runs are added: their
-// press is not in the measurements yet.
-func (p *Pacer) admit(press float64) {
-	added := press - p.press
-	p.press = press
-	if added <= 0 || p.room == 0 {
-		return
+// measure follows what serving tasks would have by themselves; it reports
+// whether that has just become scarce.
+func (p *Pacer) measure(now time.Time, image string, room float64, runs []Run) bool {
+	b := p.budgets[image]
+	if b == nil {
+		b = &budget{}
+		p.budgets[image] = b
+	}
+	base := room
+	b.given = 0
+	for _, r := range runs {
+		base += r.Use * r.Press[image]
+		b.given += float64(p.Share(r.Key)) / full * r.press(image)
 	}
-	taken := p.heavy / full * (press - added)
-	bearable := taken + max(0, p.room-easyRoom)
-	p.heavy = min(p.heavy, full*bearable/press)
-	if p.heavy < least {
-		p.heavy = 0
+	if b.base == 0 || base < b.base {
+		b.base = base
 	}
+	b.base += smoothing * (base - b.base)
+	if b.room == 0 || room < b.room && room < scarceRoom {
+		b.room = room
+	}
+	b.room += smoothing * (room - b.room)
+	if b.room >= scarceRoom {
+		b.scarceSince = time.Time{}
+		return false
+	}
+	if !b.scarceSince.IsZero() {
+		return false
+	}
+	b.scarceSince = now
+	return true
 }
 
-// bearable returns by how much the share may rise at once: half of what would
-// take the room down to easyRoom if the runs press as is known.
-func (p *Pacer) bearable() float64 {
-	return full * (p.room - easyRoom) / 2 / max(leastPress, p.press)
+// open decides how much of the room filling runs may take.
+func (b *budget) open(now time.Time, room float64) {
+	b.left = b.base - leftRoom
+	b.scarceFor = 0
+	if !b.scarceSince.IsZero() {
+		b.scarceFor = now.Sub(b.scarceSince)
+	}
+	switch {
+	case room < lostRoom:
+		b.left = min(b.left, 0)
+	case room < scarceRoom:
+		b.left = min(b.left, scarceFactor*b.given)
+	case room < tightRoom:
+		b.left = min(b.left, tightFactor*b.given)
+	case b.left > b.given:
+		b.left = b.given + rise*(b.left-b.given)
+	}
 }
 
-func (p *Pacer) slow(factor float64) {
-	share := &p.heavy
-	if p.heavy == 0 {
-		share = &p.light
-	}
-	*share *= factor
-	if *share < least {
-		*share = 0
+// allot shares the budgets out.
+func (p *Pacer) allot(now time.Time, runs []Run) {
+	order := slices.Clone(runs)
+	cost := func(r Run) float64 { return r.worst() * r.slack(now).Seconds() }
+	slices.SortFunc(order, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), strings.Compare(a.Key.Task, b.Key.Task))
+	})
+	shares := make(map[kqexecution.Run]int, len(order))
+	for _, r := range order {
+		shares[r.Key] = p.take(r)
 	}
+	p.shares = shares
 }
 
-func (p *Pacer) speed(step float64) {
-	if p.light < full {
-		p.light = min(full, p.light+2*step)
-		return
+// take returns the share that the budgets bear for a run and counts it.
+func (p *Pacer) take(r Run) int {
+	share := 1.0
+	for image, b := range p.budgets {
+		taken := r.press(image)
+		left := b.left
+		if taken < lightPress {
+			left += leftRoom - lightLeftRoom
+		}
+		switch {
+		case b.scarceFor >= harmlessBound:
+			share = 0
+		case taken < harmlessPress:
+		case b.scarceFor >= scarceBound:
+			share = 0
+		case left < taken:
+			share = min(share, max(0, left/taken))
+		}
 	}
-	p.heavy = min(full, p.heavy+step)
+	percent := int(share * full)
+	if percent < least {
+		return 0
+	}
+	for image, b := range p.budgets {
+		b.left -= share * r.press(image)
+	}
+	return percent
+}
+
+// Add gives a run that begins what is left before any measurement shows it.
+func (p *Pacer) Add(r Run) {
+	p.shares[r.Key] = p.take(r)
 }
--- a/internal/flow/kqpace/pace_test.go
+++ b/internal/flow/kqpace/pace_test.go
@@ -1,12 +1,14 @@
 package kqpace_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 const (
@@ -14,64 +16,116 @@
 	light = 0.01
 )
 
-func observe(g *kqpace.Group, from time.Time, d time.Duration, looks map[string]kqpace.Look) time.Time {
+func run(n int, press map[string]float64) kqpace.Run {
+	return kqpace.Run{Key: key(n), Press: press, Use: 1, Due: time.Unix(110, 0)}
+}
+
+func key(n int) kqexecution.Run {
+	return kqexecution.Run{Task: fmt.Sprintf("job.0.0.%d", n), Number: 1}
+}
+
+// observe shows a pacer the same rooms for a while; runs use what they are given.
+func observe(p *kqpace.Pacer, from time.Time, d time.Duration, rooms map[string]float64, runs ...kqpace.Run) time.Time {
 	for t := from; t.Before(from.Add(d)); t = t.Add(200 * time.Millisecond) {
-		g.Observe(t, looks)
+		for i := range runs {
+			runs[i].Use = float64(p.Share(runs[i].Key)) / 100
+		}
+		p.Observe(t, rooms, runs)
 	}
 	return from.Add(d)
 }
 
 // Filling work must be at a stand well inside the time for which a serving task
-// may be over its target, what disturbs much first, and come back afterwards.
+// may be over its target, what presses much first, and come back afterwards.
 func TestSharesFollowTheRoomOfServingTasks(t *testing.T) {
 	g := NewWithT(t)
-	p := kqpace.NewGroup()
-	now := time.Unix(100, 0)
-	at := func(room float64) map[string]kqpace.Look {
-		return map[string]kqpace.Look{"web": {Room: room, Press: heavy}}
-	}
-	press := map[string]float64{"web": heavy}
-	now = observe(p, now, time.Second, at(3))
-	g.Expect(p.For(press)).To(Equal(100))
-	now = observe(p, now, time.Second, at(0.8))
-	g.Expect(p.For(press)).To(BeNumerically("<", 20))
-	g.Expect(p.For(map[string]float64{"web": light})).To(Equal(100))
-	now = observe(p, now, 1500*time.Millisecond, at(0.8))
-	g.Expect(p.For(press)).To(BeZero())
-	g.Expect(p.For(map[string]float64{"web": light})).To(BeZero())
-	now = observe(p, now, 4*time.Second, at(3))
-	g.Expect(p.For(press)).To(Equal(100))
-	observe(p, now, time.Second, map[string]kqpace.Look{})
-	g.Expect(p.For(press)).To(Equal(100))
+	p := kqpace.New()
+	pressing, mild := run(1, map[string]float64{"web": heavy}), run(2, map[string]float64{"web": light})
+	rooms := func(room float64) map[string]float64 { return map[string]float64{"web": room} }
+	now := observe(p, time.Unix(100, 0), time.Second, rooms(3), pressing, mild)
+	g.Expect(p.Share(pressing.Key)).To(Equal(100))
+	now = observe(p, now, time.Second, rooms(0.95), pressing, mild)
+	g.Expect(p.Share(pressing.Key)).To(BeNumerically("<", 20))
+	now = observe(p, now, 1500*time.Millisecond, rooms(0.95), pressing, mild)
+	g.Expect(p.Share(pressing.Key)).To(BeZero())
+	g.Expect(p.Share(mild.Key)).To(BeZero())
+	now = observe(p, now, 4*time.Second, rooms(3), pressing, mild)
+	g.Expect(p.Share(pressing.Key)).To(Equal(100))
+	observe(p, now, time.Second, map[string]float64{}, pressing, mild)
+	g.Expect(p.Share(pressing.Key)).To(Equal(100))
+}
+
+// A run that is thought not to press at all may be what takes the room.
+func TestARunThatIsThoughtHarmlessStandsStillIfNothingElseHelps(t *testing.T) {
+	g := NewWithT(t)
+	p := kqpace.New()
+	harmless := run(1, map[string]float64{"web": 0})
+	observe(p, time.Unix(100, 0), 2800*time.Millisecond, map[string]float64{"web": 0.7}, harmless)
+	g.Expect(p.Share(harmless.Key)).To(BeZero())
+}
+
+// One measurement at the target does not begin the time anew.
+func TestANoisyMeasurementDoesNotLetRunsGoOn(t *testing.T) {
+	g := NewWithT(t)
+	p := kqpace.New()
+	harmless := run(1, map[string]float64{"web": 0})
+	now := observe(p, time.Unix(100, 0), 1400*time.Millisecond, map[string]float64{"web": 0.8}, harmless)
+	now = observe(p, now, 200*time.Millisecond, map[string]float64{"web": 1.03}, harmless)
+	observe(p, now, 1400*time.Millisecond, map[string]float64{"web": 0.8}, harmless)
+	g.Expect(p.Share(harmless.Key)).To(BeZero())
 }
 
 func TestARunIsSlowedDownOnlyForWhatItDisturbs(t *testing.T) {
 	g := NewWithT(t)
-	p := kqpace.NewGroup()
-	observe(p, time.Unix(100, 0), 3*time.Second, map[string]kqpace.Look{"a": {Room: 0.7, Press: heavy}, "b": {Room: 3}})
-	g.Expect(p.For(map[string]float64{"a": light, "b": heavy})).To(BeNumerically("<=", 100))
-	g.Expect(p.For(map[string]float64{"a": heavy, "b": light})).To(BeZero())
-	g.Expect(p.For(map[string]float64{"b": light})).To(BeZero(), "an image that is not listed counts as disturbed")
+	p := kqpace.New()
+	other, pressing, unknown := run(1, map[string]float64{"a": light, "b": heavy}), run(2, map[string]float64{"a": heavy, "b": light}), run(3, map[string]float64{"b": light})
+	observe(p, time.Unix(100, 0), time.Second, map[string]float64{"a": 1.1, "b": 3}, other, pressing, unknown)
+	g.Expect(p.Share(other.Key)).To(Equal(100))
+	g.Expect(p.Share(pressing.Key)).To(BeNumerically("<", 40))
+	g.Expect(p.Share(unknown.Key)).To(BeZero(), "an image that is not listed counts as disturbed")
+}
+
+// Room for one of two runs goes to one of them: that whose job ends sooner, or
+// that which presses less, rather than half to each.
+func TestScarceRoomIsNotSpreadThin(t *testing.T) {
+	g := NewWithT(t)
+	p := kqpace.New()
+	sooner, later := run(1, map[string]float64{"web": heavy}), run(2, map[string]float64{"web": heavy})
+	sooner.Due, later.Due = time.Unix(104, 0), time.Unix(120, 0)
+	sooner.Use, later.Use = 0, 0
+	p.Observe(time.Unix(100, 0), map[string]float64{"web": 1.8}, []kqpace.Run{later, sooner})
+	g.Expect(p.Share(sooner.Key)).To(Equal(100))
+	g.Expect(p.Share(later.Key)).To(BeNumerically("<", 30))
 }
 
 func TestAddedRunsGetWhatRoomIsLeft(t *testing.T) {
 	g := NewWithT(t)
-	p := kqpace.NewGroup()
-	observe(p, time.Unix(100, 0), time.Second, map[string]kqpace.Look{"web": {Room: 1.5}})
-	p.Add(map[string]float64{"web": 2})
-	g.Expect(p.For(map[string]float64{"web": 2})).To(BeNumerically("<", 20))
+	p := kqpace.New()
+	observe(p, time.Unix(100, 0), time.Second, map[string]float64{"web": 1.5})
+	added := run(1, map[string]float64{"web": 2})
+	p.Add(added)
+	g.Expect(p.Share(added.Key)).To(BeNumerically("<", 20))
 }
 
 // Runs that are known to press little must not wait for small steps.
 func TestSharesRiseByWhatIsKnown(t *testing.T) {
 	g := NewWithT(t)
-	p := kqpace.NewGroup()
-	press := map[string]float64{"web": 0.1}
-	at := func(room float64) map[string]kqpace.Look {
-		return map[string]kqpace.Look{"web": {Room: room, Press: 0.1}}
-	}
-	now := observe(p, time.Unix(100, 0), 4*time.Second, at(0.8))
-	g.Expect(p.For(press)).To(BeZero())
-	observe(p, now, 2*time.Second, at(1.5))
-	g.Expect(p.For(press)).To(Equal(100))
+	p := kqpace.New()
+	mild := run(1, map[string]float64{"web": 0.1})
+	now := observe(p, time.Unix(100, 0), 4*time.Second, map[string]float64{"web": 0.8}, mild)
+	g.Expect(p.Share(mild.Key)).To(BeZero())
+	observe(p, now, 2*time.Second, map[string]float64{"web": 1.5}, mild)
+	g.Expect(p.Share(mild.Key)).To(Equal(100))
+}
+
+func TestATallyTellsByWhatServingTasksAreOverTheirTarget(t *testing.T) {
+	g := NewWithT(t)
+	var all, one kqpace.Tally
+	one.Serve(time.Second, 1.4, 0.5)
+	one.Serve(time.Second, 0.8, 0.5)
+	one.Serve(time.Second, 0.8, 0)
+	one.Fill(time.Second, 4, 25)
+	all.Merge(one)
+	all.Merge(one)
+	g.Expect(all).To(Equal(kqpace.Tally{ServingMS: 6000, OverByFillingMS: 2000, OverByLoadMS: 2000, FillingMS: 8000, WithheldMS: 6000}))
 }
--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -93,7 +93,7 @@
 	}
 	p.askedAt = now
 	p.forgetApprovals()
-	for _, j := range p.jobs {
+	for _, j := range p.jobs.All() {
 		if !j.queue.Approval.Needed || j.state.Final() {
 			continue
 		}
@@ -155,7 +155,7 @@
 			waiting++
 		}
 	}
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if x, ok := a.tickets[h.info.Worker]; ok && now.Before(x.until) && h.usable(now) {
 			waiting -= t.fitting(h.free())
 		}
@@ -165,7 +165,7 @@
 	}
 	// Workers take several tasks each; the largest tells how many.
 	each := 1
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		each = max(each, t.fitting(h.free()))
 	}
 	return (waiting + each - 1) / each
@@ -189,7 +189,7 @@
 		fits   int
 	}
 	var all []candidate
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		x, held := a.tickets[h.info.Worker]
 		if a.refused[h.info.Worker] || held && now.Before(x.until) || !p.allowed(now, t, h) {
 			continue
@@ -213,7 +213,7 @@
 // serves each machine's questions one by one.
 func (p *Planner) asker(now time.Time) *host {
 	var best *host
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if h.linked && h.asks < asksPerHost && now.Sub(h.heardAt) < hearBound && (best == nil || h.asks < best.asks || h.asks == best.asks && h.name < best.name) {
 			best = h
 		}
@@ -226,7 +226,7 @@
 	h := p.host(by)
 	h.asks = max(0, h.asks-1)
 	for k, a := range p.approvals {
-		j := p.jobs[k.job]
+		j := p.jobs.Get(k.job)
 		if j == nil || a.asked != by || k.name(k.job) != x.Step {
 			continue
 		}
@@ -259,7 +259,7 @@
 // forgetApprovals drops what was said of jobs that have ended.
 func (p *Planner) forgetApprovals() {
 	for k := range p.approvals {
-		if j := p.jobs[k.job]; j == nil || j.state.Final() {
+		if j := p.jobs.Get(k.job); j == nil || j.state.Final() {
 			delete(p.approvals, k)
 		}
 	}
--- a/internal/flow/kqplan/commit.go
+++ b/internal/flow/kqplan/commit.go
@@ -25,14 +25,14 @@
 func (p *Planner) Writes(most int) []Write {
 	var out []Write
 	tasks := 0
-	for id, j := range p.dirty {
+	for id, j := range p.dirty.All() {
 		if len(out) >= most || tasks >= mostWritten {
 			break
 		}
 		if j.inFlight {
 			continue
 		}
-		delete(p.dirty, id)
+		p.dirty.Delete(id)
 		j.inFlight = true
 		tasks += len(j.tasks)
 		out = append(out, Write{Job: id, Record: j.record(p.config.Epoch), Version: j.version})
@@ -43,9 +43,9 @@
 // Refused puts writes back that certainly were not and will not be applied.
 func (p *Planner) Refused(ws []Write) {
 	for _, w := range ws {
-		if j := p.jobs[w.Job]; j != nil {
+		if j := p.jobs.Get(w.Job); j != nil {
 			j.inFlight = false
-			p.dirty[w.Job] = j
+			p.dirty.Put(w.Job, j)
 		}
 	}
 }
@@ -54,7 +54,7 @@
 // them.
 func (p *Planner) Committed(now time.Time, ws []Write, version uint64) {
 	for _, w := range ws {
-		j := p.jobs[w.Job]
+		j := p.jobs.Get(w.Job)
 		if j == nil {
 			continue
 		}
@@ -98,7 +98,7 @@
 func (p *Planner) releaseRun(now time.Time, e heldEffect) {
 	r := e.run
 	switch {
-	case r.host.runs[r.key()] != r:
+	case r.host.runs.Get(r.key()) != r:
 	case r.stopping && !r.ordered:
 		r.task.remove(r)
 		p.write(r.task.job)
@@ -114,7 +114,7 @@
 // Ended returns the jobs that ended before a time and have nothing under way.
 func (p *Planner) Ended(before time.Time) []Write {
 	var out []Write
-	for id, j := range p.jobs {
+	for id, j := range p.jobs.All() {
 		if j.committed.Final() && j.idle() && j.endedAt.Before(before) {
 			out = append(out, Write{Job: id, Version: j.version})
 		}
--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -94,7 +94,7 @@
 // largest returns the processors of the largest host.
 func (p *Planner) largest() int64 {
 	most := int64(1)
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		most = max(most, h.info.Capacity.MilliProcessors)
 	}
 	return most
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -31,7 +31,7 @@
 		return nil
 	}
 	var out map[string]float64
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		if r.task.step.TailTarget == 0 {
 			continue
 		}
@@ -43,6 +43,11 @@
 	return out
 }
 
+// shareOf returns the part of a host's processors that a task of a step takes.
+func (h *host) shareOf(s *kqflow.Step) float64 {
+	return float64(s.Size.MilliProcessors) / float64(h.total())
+}
+
 // pressOn returns the room that a filling task of a step takes of one serving
 // task, and whether that was measured.
 func (p *Planner) pressOn(s *kqflow.Step, serving *run) (press float64, known bool) {
@@ -53,7 +58,7 @@
 // on a host, and whether that was measured.
 func (p *Planner) pressAt(h *host, serving, filling *kqflow.Step) (press float64, known bool) {
 	whole, known := p.press.Of(serving.Image, filling.Image)
-	return whole * float64(filling.Size.MilliProcessors) / float64(max(1, h.info.Capacity.MilliProcessors)), known
+	return whole * h.shareOf(filling), known
 }
 
 // fillsIn reports whether a filling task would get enough on a host and leave
@@ -73,7 +78,7 @@
 // task. Runs that have begun so lately that no measurement shows them count;
 // an image whose press is not known is tried with one run at a time.
 func (p *Planner) leavesRoom(now time.Time, t *task, h *host) bool {
-	for _, s := range h.runs {
+	for _, s := range h.runs.All() {
 		if s.task.step.TailTarget == 0 {
 			continue
 		}
@@ -85,7 +90,7 @@
 			return false
 		}
 		left := s.room - press
-		for _, f := range h.runs {
+		for _, f := range h.runs.All() {
 			if !f.task.step.Fills {
 				continue
 			}
@@ -133,8 +138,8 @@
 		return
 	}
 	p.refreshedAt = now
-	for _, h := range p.hosts {
-		for _, r := range h.runs {
+	for _, h := range p.hosts.All() {
+		for _, r := range h.runs.All() {
 			if !r.task.step.Fills || !r.ordered || r.stopping || r.worker != h.info.Worker {
 				continue
 			}
@@ -143,7 +148,7 @@
 				continue
 			}
 			r.press = press
-			p.effects = append(p.effects, Effect{Host: h.name, Order: r.order()})
+			p.effects = append(p.effects, Effect{Host: h.name, Order: r.order(now)})
 		}
 	}
 }
@@ -167,7 +172,7 @@
 // lightSomewhere reports whether a filling task disturbs little on some host
 // where others serve.
 func (p *Planner) lightSomewhere(s *kqflow.Step) bool {
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if press := p.pressOf(s, h); press != nil && heaviest(press) < heavyPress {
 			return true
 		}
@@ -199,7 +204,7 @@
 // mixes reports whether a host serves an image other than the given one: what
 // disturbs one image may leave others alone, so images are kept apart.
 func (h *host) mixes(image string) bool {
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		if r.task.step.TailTarget > 0 && r.task.step.Image != image {
 			return true
 		}
@@ -211,7 +216,7 @@
 // serving task.
 func (p *Planner) pressBy(h *host, t *task) float64 {
 	sum := 0.0
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		if r.task.step.Fills {
 			press, _ := p.pressAt(h, t.step, r.task.step)
 			sum += press
--- /dev/null
+++ b/internal/flow/kqplan/fill_test.go
@@ -0,0 +1,78 @@
+package kqplan_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+var _ = Describe("filling runs beside serving tasks", func() {
+	var c *cell
+	var runs map[kqexecution.Run]string
+	BeforeEach(func() {
+		c = newCell(1)
+		runs = map[kqexecution.Run]string{}
+		c.host("h1", "w1", 32)
+		standing := kqflow.Step{Count: 1, Size: step(1, 6).Size, Standing: true, Image: "web", TailTarget: 100 * time.Millisecond}
+		c.Submit(c.now, job("web", "urgent", c.now.Add(-time.Second), standing), nil, 0)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+		c.report("h1", "w1", 25, nil)
+		fill := step(2, 3)
+		fill.Fills, fill.Checkpoints, fill.Image, fill.Estimate = true, true, "scan", 10*time.Second
+		c.Submit(c.now, job("scan", "batch", c.now, fill), nil, 0)
+		c.settle()
+		for _, o := range c.take() {
+			Expect(o.Stop).To(BeFalse())
+			Expect(o.Left).To(BeNumerically("~", 21*time.Second, time.Second), "the agent weighs what ends soon")
+			runs[o.Run] = "h1"
+		}
+		Expect(runs).NotTo(BeEmpty())
+	})
+	AfterEach(func() { Expect(c.counter.Breaches()).To(BeEmpty()) })
+
+	// A run may be held back though the others of its image are not.
+	It("moves a run that is held back by itself to a host where it can work", func() {
+		held := kqexecution.Run{Task: "scan.0.0.0", Number: 1}
+		Expect(runs).To(HaveKey(held))
+		for range 4 {
+			c.now = c.now.Add(400 * time.Millisecond)
+			c.report("h1", "w1", 25, []kqplan.Slowed{{Run: held, Percent: 5}})
+			c.settle()
+		}
+		Expect(c.take()).To(BeEmpty(), "there is no other host")
+		c.host("h2", "w2", 32)
+		for range 4 {
+			c.now = c.now.Add(400 * time.Millisecond)
+			c.report("h1", "w1", 25, []kqplan.Slowed{{Run: held, Percent: 5}})
+			c.report("h2", "w2", 0, nil)
+			c.settle()
+		}
+		var stopped []kqexecution.Run
+		for _, o := range c.take() {
+			if o.Stop {
+				stopped = append(stopped, o.Run)
+			}
+		}
+		Expect(stopped).To(Equal([]kqexecution.Run{held}))
+	})
+})
+
+// report shows the standing task's tail latency, in milliseconds, and how runs
+// that fill get on.
+func (c *cell) report(host, worker string, tail float64, slowed []kqplan.Slowed) {
+	c.Granted(c.now, host, 7*time.Second)
+	r := kqplan.Report{Worker: worker, Whole: true, Slowed: slowed}
+	if tail > 0 {
+		r.Running = append(r.Running, kqexecution.Running{Run: kqexecution.Run{Task: "web.0.0.0", Number: 1}, Percent: 100, Measure: tail})
+	}
+	for _, s := range slowed {
+		r.Running = append(r.Running, kqexecution.Running{Run: s.Run, Percent: 10, Measure: 100})
+	}
+	c.Observe(c.now, host, r)
+}
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -147,7 +147,7 @@
 // racks lists the racks, those with most room first.
 func (p *Planner) racks() []string {
 	free := map[string]int64{}
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if h.info.Rack != "" {
 			free[h.info.Rack] += h.free().MilliProcessors
 		}
@@ -193,7 +193,7 @@
 
 // couldFit reports whether a gang had room if nothing else ran.
 func (p *Planner) couldFit(now time.Time, t *task, count int) bool {
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if h.usable(now) && h.info.Service == t.job.queue.Service {
 			count -= t.fitting(h.info.Capacity)
 		}
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -67,7 +67,7 @@
 	if now.Before(h.health.probeAt) {
 		return false
 	}
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		if !r.startedAt.Before(h.health.probeAt) && !r.task.step.Standing {
 			return false
 		}
@@ -95,7 +95,7 @@
 	}
 	p.watchedAt = now
 	p.moves = mostMoves
-	for _, h := range p.hosts {
+	for _, h := range p.hostsInTurn() {
 		if !h.usable(now) {
 			continue
 		}
@@ -105,6 +105,20 @@
 	}
 }
 
+// hostsInTurn lists the hosts, each time from another one on, so that none is
+// always the last for which moves are left.
+func (p *Planner) hostsInTurn() []*host {
+	out := make([]*host, 0, p.hosts.Len())
+	for _, h := range p.hosts.All() {
+		out = append(out, h)
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	p.watches = (p.watches + len(out)/2 + 1) % len(out)
+	return append(out[p.watches:], out[:p.watches]...)
+}
+
 func (p *Planner) watchRun(now time.Time, h *host, r *run) {
 	s := r.task.step
 	if r.stopping || !r.seen || s.Standing || r.task.job.state.Final() || r.percent >= fullPercent {
@@ -151,7 +165,7 @@
 // watchFill moves a filling run that serving tasks hold back to a host where
 // it can work.
 func (p *Planner) watchFill(now time.Time, h *host, r *run) {
-	if h.paceOf(r.press) > heldPace || h.tally.serving == 0 {
+	if r.pace > heldPace || h.tally.serving == 0 {
 		r.heldAt = time.Time{}
 		return
 	}
@@ -169,7 +183,7 @@
 	if to == nil || to == h || to.paceOf(p.pressOf(s, to)) <= heldPace {
 		return
 	}
-	p.moved(now, r, "at %.0f %% held back at %d %%", r.percent, h.paceOf(r.press))
+	p.moved(now, r, "at %.0f %% held back at %d %%", r.percent, r.pace)
 	r.task.shunned = h.name
 	p.stop(r)
 }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -8,6 +8,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -45,10 +46,21 @@
 	// Paces is the share, in percent, at which runs work that disturb an image of
 	// serving tasks much; it is given if Whole.
 	Paces map[string]int `json:"paces,omitempty"`
+	// Slowed is the filling runs that do not work at full speed; it is given if
+	// Whole.
+	Slowed []Slowed `json:"slowed,omitempty"`
 	// Ended is ends that were not noted yet.
 	Ended []kqexecution.End `json:"ended,omitempty"`
 }
 
+// Slowed is a run that works at a share of its speed.
+type Slowed struct {
+	// Run names the run.
+	Run kqexecution.Run `json:"run"`
+	// Percent is the share.
+	Percent int `json:"percent"`
+}
+
 // heldEnd is an end that is noted once its job is committed.
 type heldEnd struct {
 	number uint64
@@ -62,7 +74,7 @@
 	info        WorkerInfo
 	grantedTill time.Time
 	heardAt     time.Time
-	runs        map[kqexecution.Run]*run
+	runs        kqordered.Map[kqexecution.Run, *run]
 	strays      map[kqexecution.Run]time.Time
 	ends        []*heldEnd
 	taken       uint64
@@ -74,10 +86,10 @@
 }
 
 func (p *Planner) host(name string) *host {
-	h := p.hosts[name]
+	h := p.hosts.Get(name)
 	if h == nil {
-		h = &host{name: name, runs: map[kqexecution.Run]*run{}, strays: map[kqexecution.Run]time.Time{}}
-		p.hosts[name] = h
+		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}}
+		p.hosts.Put(name, h)
 	}
 	return h
 }
@@ -141,7 +153,7 @@
 
 // Known returns what was last heard of the worker of a host.
 func (p *Planner) Known(name string) (w WorkerInfo, ok bool) {
-	h := p.hosts[name]
+	h := p.hosts.Get(name)
 	if h == nil || h.info.Worker == "" {
 		return w, false
 	}
@@ -163,8 +175,8 @@
 
 // list returns the runs of a host; the caller may change h.runs meanwhile.
 func (h *host) list() []*run {
-	out := make([]*run, 0, len(h.runs))
-	for _, r := range h.runs {
+	out := make([]*run, 0, h.runs.Len())
+	for _, r := range h.runs.All() {
 		out = append(out, r)
 	}
 	return out
@@ -188,7 +200,7 @@
 	if !r.Whole {
 		return
 	}
-	h.paces = r.Paces
+	h.takePaces(r)
 	p.learn(now, h)
 	for k := range h.strays {
 		if !present[k] {
@@ -198,10 +210,23 @@
 	}
 }
 
+// takePaces takes over at which shares the runs of a host work.
+func (h *host) takePaces(r Report) {
+	h.paces = r.Paces
+	for _, x := range h.runs.All() {
+		x.pace = fullPercent
+	}
+	for _, s := range r.Slowed {
+		if x := h.runs.Get(s.Run); x != nil {
+			x.pace = s.Percent
+		}
+	}
+}
+
 // learn compares the rooms of serving tasks with what others use beside them.
 func (p *Planner) learn(now time.Time, h *host) {
 	s := kqlearn.Sample{At: now, Rooms: map[string]kqlearn.Room{}, Shares: map[string]float64{}}
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		x := r.task.step
 		switch {
 		case !r.seen || r.stopping:
@@ -219,12 +244,12 @@
 
 // Resync returns every order that stands for a host, for an agent that has
 // just connected and has reported.
-func (p *Planner) Resync(name string) []*Order {
+func (p *Planner) Resync(now time.Time, name string) []*Order {
 	h := p.host(name)
 	var out []*Order
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		if r.worker == h.info.Worker && r.ordered {
-			out = append(out, r.order())
+			out = append(out, r.order(now))
 		}
 	}
 	for k := range h.strays {
@@ -235,7 +260,7 @@
 
 // progress follows a run at work; one that nobody wants is stopped.
 func (p *Planner) progress(now time.Time, h *host, x kqexecution.Running) {
-	r := h.runs[x.Run]
+	r := h.runs.Get(x.Run)
 	if r == nil {
 		if _, ok := h.strays[x.Run]; !ok {
 			h.strays[x.Run] = now
@@ -271,7 +296,7 @@
 	delete(h.strays, e.Run)
 	p.place = true
 	t := p.taskOf(e.Run.Task)
-	unknown := h.runs[e.Run] == nil
+	unknown := h.runs.Get(e.Run) == nil
 	if t == nil || unknown && (t.job.state.Final() || e.Number == 0) {
 		held.done = true
 		p.note(h)
@@ -287,7 +312,7 @@
 	if err != nil {
 		return nil
 	}
-	j := p.jobs[id.Job]
+	j := p.jobs.Get(id.Job)
 	if j == nil {
 		return nil
 	}
@@ -314,7 +339,7 @@
 
 // apply changes a task by the end of one of its runs.
 func (p *Planner) apply(now time.Time, h *host, t *task, e kqexecution.End) {
-	r := h.runs[e.Run]
+	r := h.runs.Get(e.Run)
 	if r != nil {
 		t.remove(r)
 	}
@@ -382,14 +407,14 @@
 		return
 	}
 	r.stopping = true
-	if r.host.runs[r.key()] == r {
+	if r.host.runs.Get(r.key()) == r {
 		r.host.tally.stopping++
 	}
 	if !r.ordered {
 		return
 	}
 	j := r.task.job
-	j.held = append(j.held, heldEffect{revision: j.revision + 1, effect: Effect{Host: r.host.name, Order: r.order()}, run: r})
+	j.held = append(j.held, heldEffect{revision: j.revision + 1, effect: Effect{Host: r.host.name, Order: r.stopOrder()}, run: r})
 	p.write(j)
 }
 
@@ -405,8 +430,8 @@
 
 // expire gives up what ran under leases that have ended.
 func (p *Planner) expire(now time.Time) {
-	for _, h := range p.hosts {
-		if len(h.runs) == 0 || !now.After(h.grantedTill) {
+	for _, h := range p.hosts.All() {
+		if h.runs.Len() == 0 || !now.After(h.grantedTill) {
 			continue
 		}
 		for _, r := range h.list() {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -76,7 +76,9 @@
 	press      map[string]float64
 	ticket     string
 	room       float64
-	heldAt     time.Time
+	// pace is the share at which a filling run was last told to work.
+	pace   int
+	heldAt time.Time
 }
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
@@ -142,7 +144,7 @@
 	t.done, t.failed, t.lastRun, t.checkpoint = r.Done, r.Failed, r.LastRun, r.Checkpoint
 	for _, x := range r.Runs {
 		h := p.host(x.Host)
-		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, ordered: true, startedAt: now, movedAt: now}
+		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, ordered: true, startedAt: now, movedAt: now, pace: fullPercent}
 		t.runs = append(t.runs, n)
 		h.add(n)
 		h.grantedTill = later(h.grantedTill, p.config.TakenAt.Add(p.lapse(p.config.Lease)))
@@ -237,19 +239,22 @@
 
 func (r *run) reserved() kqmodel.Resources { return r.task.step.Reserved() }
 
-// order returns the order for the host of the run.
-func (r *run) order() *Order {
+// stopOrder tells the host of the run to end it.
+func (r *run) stopOrder() *Order { return &Order{Run: r.key(), Stop: true, Worker: r.worker} }
+
+// order returns the order that stands for the host of the run.
+func (r *run) order(now time.Time) *Order {
 	if r.stopping {
-		return &Order{Run: r.key(), Stop: true, Worker: r.worker}
+		return r.stopOrder()
 	}
 	s := r.task.step
-	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Press: r.press, Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Press: r.press, Left: r.task.job.deadline.Sub(now), Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket,
 		Size: s.Size, Fills: s.Fills, TailTarget: s.TailTarget}
 }
 
 // dueOccurrences makes the tasks of occurrences that have become due.
 func (p *Planner) dueOccurrences(now time.Time) {
-	for _, j := range p.jobs {
+	for _, j := range p.jobs.All() {
 		if !j.state.Final() && j.spec.Repeat > 0 && j.occurrences < j.spec.Occurrences() && j.materialise(now) {
 			p.place = true
 		}
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -134,7 +134,7 @@
 	p.config.Counter.Check(!j.state.Final(), kqinvariant.StartedAfterCancel, "task %s", t.id)
 	p.config.Counter.Check(t.step.Speculative || len(t.runs) == 0, kqinvariant.TaskInTwoPlaces, "task %s", t.id)
 	t.lastRun++
-	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, movedAt: now, press: p.pressOf(t.step, h)}
+	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, movedAt: now, pace: fullPercent, press: p.pressOf(t.step, h)}
 	r.ticket, _ = p.ticketFor(now, t, h)
 	t.runs = append(t.runs, r)
 	h.add(r)
@@ -144,7 +144,7 @@
 		j.state = kqflow.StateRunning
 	}
 	p.write(j)
-	j.held = append(j.held, heldEffect{revision: j.revision, effect: Effect{Host: h.name, Order: r.order()}, run: r})
+	j.held = append(j.held, heldEffect{revision: j.revision, effect: Effect{Host: h.name, Order: r.order(now)}, run: r})
 	p.config.Events.EmitFields(now, kqevent.FlowRunPlaced, kqevent.Task(t.id.String()), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s of host %s, free %s", r.number, r.worker, h.name, h.free())
 }
@@ -177,7 +177,7 @@
 	var best *host
 	var all peers
 	bestCost := 0.0
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if !allowed(h) || !p.eligible(now, t, h) {
 			continue
 		}
@@ -226,7 +226,7 @@
 // sameStep counts the tasks of the same step and occurrence on a host.
 func (h *host) sameStep(t *task) int {
 	n := 0
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		if r.task.job == t.job && r.task.step == t.step && r.task.id.Occurrence == t.id.Occurrence {
 			n++
 		}
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -35,9 +36,9 @@
 type Planner struct {
 	config    Config
 	queues    map[string]kqflow.Queue
-	jobs      map[string]*job
-	hosts     map[string]*host
-	dirty     map[string]*job
+	jobs      kqordered.Map[string, *job]
+	hosts     kqordered.Map[string, *host]
+	dirty     kqordered.Map[string, *job]
 	effects   []Effect
 	place     bool
 	hold      bool
@@ -51,12 +52,12 @@
 	press       kqlearn.Press
 	refreshedAt time.Time
 	watchedAt   time.Time
+	watches     int
 }
 
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, jobs: map[string]*job{}, hosts: map[string]*host{},
-		dirty: map[string]*job{}, approvals: map[stepKey]*approval{}}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}}
 }
 
 // Epoch returns the owner's epoch.
@@ -68,12 +69,12 @@
 	for name, q := range policy.Queues {
 		p.queues[name] = q
 	}
-	for _, j := range p.jobs {
+	for _, j := range p.jobs.All() {
 		if q, ok := policy.Queues[j.spec.Queue]; ok {
 			j.setQueue(q)
 		}
 	}
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		h.recount()
 	}
 	p.place = true
@@ -101,6 +102,9 @@
 	// Press is the room that the run is expected to take at full speed of each
 	// image of serving tasks beside it.
 	Press map[string]float64 `json:"press,omitempty"`
+	// Left is the time until the job is to end; it is not above 0 if that has
+	// passed.
+	Left time.Duration `json:"left,omitempty"`
 	// TailTarget is the bound on the tail latency of a serving task.
 	TailTarget time.Duration `json:"tail_target,omitempty"`
 }
@@ -130,13 +134,13 @@
 // Submit takes over a job as the entries have stored it. record is the
 // progress stored by an earlier owner with its version, or nil.
 func (p *Planner) Submit(now time.Time, s kqflow.Submission, record *kqflow.Record, version uint64) {
-	if j, ok := p.jobs[s.Job.ID]; ok {
+	if j, ok := p.jobs.Find(s.Job.ID); ok {
 		p.cancel(now, j, s.Cancelled)
 		return
 	}
 	s.Job.SubmittedAt = plausible(now, s.Job.SubmittedAt, record == nil)
 	j := newJob(s.Job, p.queueOf(s.Job.Queue, record))
-	p.jobs[s.Job.ID] = j
+	p.jobs.Put(s.Job.ID, j)
 	if record != nil {
 		p.restore(now, j, *record, version)
 	}
@@ -201,20 +205,20 @@
 // write marks a job whose record must be stored.
 func (p *Planner) write(j *job) {
 	j.revision++
-	p.dirty[j.spec.ID] = j
+	p.dirty.Put(j.spec.ID, j)
 }
 
 // Forget drops a job whose rows are gone.
 func (p *Planner) Forget(id string) {
-	if j, ok := p.jobs[id]; ok && j.state.Final() && j.idle() {
-		delete(p.jobs, id)
+	if j, ok := p.jobs.Find(id); ok && j.state.Final() && j.idle() {
+		p.jobs.Delete(id)
 	}
 }
 
 // States returns the state to show of every job.
 func (p *Planner) States() map[string]kqflow.State {
-	out := make(map[string]kqflow.State, len(p.jobs))
-	for id, j := range p.jobs {
+	out := make(map[string]kqflow.State, p.jobs.Len())
+	for id, j := range p.jobs.All() {
 		out[id] = j.committed
 	}
 	return out
@@ -223,7 +227,7 @@
 // Pending returns how many jobs of each queue have not begun.
 func (p *Planner) Pending() map[string]int {
 	out := map[string]int{}
-	for _, j := range p.jobs {
+	for _, j := range p.jobs.All() {
 		if j.committed == kqflow.StateQueued && !j.state.Final() {
 			out[j.spec.Queue]++
 		}
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -225,7 +225,7 @@
 		Expect(next.states).To(HaveKeyWithValue("k", kqflow.StateCompleted))
 		Expect(next.Ended(next.now.Add(-time.Second))).To(BeEmpty(), "it has just been restored")
 		next.host("h1", "w1", 8)
-		Expect(next.Resync("h1")).To(HaveLen(1))
+		Expect(next.Resync(next.now, "h1")).To(HaveLen(1))
 	})
 
 	It("counts a failure once, though a new owner hears of it again", func() {
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -16,7 +16,7 @@
 	need := t.step.Reserved()
 	var best *host
 	var victims []*run
-	for _, h := range p.hosts {
+	for _, h := range p.hosts.All() {
 		if h.tally.stopping == 0 && !h.hasBelow(t.job.queue.Priority) || h.health.quarantined() || !p.allowed(now, t, h) || !p.approved(now, t, h) {
 			continue
 		}
@@ -43,7 +43,7 @@
 	free := h.free()
 	most := free
 	var lower []*run
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		switch {
 		case r.stopping:
 			free, most = free.Add(r.reserved()), most.Add(r.reserved())
--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -48,22 +48,22 @@
 // add and drop are the only ways by which runs come to a host and leave it.
 func (h *host) add(r *run) {
 	r.counted = r.task.job.queue.Priority
-	h.runs[r.key()] = r
+	h.runs.Put(r.key(), r)
 	h.tally.count(r, 1)
 }
 
 func (h *host) drop(r *run) {
-	if h.runs[r.key()] != r {
+	if h.runs.Get(r.key()) != r {
 		return
 	}
-	delete(h.runs, r.key())
+	h.runs.Delete(r.key())
 	h.tally.count(r, -1)
 }
 
 // recount takes over changed priorities.
 func (h *host) recount() {
 	h.tally = tally{}
-	for _, r := range h.runs {
+	for _, r := range h.runs.All() {
 		r.counted = r.task.job.queue.Priority
 		h.tally.count(r, 1)
 	}
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -42,7 +42,7 @@
 func (p *Planner) queued(now time.Time) []*job {
 	var turns []turn
 	sums, counts := map[string]float64{}, map[string]float64{}
-	for _, j := range p.jobs {
+	for _, j := range p.jobs.All() {
 		if j.state.Final() {
 			continue
 		}
