--- a/internal/cell/kqlearn/press.go
+++ b/internal/cell/kqlearn/press.go
@@ -28,9 +28,9 @@
 const (
 	// pressPrior is the room that an image which was never seen is taken to cost
 	// if it uses the whole worker.
-	pressPrior = 2.5
+	pressPrior = 5
 	// pressPriorWeight is how many squared shares the prior counts for.
-	pressPriorWeight = 0.015
+	pressPriorWeight = 0.003
 	// pressForget is how much of the evidence each sample leaves.
 	pressForget = 0.9995
 	minSpan     = 150 * time.Millisecond
@@ -40,7 +40,7 @@
 	// maxImages bounds the images that are told apart.
 	maxImages = 64
 	// knownWeight is from how many squared shares of change on an image is known.
-	knownWeight = 0.01
+	knownWeight = 0.005
 )
 
 // Press estimates, for each image of serving tasks, how much of their room
@@ -80,7 +80,8 @@
 	if len(change) == 0 {
 		return
 	}
-	for task, room := range s.Rooms {
+	for _, task := range slices.Sorted(maps.Keys(s.Rooms)) {
+		room := s.Rooms[task]
 		if before, ok := old.Rooms[task]; ok && room.Value > 0 && before.Value > 0 {
 			p.fit(room.Image).add(change, before.Value-room.Value)
 		}
@@ -151,9 +152,9 @@
 
 func (f *fit) add(change map[string]float64, taken float64) {
 	at := make(map[int]float64, len(change))
-	for image, c := range change {
+	for _, image := range slices.Sorted(maps.Keys(change)) {
 		if i := f.index(image); i >= 0 {
-			at[i] = c
+			at[i] = change[image]
 		}
 	}
 	for i, c := range at {
