--- /dev/null
+++ b/internal/trial/kqreplay/load.go
@@ -0,0 +1,214 @@
+// Package kqreplay plays load patterns against the decisions of a cell in
+// virtual time: the planner of its owner and the pacers of its agents, beside
+// workers on which filling tasks disturb serving ones. It needs no sockets, no
+// store and no goroutines, so a minute of load takes well under a second and a
+// seed always gives the same result.
+package kqreplay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+)
+
+// Names of the queues of a replay.
+const (
+	QueueQuick = "quick"
+	QueueBatch = "batch"
+	QueueWatch = "watch"
+
+	service = "service"
+)
+
+// Shape is the jobs of a queue.
+type Shape struct {
+	// PerSecond is how many jobs come in a second.
+	PerSecond float64
+	// Steps and Width are the mean number of steps and of tasks in each.
+	Steps, Width float64
+	// Cores is the mean size of a task.
+	Cores float64
+	// Length is the mean time that a task works, Spread the relative spread of
+	// it between jobs, Uneven that between tasks of a step.
+	Length         time.Duration
+	Spread, Uneven float64
+	// EstimateError is the relative spread of the estimates.
+	EstimateError float64
+	// Images is how many images the jobs are of.
+	Images int
+	// Worth is what a job of mean size is worth; of a watch job, two seconds.
+	Worth float64
+}
+
+// Burst multiplies the rate of batch jobs for a while.
+type Burst struct {
+	// From is when it begins, For how long it lasts.
+	From, For time.Duration
+	// Factor is by how much the rate is multiplied.
+	Factor float64
+}
+
+// Loss takes a worker away for a while, with all that it runs.
+type Loss struct {
+	// Worker is its index, From when it goes, For how long.
+	Worker    int
+	From, For time.Duration
+}
+
+// Slowdown makes a worker slow for a while.
+type Slowdown struct {
+	// Worker is its index, From when it begins, For how long it lasts.
+	Worker    int
+	From, For time.Duration
+	// Factor is how many times as long work takes.
+	Factor float64
+}
+
+// Load is a load pattern.
+type Load struct {
+	// Workers is how many workers there are, Cores what each has.
+	Workers int
+	Cores   float64
+	// Span is for how long jobs come.
+	Span time.Duration
+	// Quick, Batch and Watch are the jobs; Watch jobs stand from the start.
+	Quick, Batch, Watch Shape
+	// WatchJobs is how many watch jobs there are.
+	WatchJobs int
+	// ServingLoad is the mean load of serving tasks, Swing its relative swing and
+	// SwingTime the period of that.
+	ServingLoad, Swing float64
+	SwingTime          time.Duration
+	// TargetFactor is the target over the tail latency without load.
+	TargetFactor float64
+	// HeavyShare is the share of pairs of images that disturb each other much,
+	// Press the load that such an image adds if it uses a whole worker.
+	HeavyShare, Press float64
+	// Bursts, Losses and Slowdowns strike during the replay.
+	Bursts    []Burst
+	Losses    []Loss
+	Slowdowns []Slowdown
+}
+
+const lightPress = 0.15
+
+// Crowded is a load under which most of the room is reserved by serving tasks,
+// and what fills must live beside them.
+func Crowded() Load {
+	return Load{Workers: 11, Cores: 36, Span: 34 * time.Second,
+		Quick: Shape{PerSecond: 5, Steps: 1.6, Width: 6, Cores: 0.48, Length: 800 * time.Millisecond, Spread: 0.5, Uneven: 0.3, EstimateError: 0.9, Worth: 0.33},
+		Batch: Shape{PerSecond: 1.2, Steps: 2, Width: 8, Cores: 3.5, Length: 2200 * time.Millisecond, Spread: 0.5, Uneven: 0.15, EstimateError: 0.2, Images: 9, Worth: 7},
+		Watch: Shape{Width: 6, Cores: 6.4, Images: 3, Worth: 1.6}, WatchJobs: 9,
+		ServingLoad: 0.48, Swing: 0.5, SwingTime: 20 * time.Second, TargetFactor: 6, Bursts: []Burst{{From: 12 * time.Second, For: 6 * time.Second, Factor: 1.5}}, HeavyShare: 0.55, Press: 3}
+}
+
+// source draws the jobs of a load.
+type source struct {
+	load Load
+	rng  *rand.Rand
+	jobs int
+	next map[string]time.Duration
+	// lengths is the true time that each task works.
+	lengths map[string]time.Duration
+	press   map[[2]string]float64
+}
+
+func newSource(l Load, seed uint64) *source {
+	s := &source{load: l, rng: rand.New(rand.NewPCG(seed, 7)), next: map[string]time.Duration{}, lengths: map[string]time.Duration{}, press: map[[2]string]float64{}}
+	for w := range l.Watch.Images {
+		for b := range l.Batch.Images {
+			pair := [2]string{image(QueueWatch, w), image(QueueBatch, b)}
+			s.press[pair] = lightPress * s.rng.Float64()
+			if s.rng.Float64() < l.HeavyShare {
+				s.press[pair] = l.Press * (0.4 + 1.2*s.rng.Float64())
+			}
+		}
+	}
+	return s
+}
+
+func image(queue string, n int) string { return fmt.Sprintf("%s-%d", queue, n) }
+
+// spread draws a factor around 1.
+func (s *source) spread(by float64) float64 {
+	return math.Exp(by*s.rng.NormFloat64() - by*by/2)
+}
+
+// due returns the jobs that come up to a time.
+func (s *source) due(at time.Duration) []kqflow.Job {
+	var out []kqflow.Job
+	if at > s.load.Span {
+		return nil
+	}
+	for _, queue := range []string{QueueQuick, QueueBatch} {
+		shape := s.load.Quick
+		if queue == QueueBatch {
+			shape = s.load.Batch
+		}
+		for shape.PerSecond > 0 && s.next[queue] <= at {
+			out = append(out, s.job(queue, shape))
+			s.next[queue] += time.Duration(s.rng.ExpFloat64() / (shape.PerSecond * s.factor(queue, at)) * float64(time.Second))
+		}
+	}
+	return out
+}
+
+func (s *source) factor(queue string, at time.Duration) float64 {
+	for _, b := range s.load.Bursts {
+		if queue == QueueBatch && at >= b.From && at < b.From+b.For {
+			return b.Factor
+		}
+	}
+	return 1
+}
+
+func (s *source) job(queue string, shape Shape) kqflow.Job {
+	s.jobs++
+	j := kqflow.Job{ID: fmt.Sprintf("%s%d", queue, s.jobs), Queue: queue}
+	which := s.rng.IntN(max(1, shape.Images))
+	wrong := s.spread(shape.EstimateError)
+	for n := range max(1, int(math.Round(shape.Steps*s.spread(0.4)))) {
+		length := float64(shape.Length) * s.spread(shape.Spread)
+		x := kqflow.Step{Count: max(1, int(math.Round(shape.Width*s.spread(0.6)))),
+			Size:     kqmodel.Resources{MilliProcessors: int64(1000 * shape.Cores * s.spread(0.3)), MemoryBytes: 1 << 30},
+			Estimate: time.Duration(length * wrong)}
+		if n > 0 {
+			x.After = []int{n - 1}
+		}
+		if queue == QueueBatch {
+			x.Fills, x.Checkpoints, x.Image = true, true, image(queue, which)
+		}
+		for i := range x.Count {
+			id := kqflow.TaskID{Job: j.ID, Step: n, Index: i}
+			s.lengths[id.String()] = time.Duration(length * s.spread(shape.Uneven))
+		}
+		j.Steps = append(j.Steps, x)
+	}
+	return j
+}
+
+// standing returns the watch jobs.
+func (s *source) standing() []kqflow.Job {
+	var out []kqflow.Job
+	for n := range s.load.WatchJobs {
+		shape := s.load.Watch
+		s.jobs++
+		out = append(out, kqflow.Job{ID: fmt.Sprintf("%s%d", QueueWatch, s.jobs), Queue: QueueWatch, Steps: []kqflow.Step{{
+			Count: max(1, int(math.Round(shape.Width*s.spread(0.3)))), Estimate: time.Second,
+			Size: kqmodel.Resources{MilliProcessors: int64(1000 * shape.Cores * s.spread(0.2)), MemoryBytes: 1 << 30}, Standing: true,
+			Image: image(QueueWatch, n%max(1, shape.Images)), TailTarget: time.Duration(s.load.TargetFactor * float64(baseTail)), PerWorker: 3}}})
+	}
+	return out
+}
+
+// policy is what the operator has set.
+func policy() *kqflow.Policy {
+	return &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
+		QueueQuick: {Name: QueueQuick, Service: service, Priority: 0, Attempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond},
+		QueueBatch: {Name: QueueBatch, Service: service, Priority: 2, Attempts: 3, Stretch: 2, Target: time.Second},
+		QueueWatch: {Name: QueueWatch, Service: service, Priority: 0, Attempts: 3, Stretch: 2.2, Target: 2500 * time.Millisecond}}}
+}
--- /dev/null
+++ b/internal/trial/kqreplay/replay.go
@@ -0,0 +1,273 @@
+package kqreplay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+const (
+	stepTime    = 50 * time.Millisecond
+	holdEvery   = 4
+	reportEvery = 8
+	grantEvery  = 10
+	lease       = 7 * time.Second
+	// stopDelay is how long a stop takes, restoreTime a start from a checkpoint.
+	stopDelay   = 200 * time.Millisecond
+	restoreTime = 200 * time.Millisecond
+	// settle is how long jobs may take after the last one has come.
+	settle = 20 * time.Second
+	writes = 40
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// Config sets up a Replay.
+type Config struct {
+	// Seed draws the load.
+	Seed uint64
+	// Load is the load pattern.
+	Load Load
+	// Unpaced lets filling runs work at full speed whatever they press.
+	Unpaced bool
+	// Unlearned keeps from the owner what filling runs use, so that it learns
+	// nothing of what they press.
+	Unlearned bool
+}
+
+// Replay is a cell under a load.
+type Replay struct {
+	config  Config
+	source  *source
+	planner *kqplan.Planner
+	workers []*worker
+	byName  map[string]*worker
+	jobs    []kqflow.Job
+	specs   map[string]kqflow.Job
+	ended   map[string]time.Duration
+	saved   map[string]time.Duration
+	account *account
+	version uint64
+	now     time.Time
+}
+
+// New returns a Replay at its beginning.
+func New(c Config) *Replay {
+	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
+		account: &account{load: c.Load}, now: epoch}
+	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1})
+	p.planner.SetPolicy(policy())
+	for n := range c.Load.Workers {
+		w := newWorker(fmt.Sprintf("host-%02d", n))
+		p.workers = append(p.workers, w)
+		p.byName[w.name] = w
+		p.register(w)
+	}
+	return p
+}
+
+func (p *Replay) register(w *worker) {
+	p.planner.Describe(p.now, w.name, kqplan.WorkerInfo{Worker: w.incarnation(), Service: service,
+		Capacity: kqmodel.Resources{MilliProcessors: int64(1000 * p.config.Load.Cores), MemoryBytes: 128 << 30}})
+	p.planner.Linked(p.now, w.name)
+	p.planner.Granted(p.now, w.name, lease)
+}
+
+// Run plays the load to its end.
+func (p *Replay) Run() Result {
+	for _, j := range p.source.standing() {
+		p.submit(j)
+	}
+	end := epoch.Add(p.config.Load.Span + settle)
+	for n := 0; p.now.Before(end); n++ {
+		p.now = p.now.Add(stepTime)
+		p.fault()
+		for _, j := range p.source.due(p.now.Sub(epoch)) {
+			p.submit(j)
+		}
+		for _, w := range p.workers {
+			p.advance(w, n)
+		}
+		p.decide()
+	}
+	return p.settle()
+}
+
+func (p *Replay) submit(j kqflow.Job) {
+	p.note(&j)
+	p.planner.Submit(p.now, kqflow.Submission{Job: j}, nil, 0)
+}
+
+// note keeps a job that comes now.
+func (p *Replay) note(j *kqflow.Job) {
+	j.SubmittedAt = p.now
+	p.specs[j.ID] = *j
+	if j.Queue != QueueWatch {
+		p.jobs = append(p.jobs, *j)
+	}
+}
+
+// fault begins and ends what strikes now.
+func (p *Replay) fault() {
+	at := p.now.Sub(epoch)
+	begins := func(from time.Duration) bool { return at >= from && at-stepTime < from }
+	for _, l := range p.config.Load.Losses {
+		w := p.workers[l.Worker]
+		switch {
+		case begins(l.From):
+			w.gone, w.runs = true, kqordered.Map[kqexecution.Run, *run]{}
+			p.planner.Unlinked(p.now, w.name)
+		case begins(l.From + l.For):
+			w.gone, w.life, w.ends = false, w.life+1, 0
+			p.register(w)
+		}
+	}
+	for _, s := range p.config.Load.Slowdowns {
+		switch {
+		case begins(s.From):
+			p.workers[s.Worker].slow = s.Factor
+		case begins(s.From + s.For):
+			p.workers[s.Worker].slow = 1
+		}
+	}
+}
+
+// advance lets a worker work and its agent look and report.
+func (p *Replay) advance(w *worker, n int) {
+	if w.gone {
+		return
+	}
+	ends := w.step(p, p.now)
+	if n%holdEvery == 0 && !p.config.Unpaced {
+		w.hold(p.now)
+	}
+	r := kqplan.Report{Worker: w.incarnation()}
+	if n%reportEvery == 0 {
+		r = w.report(p.config.Unlearned)
+		for _, x := range r.Running {
+			p.save(x)
+		}
+	}
+	r.Ended = ends
+	if r.Whole || len(ends) > 0 {
+		p.planner.Observe(p.now, w.name, r)
+	}
+	if n%grantEvery == 0 {
+		p.planner.Granted(p.now, w.name, lease)
+	}
+}
+
+func (p *Replay) save(x kqexecution.Running) {
+	if d, err := time.ParseDuration(x.Saved); err == nil {
+		p.saved[x.Task] = max(p.saved[x.Task], d)
+	}
+}
+
+// decide lets the owner plan, commit and order.
+func (p *Replay) decide() {
+	p.planner.Tick(p.now)
+	p.version++
+	p.planner.Committed(p.now, p.planner.Writes(writes), p.version)
+	for _, e := range p.planner.TakeEffects() {
+		switch {
+		case e.Order != nil:
+			p.carryOut(p.byName[e.Host], *e.Order)
+		case e.State == kqflow.StateCompleted:
+			if _, ok := p.ended[e.Job]; !ok {
+				p.ended[e.Job] = p.now.Sub(epoch)
+			}
+		}
+	}
+}
+
+// carryOut is what the agent does with an order.
+func (p *Replay) carryOut(w *worker, o kqplan.Order) {
+	if w.gone || o.Worker != w.incarnation() {
+		return
+	}
+	r := w.runs.Get(o.Run)
+	if o.Stop {
+		p.stop(w, o.Run, r)
+		return
+	}
+	if r != nil {
+		r.press, r.due = o.Press, p.now.Add(o.Left)
+		return
+	}
+	r = p.begin(w, o.Run, taskID(o.Run.Task))
+	r.press, r.due = o.Press, p.now.Add(o.Left)
+	if o.Checkpoint != "" {
+		r.worked = p.saved[o.Run.Task] - restoreTime
+	}
+	if o.Fills && !p.config.Unpaced {
+		w.pacer.Add(r.filling())
+		r.percent = w.pacer.Share(o.Run)
+		r.paced = r.percent
+	}
+}
+
+// begin starts a run on a worker.
+func (p *Replay) begin(w *worker, k kqexecution.Run, id kqflow.TaskID) *run {
+	p.account.result.Starts++
+	r := &run{key: k, length: p.source.lengths[k.Task], percent: 100, paced: 100, phase: p.phase(id), step: p.specs[id.Job].Steps[id.Step]}
+	w.runs.Put(k, r)
+	return r
+}
+
+// phase is that of the swing of a job's load.
+func (p *Replay) phase(id kqflow.TaskID) float64 {
+	sum := 0.0
+	for _, c := range id.Job {
+		sum += float64(c) * 0.37
+	}
+	return sum
+}
+
+func (p *Replay) stop(w *worker, k kqexecution.Run, r *run) {
+	if r != nil {
+		r.stopAt = p.now.Add(stopDelay)
+		return
+	}
+	p.planner.Observe(p.now, w.name, kqplan.Report{Worker: w.incarnation(), Ended: []kqexecution.End{{Run: k, How: kqexecution.HowAbsent}}})
+}
+
+// settle counts the jobs.
+func (p *Replay) settle() Result {
+	mean := p.means()
+	for _, j := range p.jobs {
+		took := time.Duration(-1)
+		if e, ok := p.ended[j.ID]; ok {
+			took = e - j.SubmittedAt.Sub(epoch)
+		}
+		p.account.job(j, p.chain(j), took, mean[j.Queue])
+	}
+	return p.account.result
+}
+
+// means returns the mean work of the jobs of each queue.
+func (p *Replay) means() map[string]float64 {
+	mean, count := map[string]float64{}, map[string]float64{}
+	for _, j := range p.jobs {
+		count[j.Queue]++
+		mean[j.Queue] += (work(j) - mean[j.Queue]) / count[j.Queue]
+	}
+	return mean
+}
+
+// chain returns the longest chain of what the tasks of a job truly take.
+func (p *Replay) chain(j kqflow.Job) time.Duration {
+	sum := time.Duration(0)
+	for n, s := range j.Steps {
+		longest := time.Duration(0)
+		for i := range s.Count {
+			longest = max(longest, p.source.lengths[kqflow.TaskID{Job: j.ID, Step: n, Index: i}.String()])
+		}
+		sum += longest
+	}
+	return sum
+}
