--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -38,7 +38,7 @@
 	// them may be wrong.
 	scarceBound   = 1500 * time.Millisecond
 	harmlessBound = 2400 * time.Millisecond
-	full        = 100
+	full          = 100
 	// least is the lowest share; below it filling tasks stand still.
 	least = 4
 	// smoothing is the weight of a new measurement of more room.
