--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -76,7 +76,7 @@
 func work(j kqflow.Job) float64 {
 	sum := 0.0
 	for _, s := range j.Steps {
-		sum += float64(s.Count) * float64(s.Size.MilliProcessors) / 1000 * s.Estimate.Seconds()
+		sum += float64(s.Count) * float64(s.Size.MilliProcessors) / milli * s.Estimate.Seconds()
 	}
 	return sum
 }
--- a/internal/trial/kqreplay/baseline.go
+++ b/internal/trial/kqreplay/baseline.go
@@ -19,7 +19,7 @@
 func newBaseline(p *Replay) *baseline {
 	b := &baseline{left: map[string]map[int]int{}, free: map[*worker]int64{}}
 	for _, w := range p.workers {
-		b.free[w] = int64(1000 * p.config.Load.Cores)
+		b.free[w] = int64(milli * p.config.Load.Cores)
 	}
 	return b
 }
--- a/internal/trial/kqreplay/bound.go
+++ b/internal/trial/kqreplay/bound.go
@@ -18,7 +18,7 @@
 	serving := 0.0
 	for _, j := range p.source.standing() {
 		s := j.Steps[0]
-		serving += float64(s.Count) * float64(s.Size.MilliProcessors) / 1000 * p.config.Load.ServingLoad
+		serving += float64(s.Count) * float64(s.Size.MilliProcessors) / milli * p.config.Load.ServingLoad
 	}
 	for at := time.Duration(0); at <= p.config.Load.Span; at += stepTime {
 		for _, j := range p.source.due(at) {
@@ -64,7 +64,7 @@
 	for n, s := range j.Steps {
 		for i := range s.Count {
 			length := p.source.lengths[kqflow.TaskID{Job: j.ID, Step: n, Index: i}.String()]
-			sum += float64(s.Size.MilliProcessors) / 1000 * length.Seconds()
+			sum += float64(s.Size.MilliProcessors) / milli * length.Seconds()
 		}
 	}
 	return sum
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -94,7 +94,13 @@
 	Slowdowns []Slowdown
 }
 
-const lightPress = 0.15
+const (
+	// lightPress is the most load that an image adds, if it uses a whole worker, to
+	// one that it hardly disturbs.
+	lightPress = 0.15
+	// milli is how many thousandths a processor has.
+	milli = 1000
+)
 
 // Crowded is a load under which most of the room is reserved by serving tasks,
 // and what fills must live beside them.
@@ -174,7 +180,7 @@
 	for n := range max(1, int(math.Round(shape.Steps*s.spread(0.4)))) {
 		length := float64(shape.Length) * s.spread(shape.Spread)
 		x := kqflow.Step{Count: max(1, int(math.Round(shape.Width*s.spread(0.6)))),
-			Size:     kqmodel.Resources{MilliProcessors: int64(1000 * shape.Cores * s.spread(0.3)), MemoryBytes: 1 << 30},
+			Size:     kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(0.3)), MemoryBytes: 1 << 30},
 			Estimate: time.Duration(length * wrong)}
 		if n > 0 {
 			x.After = []int{n - 1}
@@ -199,7 +205,7 @@
 		s.jobs++
 		out = append(out, kqflow.Job{ID: fmt.Sprintf("%s%d", QueueWatch, s.jobs), Queue: QueueWatch, Steps: []kqflow.Step{{
 			Count: max(1, int(math.Round(shape.Width*s.spread(0.3)))), Estimate: time.Second,
-			Size: kqmodel.Resources{MilliProcessors: int64(1000 * shape.Cores * s.spread(0.2)), MemoryBytes: 1 << 30}, Standing: true,
+			Size: kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(0.2)), MemoryBytes: 1 << 30}, Standing: true,
 			Image: image(QueueWatch, n%max(1, shape.Images)), TailTarget: time.Duration(s.load.TargetFactor * float64(baseTail)), PerWorker: 3}}})
 	}
 	return out
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -25,6 +25,7 @@
 	writes = 40
 )
 
+// epoch is when every replay begins.
 var epoch = time.Unix(1_000_000, 0)
 
 // Config sets up a Replay.
@@ -73,7 +74,7 @@
 
 func (p *Replay) register(w *worker) {
 	p.planner.Describe(p.now, w.name, kqplan.WorkerInfo{Worker: w.incarnation(), Service: service,
-		Capacity: kqmodel.Resources{MilliProcessors: int64(1000 * p.config.Load.Cores), MemoryBytes: 128 << 30}})
+		Capacity: kqmodel.Resources{MilliProcessors: int64(milli * p.config.Load.Cores), MemoryBytes: 128 << 30}})
 	p.planner.Linked(p.now, w.name)
 	p.planner.Granted(p.now, w.name, lease)
 }
--- a/internal/trial/kqreplay/worker.go
+++ b/internal/trial/kqreplay/worker.go
@@ -97,7 +97,7 @@
 			used += size
 		}
 	}
-	fill := min(1, max(0, p.config.Load.Cores*1000-used)/max(1, asked))
+	fill := min(1, max(0, p.config.Load.Cores*milli-used)/max(1, asked))
 	var ended []kqexecution.End
 	for _, r := range w.runs.All() {
 		if r.step.Standing {
@@ -143,7 +143,7 @@
 		left := alone
 		for _, r := range w.runs.All() {
 			if r.step.Fills {
-				left -= p.source.press[[2]string{s.step.Image, r.step.Image}] * fill * float64(r.percent) / 100 * float64(r.step.Size.MilliProcessors) / (p.config.Load.Cores * 1000)
+				left -= p.source.press[[2]string{s.step.Image, r.step.Image}] * fill * float64(r.percent) / 100 * float64(r.step.Size.MilliProcessors) / (p.config.Load.Cores * milli)
 			}
 		}
 		tail := float64(baseTail.Milliseconds()) / max(leastRoom, left)
