--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -7,6 +7,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -124,7 +125,7 @@
 			w.gone, w.runs = true, kqordered.Map[kqexecution.Run, *run]{}
 			p.planner.Unlinked(p.now, w.name)
 		case begins(l.From + l.For):
-			w.gone, w.life, w.ends = false, w.life+1, 0
+			w.gone, w.life, w.ends, w.pacer = false, w.life+1, 0, kqpace.New()
 			p.register(w)
 		}
 	}
