--- a/internal/flow/kqpace/pace_test.go
+++ b/internal/flow/kqpace/pace_test.go
@@ -64,6 +64,25 @@
 	g.Expect(p.Share(harmless.Key)).To(BeZero())
 }
 
+// What presses little is slowed down only if slowing down the others was not
+// enough, and what does not press at all only after that.
+func TestWhatPressesLittleIsSlowedDownLast(t *testing.T) {
+	g := NewWithT(t)
+	p := kqpace.New()
+	pressing, mild, harmless := run(1, map[string]float64{"web": heavy}), run(2, map[string]float64{"web": light}), run(3, map[string]float64{"web": 0.001})
+	now := observe(p, time.Unix(100, 0), time.Second, map[string]float64{"web": 3}, pressing, mild, harmless)
+	for room := 2.0; room > 0.8; room -= 0.1 {
+		now = observe(p, now, 200*time.Millisecond, map[string]float64{"web": room}, pressing, mild, harmless)
+		g.Expect(p.Share(mild.Key)).To(BeNumerically(">=", p.Share(pressing.Key)), "room %.1f", room)
+		g.Expect(p.Share(harmless.Key)).To(Equal(100), "room %.1f", room)
+		if room > 1.1 {
+			g.Expect(p.Share(mild.Key)).To(Equal(100), "room %.1f", room)
+		}
+	}
+	observe(p, now, time.Second, map[string]float64{"web": 0.8}, pressing, mild, harmless)
+	g.Expect(p.Share(pressing.Key)).To(BeZero())
+}
+
 // One measurement at the target does not begin the time anew.
 func TestANoisyMeasurementDoesNotLetRunsGoOn(t *testing.T) {
 	g := NewWithT(t)
