One account of a job's worth; rooms are worked out once; time until a job is taken has its column

The worth of a job by its size and by when it ends stood three times (plan, losses, replay): kqplan.Worth and kqplan.Earned serve all. The log's look at serving tasks worked out again, task by task, what pacing had just found. The accept column of flow losses was never filled: that time counted as waiting; asserted now. Fields that nothing read are gone.

--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -125,8 +125,8 @@
 	}
 	fresh := x.takeEnds(h.Ended)
 	fresh = append(fresh, x.absent()...)
-	x.pace(now, h.Running)
-	x.look(now, h.Running)
+	rooms := x.pace(now, h.Running)
+	x.look(now, h.Running, rooms)
 	if x.send == nil {
 		return
 	}
--- a/internal/flow/kqexecutor/pacing.go
+++ b/internal/flow/kqexecutor/pacing.go
@@ -38,8 +38,9 @@
 	return x.pacer.Paces(filling), slowed
 }
 
-// pace lets filling tasks work at the share that serving tasks bear; mu is held.
-func (x *Executor) pace(now time.Time, running []kqexecution.Running) {
+// pace lets filling tasks work at the share that serving tasks bear; it returns
+// the least room of each image. mu is held.
+func (x *Executor) pace(now time.Time, running []kqexecution.Running) map[string]float64 {
 	rooms := map[string]float64{}
 	for _, r := range running {
 		e := x.runs[r.Run]
@@ -64,6 +65,7 @@
 			x.paceRun(e, r.Key, percent)
 		}
 	}
+	return rooms
 }
 
 // paceRun tells the worker at which share a run works; mu is held.
--- a/internal/flow/kqexecutor/watch.go
+++ b/internal/flow/kqexecutor/watch.go
@@ -28,24 +28,28 @@
 	changes  []string
 }
 
-// look counts what runs since the last look; mu is held.
-func (x *Executor) look(now time.Time, running []kqexecution.Running) {
+// look counts what runs since the last look, beside the least room of each image;
+// mu is held.
+func (x *Executor) look(now time.Time, running []kqexecution.Running, rooms map[string]float64) {
 	w := &x.watch
 	span := min(longestLook, now.Sub(w.lookedAt))
 	w.lookedAt = now
 	if w.least == nil {
 		w.least = map[string]float64{}
 	}
+	taken := make(map[string]float64, len(rooms))
+	for image, room := range rooms {
+		taken[image] = x.taken(image)
+		if least, ok := w.least[image]; !ok || room < least {
+			w.least[image] = room
+		}
+	}
 	for _, r := range running {
 		e := x.runs[r.Run]
 		switch {
 		case e == nil || e.stopping:
 		case e.order.TailTarget > 0 && r.Measure > 0:
-			room := e.room(r)
-			w.tally.Serve(span, room, x.taken(e.order.Image))
-			if least, ok := w.least[e.order.Image]; !ok || room < least {
-				w.least[e.order.Image] = room
-			}
+			w.tally.Serve(span, e.room(r), taken[e.order.Image])
 		case e.order.Fills:
 			w.tally.Fill(span, float64(e.order.Size.MilliProcessors)/1000, max(0, e.paced))
 		}
--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -41,9 +41,6 @@
 	return [...]string{"accept", "wait", "slow", "moved", "preempted", "failed", "lost"}[c]
 }
 
-// lateWorth is what a job is worth that ends after its objective.
-const lateWorth = 0.15
-
 // run is a run of a task as the log tells it.
 type run struct {
 	from, to time.Time
@@ -53,9 +50,9 @@
 
 // job is a job as the log tells it.
 type job struct {
-	id        string
 	queue     string
 	submitted time.Time
+	taken     time.Time
 	objective time.Duration
 	steps     []kqplan.LoggedStep
 	tasks     map[string]map[uint64]*run
@@ -97,7 +94,7 @@
 	if a.jobs[l.ID] != nil || l.Repeat > 0 {
 		return
 	}
-	a.jobs[l.ID] = &job{id: l.ID, queue: l.Queue, submitted: l.Time.Add(-time.Duration(l.AgeMS) * time.Millisecond),
+	a.jobs[l.ID] = &job{queue: l.Queue, taken: l.Time, submitted: l.Time.Add(-time.Duration(l.AgeMS) * time.Millisecond),
 		objective: time.Duration(l.ObjectiveMS) * time.Millisecond, steps: l.Steps, tasks: map[string]map[uint64]*run{}}
 }
 
@@ -187,14 +184,10 @@
 // value returns what part of its worth a job has earned; one that has not ended
 // has earned nothing.
 func (j *job) value() float64 {
-	took, objective := j.ended.Sub(j.submitted), j.trueObjective()
-	switch {
-	case j.event != kqevent.FlowCompleted || took > kqplan.LateFactor*objective:
+	if j.event != kqevent.FlowCompleted {
 		return 0
-	case took > objective:
-		return lateWorth
 	}
-	return 1
+	return kqplan.Earned(j.ended.Sub(j.submitted), j.trueObjective())
 }
 
 // sorted returns the runs of a task in order.
--- a/internal/flow/kqloss/chain.go
+++ b/internal/flow/kqloss/chain.go
@@ -21,6 +21,10 @@
 	step := j.lastStep(at)
 	for step >= 0 {
 		before, ready := j.before(step, at)
+		if before < 0 {
+			out[CauseAccept] = j.taken.Sub(j.submitted)
+			ready = later(ready, j.taken)
+		}
 		name := j.latest(step, at)
 		j.follow(&out, j.tasks[name], ready, at, j.steps[step])
 		if before < 0 {
--- a/internal/flow/kqloss/line.go
+++ b/internal/flow/kqloss/line.go
@@ -19,7 +19,6 @@
 type line struct {
 	Time        time.Time           `json:"time"`
 	Event       kqevent.Number      `json:"event"`
-	Process     string              `json:"process"`
 	ID          string              `json:"id"`
 	Run         uint64              `json:"run"`
 	How         string              `json:"how"`
--- a/internal/flow/kqloss/table.go
+++ b/internal/flow/kqloss/table.go
@@ -70,7 +70,7 @@
 	missed := 0
 	for _, j := range jobs {
 		value := j.value()
-		weight := min(kqplan.MostWorth, kqplan.FixedWorth+(1-kqplan.FixedWorth)*j.work()/max(mean, leastWork))
+		weight := kqplan.Worth(j.work(), mean)
 		out.count(j, value)
 		out.Owed += weight
 		out.Lost += weight * (1 - value)
@@ -85,8 +85,6 @@
 	return out
 }
 
-const leastWork = 1e-9
-
 func (r *Row) count(j *job, value float64) {
 	switch {
 	case value == 1:
--- a/internal/flow/kqpace/pace.go
+++ b/internal/flow/kqpace/pace.go
@@ -95,11 +95,14 @@
 // budget is the room of the serving tasks of one image.
 type budget struct {
 	// base is the room that they would have by themselves.
-	base  float64
+	base float64
+	// given is what filling runs take of it at their shares, left what they may
+	// still be given.
 	given float64
+	left  float64
 	// room is the smoothed room that they have.
-	room        float64
-	left        float64
+	room float64
+	// scarceSince is since when the room is scarce; zero if it is not.
 	scarceSince time.Time
 	// scarceFor is how long the room has been scarce.
 	scarceFor time.Duration
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -17,14 +17,14 @@
 	phaseWorthless
 )
 
-// LateFactor is how many objectives after its submission a job is worth nothing.
-const LateFactor = 3
+// lateFactor is how many objectives after its submission a job is worth nothing.
+const lateFactor = 3
 
 func (j *job) phase(now time.Time) phase {
 	switch {
 	case j.spec.Repeat > 0 || j.spec.Steps[0].Standing || !now.After(j.deadline):
 		return phaseInTime
-	case now.Sub(j.spec.SubmittedAt) <= LateFactor*j.objective:
+	case now.Sub(j.spec.SubmittedAt) <= lateFactor*j.objective:
 		return phaseLate
 	}
 	return phaseWorthless
@@ -67,16 +67,36 @@
 }
 
 const (
-	// FixedWorth is the share of a mean job's worth that does not depend on its
-	// work, MostWorth the most that a job counts for against the mean.
-	FixedWorth = 0.3
-	MostWorth  = 4
+	// fixedWorth is the share of a mean job's worth that does not depend on its
+	// work, mostWorth the most that a job counts for against the mean.
+	fixedWorth = 0.3
+	mostWorth  = 4
+	// lateWorth is the part of its worth that a late job earns.
+	lateWorth = 0.15
 	// slackScale is the slack, in objectives, over which the urgency falls by e.
 	slackScale = 0.5
 	// leastWork bounds from below what is left of a job, in core-seconds.
 	leastWork = 0.1
 )
 
+// Worth returns what a job of some work is worth against one of mean work, both
+// in core-seconds.
+func Worth(work, mean float64) float64 {
+	return min(mostWorth, fixedWorth+(1-fixedWorth)*work/max(leastWork, mean))
+}
+
+// Earned returns the part of its worth that a job has earned by ending after
+// some time.
+func Earned(took, objective time.Duration) float64 {
+	switch {
+	case took <= objective:
+		return 1
+	case took <= lateFactor*objective:
+		return lateWorth
+	}
+	return 0
+}
+
 // urgency returns about what a second of waiting costs for each core-second of
 // work that is left: the apparent tardiness cost of scheduling theory. Timed jobs
 // have none. Jobs that stay go by size: large tasks first pack best.
@@ -87,7 +107,7 @@
 	if j.spec.Repeat > 0 || j.objective <= 0 {
 		return 0
 	}
-	worth := min(MostWorth, FixedWorth+(1-FixedWorth)*l.whole/max(leastWork, mean))
+	worth := Worth(l.whole, mean)
 	slack := max(0, j.deadline.Sub(now)-l.chain)
 	objective := j.objective.Seconds()
 	return worth / objective / max(leastWork, l.left) * math.Exp(-slack.Seconds()/(slackScale*objective))
--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -7,9 +7,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 )
 
-// lateWorth is what a job is worth that ends after its objective.
-const lateWorth = 0.15
-
 // Share is what of some worth was earned.
 type Share struct {
 	// Owed is the worth, Earned what of it was earned.
@@ -63,12 +60,8 @@
 	worth := worth(shape, j, meanWork)
 	objective := time.Duration(q.Stretch*float64(chain)) + q.Target
 	share.Owed += worth
-	switch {
-	case took < 0 || took > kqplan.LateFactor*objective:
-	case took > objective:
-		share.Earned += lateWorth * worth
-	default:
-		share.Earned += worth
+	if took >= 0 {
+		share.Earned += worth * kqplan.Earned(took, objective)
 	}
 }
 
--- a/internal/trial/kqreplay/baseline.go
+++ b/internal/trial/kqreplay/baseline.go
@@ -1,8 +1,6 @@
 package kqreplay
 
 import (
-	"time"
-
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -116,9 +114,3 @@
 	}
 	return id
 }
-
-// spare returns the core-seconds that are left for what fills while jobs come
-// and for a while after.
-func (p *Replay) spare(used float64, after time.Duration) float64 {
-	return float64(p.config.Load.Workers)*p.config.Load.Cores*(p.config.Load.Span+after).Seconds() - used
-}
--- a/internal/trial/kqreplay/bound.go
+++ b/internal/trial/kqreplay/bound.go
@@ -41,7 +41,7 @@
 	slices.SortFunc(batch, func(a, b kqflow.Job) int {
 		return cmp.Compare(worth(p.config.Load.Batch, b, mean[QueueBatch])/p.trueWork(b), worth(p.config.Load.Batch, a, mean[QueueBatch])/p.trueWork(a))
 	})
-	left := p.spare(used+serving*(p.config.Load.Span+settle).Seconds(), settle)
+	left := (float64(p.config.Load.Workers)*p.config.Load.Cores-serving)*(p.config.Load.Span+settle).Seconds() - used
 	for _, j := range batch {
 		w := worth(p.config.Load.Batch, j, mean[QueueBatch])
 		out.Batch.Owed += w
@@ -55,7 +55,7 @@
 
 // worth returns what a job is worth if it is in time.
 func worth(s Shape, j kqflow.Job, mean float64) float64 {
-	return s.Worth * min(kqplan.MostWorth, kqplan.FixedWorth+(1-kqplan.FixedWorth)*work(j)/mean)
+	return s.Worth * kqplan.Worth(work(j), mean)
 }
 
 // trueWork returns the core-seconds that a job really takes.
