The share served by size of job is told by logs, metrics and flow losses

The owner counts outcomes by size (kumquatswitch_flow_settled_total), says when a job becomes worthless (flow_too_late) and once a second what holds the room that tasks wait for (flow_crowded); entries log the work of what they turn away; flow losses has a table by size.

--- a/internal/command/kqcommand/losses.go
+++ b/internal/command/kqcommand/losses.go
@@ -58,6 +58,11 @@
 		t.add(row...)
 	}
 	t.add()
+	t.add("QUEUE", "SIZE", "FLOWS", "IN TIME", "SERVED", "SHARE", "OF THE QUEUE'S")
+	for _, s := range r.Sizes {
+		t.add(s.Queue, s.Size, s.Jobs, s.InTime, s.Served, fmt.Sprintf("%.2f", s.Share), fmt.Sprintf("%.2f", s.Against))
+	}
+	t.add()
 	t.add(fmt.Sprintf("serving tasks: %.0f s at work, %.0f s over their target by what fills beside them, %.0f s by their own load",
 		r.Pace.ServingMS/msPerSecond, r.Pace.OverByFillingMS/msPerSecond, r.Pace.OverByLoadMS/msPerSecond))
 	t.add(fmt.Sprintf("filling tasks: %.0f core-seconds there, %.0f of it withheld", r.Pace.FillingMS/msPerSecond, r.Pace.WithheldMS/msPerSecond))
--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -74,6 +74,8 @@
 	ApprovalGiven        Number = 718
 	OrderRefused         Number = 716
 	FlowPaced            Number = 719
+	FlowTooLate          Number = 720
+	FlowCrowded          Number = 721
 	PeerLinked           Number = 801
 	PeerLost             Number = 802
 	RowUnreadable        Number = 803
@@ -161,6 +163,8 @@
 	{ApprovalAsked, "approval_asked", "The policy service is asked which workers may run a step."},
 	{ApprovalGiven, "approval_given", "The policy service has answered."},
 	{FlowPaced, "flow_paced", "What serves on a worker, what presses it and at which shares that works, over the last interval."},
+	{FlowTooLate, "flow_too_late", "A job of steps that has not ended has passed the last time at which it is worth anything."},
+	{FlowCrowded, "flow_crowded", "Tasks wait for room: what holds the processors of the cell and what waits for them."},
 	{PeerLinked, "peer_linked", "A process of the system has connected."},
 	{PeerLost, "peer_lost", "The connection with a process of the system has ended."},
 	{RowUnreadable, "row_unreadable", "A stored row cannot be read and is left alone."},
@@ -181,7 +185,7 @@
 // decisions are the events that each decide on one request, one of its tasks or
 // one of their runs.
 var decisions = map[Number]bool{
-	FlowAccepted: true, FlowRefused: true, FlowUnresolved: true, FlowTaken: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true,
+	FlowAccepted: true, FlowRefused: true, FlowUnresolved: true, FlowTaken: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true, FlowTooLate: true,
 	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true,
 }
 
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -45,6 +45,8 @@
 	Policy func() *kqflow.Policy
 	// Took is told how long commits took; may be nil.
 	Took func(kind string, d time.Duration)
+	// Settled is told once of each job how well it was served; may be nil.
+	Settled func(kqplan.Settlement)
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// Wall is the time of day.
@@ -116,7 +118,7 @@
 	}
 	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent, fedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.Wall().Round(0))}
-	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, Lease: c.Lease, FarFactor: c.FarFactor, Events: c.Events, Counter: c.Counter})
+	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, Lease: c.Lease, FarFactor: c.FarFactor, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
 	if err := x.load(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -181,6 +181,15 @@
 	return longest
 }
 
+// Work returns the core-seconds of one occurrence, by its estimates.
+func (j Job) Work() float64 {
+	sum := 0.0
+	for _, s := range j.Steps {
+		sum += float64(s.Count) * float64(s.Size.MilliProcessors) / 1000 * s.Estimate.Seconds()
+	}
+	return sum
+}
+
 // Queue is a class of work as an operator sets it.
 type Queue struct {
 	// Name names the queue.
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -113,13 +113,21 @@
 	case kqcontrol.OutcomeStored:
 		f.config.Events.Emit(now, kqevent.FlowAccepted, kqevent.Job(j.ID), "queue %s after %s", j.Queue, took)
 	case kqcontrol.OutcomeRefused:
-		f.config.Events.Emit(now, kqevent.FlowRefused, kqevent.Job(j.ID), "the store refuses, after %s", took)
+		f.config.Events.EmitFields(now, kqevent.FlowRefused, kqevent.Job(j.ID), sizeFields(j), "the store refuses, after %s", took)
 	default:
-		f.config.Events.Emit(now, kqevent.FlowUnresolved, kqevent.Job(j.ID), "no certain answer of the store after %s", took)
+		f.config.Events.EmitFields(now, kqevent.FlowUnresolved, kqevent.Job(j.ID), sizeFields(j), "no certain answer of the store after %s", took)
 	}
 	return o
 }
 
+// sizeFields tells of a job that the owner may never see how large it is.
+func sizeFields(j kqflow.Job) []kqevent.Field {
+	if j.Steps[0].Standing || j.Repeat > 0 {
+		return nil
+	}
+	return []kqevent.Field{kqevent.Queue(j.Queue), kqevent.Value("work", j.Work())}
+}
+
 // Cancel marks a job as cancelled.
 func (f *Front) Cancel(ctx context.Context, id string) kqcontrol.Outcome {
 	began := f.config.Now()
--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -63,11 +63,18 @@
 // Account gathers what the logs of a cell tell. The zero value is empty.
 type Account struct {
 	jobs   map[string]*job
+	away   map[string]turnedAway
 	pace   kqpace.Tally
 	last   time.Time
 	unread int
 }
 
+// turnedAway is a job that was not accepted with certainty when it was handed in.
+type turnedAway struct {
+	queue string
+	work  float64
+}
+
 // take takes over a line.
 func (a *Account) take(l line) {
 	if l.Time.After(a.last) {
@@ -76,6 +83,13 @@
 	switch l.Event {
 	case kqevent.FlowTaken:
 		a.taken(l)
+	case kqevent.FlowRefused, kqevent.FlowUnresolved:
+		if a.away == nil {
+			a.away = map[string]turnedAway{}
+		}
+		if l.Work > 0 {
+			a.away[l.ID] = turnedAway{queue: l.Queue, work: l.Work}
+		}
 	case kqevent.FlowPaced:
 		a.pace.Merge(l.Pace)
 	case kqevent.FlowCompleted, kqevent.FlowFailed, kqevent.FlowCancelled:
--- a/internal/flow/kqloss/line.go
+++ b/internal/flow/kqloss/line.go
@@ -26,6 +26,7 @@
 	ObjectiveMS int64               `json:"objective_ms"`
 	AgeMS       int64               `json:"age_ms"`
 	Repeat      int                 `json:"repeat"`
+	Work        float64             `json:"work"`
 	Steps       []kqplan.LoggedStep `json:"steps"`
 	Pace        kqpace.Tally        `json:"pace"`
 }
--- a/internal/flow/kqloss/loss_test.go
+++ b/internal/flow/kqloss/loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +120,41 @@
 	g.Expect(a.Read(strings.NewReader("plain words\n{\"event\": oh\n"))).To(Succeed())
 	g.Expect(a.Report().Unread).To(Equal(1))
 }
+
+// Of ten jobs that differ in width only, the two largest end after three times
+// their objective, and a larger one still is turned away.
+func TestTheShareServedIsToldBySize(t *testing.T) {
+	g := NewWithT(t)
+	h := newHistory()
+	wide := func(count int) kqflow.Step {
+		s := step()
+		s.Count, s.Size.MilliProcessors = count, 100
+		return s
+	}
+	for n := range 10 {
+		h.submit(string(rune('a'+n)), wide(n+1))
+	}
+	number := uint64(0)
+	finish := func(jobs string) {
+		for _, id := range jobs {
+			for i := range int(id-'a') + 1 {
+				number++
+				h.end(number, fmt.Sprintf("%c.0.0.%d", id, i), 1, kqexecution.HowDone)
+			}
+		}
+	}
+	h.pass(time.Second)
+	finish("abcdefgh")
+	h.pass(20 * time.Second)
+	finish("ij")
+	h.log.WriteString(`{"time":"2026-01-01T00:00:00Z","event":702,"id":"refused","queue":"batch","work":99}` + "\n")
+	r := h.report(g)
+	g.Expect(r.Sizes).To(HaveLen(3))
+	byName := map[string]kqloss.Size{}
+	for _, s := range r.Sizes {
+		byName[s.Size] = s
+	}
+	g.Expect(byName["lower"]).To(And(HaveField("Jobs", 7), HaveField("Served", 7), HaveField("Share", 1.0)))
+	g.Expect(byName["upper"]).To(And(HaveField("Jobs", 2), HaveField("Served", 1), HaveField("Share", 0.5)))
+	g.Expect(byName["largest"]).To(And(HaveField("Jobs", 2), HaveField("Served", 0), HaveField("Against", 0.0)))
+}
--- a/internal/flow/kqloss/table.go
+++ b/internal/flow/kqloss/table.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 )
 
 // Row is what became of the jobs of one queue. Worth is counted in jobs of the
@@ -35,10 +36,28 @@
 	Seconds map[string]float64 `json:"seconds"`
 }
 
+// Size is how well the jobs of a queue that are of about one size were served.
+type Size struct {
+	// Queue and Size name the queue and the size.
+	Queue string `json:"queue"`
+	Size  string `json:"size"`
+	// Jobs is how many there were, InTime how many of them ended in time and Served
+	// how many while they were worth something.
+	Jobs   int `json:"jobs"`
+	InTime int `json:"in_time"`
+	Served int `json:"served"`
+	// Share is the part that was served, Against that part over the part of the
+	// whole queue.
+	Share   float64 `json:"share"`
+	Against float64 `json:"against"`
+}
+
 // Report is what an Account has found.
 type Report struct {
 	// Rows is the queues in order of what was lost.
 	Rows []Row `json:"queues"`
+	// Sizes is how well each size of job was served, in the order of Rows.
+	Sizes []Size `json:"sizes"`
 	// Pace is what became of serving and filling tasks beside each other.
 	Pace kqpace.Tally `json:"pace"`
 	// Unread is how many lines could not be read.
@@ -58,6 +77,44 @@
 		out.Rows = append(out.Rows, a.row(queue, byQueue[queue]))
 	}
 	slices.SortStableFunc(out.Rows, func(x, y Row) int { return cmp.Compare(y.Lost, x.Lost) })
+	for _, r := range out.Rows {
+		out.Sizes = append(out.Sizes, a.sizes(r.Queue, byQueue[r.Queue])...)
+	}
+	return out
+}
+
+// sizes splits the jobs of a queue by their work; those that were turned away
+// and never taken count as not served.
+func (a *Account) sizes(queue string, jobs []*job) []Size {
+	var work, value []float64
+	for _, j := range jobs {
+		work, value = append(work, j.work()), append(value, j.value())
+	}
+	for id, t := range a.away {
+		if t.queue == queue && a.jobs[id] == nil {
+			work, value = append(work, t.work), append(value, 0)
+		}
+	}
+	bounds := kqsize.BoundsOf(work)
+	out := make([]Size, kqsize.BandCount)
+	served := 0
+	for i, w := range work {
+		s := &out[bounds.Band(w)]
+		s.Jobs++
+		if value[i] == 1 {
+			s.InTime++
+		}
+		if value[i] > 0 {
+			s.Served++
+			served++
+		}
+	}
+	for b := range out {
+		s := &out[b]
+		s.Queue, s.Size = queue, kqsize.Band(b).String()
+		s.Share = float64(s.Served) / float64(max(1, s.Jobs))
+		s.Against = s.Share * float64(len(work)) / float64(max(1, served))
+	}
 	return out
 }
 
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -380,8 +380,7 @@
 		}
 	}
 	if t.job.allDone() {
-		p.config.Events.Emit(now, kqevent.FlowCompleted, kqevent.Job(t.job.spec.ID), "after %s, objective %s",
-			now.Sub(t.job.spec.SubmittedAt).Round(time.Millisecond), t.job.objective)
+		p.completed(now, t.job)
 		p.finish(t.job, kqflow.StateCompleted)
 	}
 }
@@ -397,6 +396,7 @@
 	t.shunned = h.name
 	if n := t.failures(); n >= max(1, t.job.queue.Attempts) {
 		p.config.Events.Emit(now, kqevent.FlowFailed, kqevent.Job(t.job.spec.ID), "task %s has failed %d times", t.id, n)
+		p.settle(t.job, OutcomeFailed)
 		p.finish(t.job, kqflow.StateFailed)
 	}
 }
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -35,6 +36,8 @@
 	held     []heldEffect
 
 	occurrences int
+	band        kqsize.Band
+	settled     bool
 	endedAt     time.Time
 	busyAt      time.Time
 }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -31,6 +31,8 @@
 	firm map[stepKey]bool
 	// misses counts the steps of filling tasks for which no host has room.
 	misses int
+	// crowd is what waits so far.
+	crowd Crowd
 	// held is the services in which a gang waits for what comes free.
 	held map[string]bool
 }
@@ -68,13 +70,16 @@
 			case t.step.Gang:
 				if t.id.Index == 0 && p.placeGang(now, t, x) {
 					waiting += t.step.Count
+					x.crowd.wait(t, t.step.Count)
 				}
 			case !p.placeTask(now, t, x):
 				waiting++
+				x.crowd.wait(t, 1)
 			}
 		}
 	}
 	p.backlog = waiting
+	p.noteCrowd(now, x.crowd)
 }
 
 // isDue reports whether a task may start; a pass will follow if it may soon.
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -26,6 +27,8 @@
 	Lease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
+	// Settled is told once of each job how well it was served; may be nil.
+	Settled func(Settlement)
 	// Events remembers what was decided; may be nil.
 	Events *kqevent.Log
 	// Counter receives breaches; may be nil.
@@ -53,11 +56,14 @@
 	refreshedAt time.Time
 	watchedAt   time.Time
 	watches     int
+	crowdedAt   time.Time
+
+	sizes map[string]*kqsize.Scale
 }
 
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, sizes: map[string]*kqsize.Scale{}}
 }
 
 // Epoch returns the owner's epoch.
@@ -147,6 +153,7 @@
 	if !j.state.Final() {
 		p.active++
 		j.materialise(now)
+		p.measure(now, j, record == nil)
 		if j.version == 0 {
 			age := now.Sub(s.Job.SubmittedAt)
 			p.config.Events.EmitFields(now, kqevent.FlowTaken, kqevent.Job(j.spec.ID), j.fields(age), "queue %s, steps %s, objective %s, accepted %s ago",
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -35,9 +35,12 @@
 	records map[string]kqflow.Record
 }
 
-func newCell(epoch uint64) *cell {
+func newCell(epoch uint64) *cell { return newCellWith(kqplan.Config{Epoch: epoch}) }
+
+func newCellWith(config kqplan.Config) *cell {
 	c := &cell{now: time.Unix(1000, 0), counter: &kqinvariant.Counter{}, states: map[string]kqflow.State{}, noted: map[string]uint64{}, records: map[string]kqflow.Record{}}
-	c.Planner = kqplan.New(kqplan.Config{Epoch: epoch, TakenAt: c.now, Lease: 7 * time.Second, FarFactor: 1.5, Counter: c.counter})
+	config.TakenAt, config.Lease, config.FarFactor, config.Counter = c.now, 7*time.Second, 1.5, c.counter
+	c.Planner = kqplan.New(config)
 	c.SetPolicy(&kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
 		"urgent": {Name: "urgent", Service: "s", Attempts: 2, Stretch: 1.5, Target: 250 * time.Millisecond},
 		"batch":  {Name: "batch", Service: "s", Priority: 2, Attempts: 2, Stretch: 2, Target: time.Second}}})
--- /dev/null
+++ b/internal/flow/kqplan/settle_test.go
@@ -0,0 +1,52 @@
+package kqplan_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+var _ = Describe("how well jobs are served", func() {
+	It("is told once of each job, with its size", func() {
+		var got []kqplan.Settlement
+		var log bytes.Buffer
+		logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&log), zapcore.InfoLevel))
+		c := newCellWith(kqplan.Config{Epoch: 1, Settled: func(s kqplan.Settlement) { got = append(got, s) },
+			Events: kqevent.New(kqevent.Config{Process: "p", Logger: logger})})
+		c.host("h1", "w1", 100)
+		for n := range 11 {
+			c.Submit(c.now, job(fmt.Sprintf("small%02d", n), "urgent", c.now, step(1, 1)), nil, 0)
+		}
+		c.Submit(c.now, job("large", "urgent", c.now, step(20, 1)), nil, 0)
+		c.Submit(c.now, job("wide", "urgent", c.now, step(1, 200)), nil, 0)
+		c.settle()
+		for n, o := range c.take() {
+			if n == 0 {
+				c.end("h1", "w1", 1, o, kqexecution.HowFailed)
+				continue
+			}
+			c.end("h1", "w1", uint64(n+1), o, kqexecution.HowDone)
+		}
+		c.settle()
+		c.now = c.now.Add(10 * time.Second)
+		c.Granted(c.now, "h1", 7*time.Second)
+		c.settle()
+		c.settle()
+		Expect(got).To(HaveLen(13))
+		Expect(got).To(ContainElement(kqplan.Settlement{Queue: "urgent", Band: kqsize.BandLargest, Outcome: kqplan.OutcomeInTime}))
+		Expect(got).To(ContainElement(kqplan.Settlement{Queue: "urgent", Band: kqsize.BandLargest, Outcome: kqplan.OutcomeTooLate}))
+		Expect(strings.Count(log.String(), `"flow_too_late"`)).To(Equal(2))
+		Expect(log.String()).To(ContainSubstring(`"crowd":{"capacity":100000,`))
+	})
+})
--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -11,6 +11,8 @@
 	plain   int64
 	serving int64
 	filling int64
+	// standing is the processors of tasks that do not end, whatever kind they are.
+	standing int64
 	// byPriority counts the runs of tasks that end, which may be preempted.
 	byPriority map[int]int
 	// stopping counts the runs that are being stopped.
@@ -37,6 +39,7 @@
 		t.stopping += int(sign)
 	}
 	if s.Standing {
+		t.standing += sign * s.Size.MilliProcessors
 		return
 	}
 	if t.byPriority == nil {
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		l := j.load()
-		turns = append(turns, turn{job: j, phase: j.phase(now), load: l})
+		turns = append(turns, turn{job: j, phase: p.phase(now, j), load: l})
 		sums[j.queue.Name] += l.whole
 		counts[j.queue.Name]++
 	}
