--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -5,6 +5,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 )
 
 // Share is what of some worth was earned.
@@ -20,6 +21,8 @@
 type Result struct {
 	// Quick, Batch and Watch are the shares of each queue.
 	Quick, Batch, Watch Share
+	// Served is how the quick jobs of each size were served.
+	Served [kqsize.BandCount]Count
 	// Over is how long serving tasks were over their target by what fills beside
 	// them.
 	Over time.Duration
@@ -27,6 +30,23 @@
 	Starts int
 }
 
+// Count is how many of some jobs ended while they were worth something.
+type Count struct {
+	Jobs, Served int
+}
+
+// Of returns the part that was served.
+func (c Count) Of() float64 { return float64(c.Served) / float64(max(1, c.Jobs)) }
+
+// QuickServed returns how the quick jobs were served whatever their size.
+func (r Result) QuickServed() Count {
+	var out Count
+	for _, c := range r.Served {
+		out.Jobs, out.Served = out.Jobs+c.Jobs, out.Served+c.Served
+	}
+	return out
+}
+
 // Whole returns the part of all worth that was earned.
 func (r Result) Whole() float64 {
 	return (r.Quick.Earned + r.Batch.Earned + r.Watch.Earned) / (r.Quick.Owed + r.Batch.Owed + r.Watch.Owed)
@@ -36,12 +56,12 @@
 type account struct {
 	load   Load
 	result Result
+	quick  kqsize.Bounds
 }
 
 // serve counts a step of time of a serving task.
 func (a *account) serve(s kqflow.Step, met, metAlone bool) {
 	worth := a.load.Watch.Worth / float64(s.Count) * stepTime.Seconds() / 2
-	a.result.Watch.Owed += worth
 	switch {
 	case met:
 		a.result.Watch.Earned += worth
@@ -51,6 +71,11 @@
 	}
 }
 
+// watch counts what a watch job owes that has been there for some time.
+func (a *account) watch(there time.Duration) {
+	a.result.Watch.Owed += a.load.Watch.Worth * there.Seconds() / 2
+}
+
 // job counts a job by its true objective; took is negative if it has not ended.
 func (a *account) job(j kqflow.Job, chain, took time.Duration, meanWork float64) {
 	shape, share, q := a.load.Quick, &a.result.Quick, policy().Queues[j.Queue]
@@ -60,16 +85,16 @@
 	worth := worth(shape, j, meanWork)
 	objective := time.Duration(q.Stretch*float64(chain)) + q.Target
 	share.Owed += worth
+	earned := 0.0
 	if took >= 0 {
-		share.Earned += worth * kqplan.Earned(took, objective)
+		earned = kqplan.Earned(took, objective)
 	}
-}
-
-// work returns the core-seconds of a job by its estimates.
-func work(j kqflow.Job) float64 {
-	sum := 0.0
-	for _, s := range j.Steps {
-		sum += float64(s.Count) * float64(s.Size.MilliProcessors) / milli * s.Estimate.Seconds()
+	share.Earned += worth * earned
+	if j.Queue == QueueQuick {
+		c := &a.result.Served[a.quick.Band(j.Work())]
+		c.Jobs++
+		if earned > 0 {
+			c.Served++
+		}
 	}
-	return sum
 }
--- a/internal/trial/kqreplay/bound.go
+++ b/internal/trial/kqreplay/bound.go
@@ -55,7 +55,7 @@
 
 // worth returns what a job is worth if it is in time.
 func worth(s Shape, j kqflow.Job, mean float64) float64 {
-	return s.Worth * kqplan.Worth(work(j), mean)
+	return s.Worth * kqplan.Worth(j.Work(), mean)
 }
 
 // trueWork returns the core-seconds that a job really takes.
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -32,6 +32,8 @@
 	Steps, Width float64
 	// Cores is the mean size of a task.
 	Cores float64
+	// WidthSpread and CoresSpread are the relative spreads of both between steps.
+	WidthSpread, CoresSpread float64
 	// Length is the mean time that a task works, Spread the relative spread of
 	// it between jobs, Uneven that between tasks of a step.
 	Length         time.Duration
@@ -75,9 +77,9 @@
 	Cores   float64
 	// Span is for how long jobs come.
 	Span time.Duration
-	// Quick, Batch and Watch are the jobs; Watch jobs stand from the start.
+	// Quick, Batch and Watch are the jobs; Watch jobs stay once they have come.
 	Quick, Batch, Watch Shape
-	// WatchJobs is how many watch jobs there are.
+	// WatchJobs is how many watch jobs there are from the start.
 	WatchJobs int
 	// ServingLoad is the mean load of serving tasks, Swing its relative swing and
 	// SwingTime the period of that.
@@ -106,12 +108,30 @@
 // and what fills must live beside them.
 func Crowded() Load {
 	return Load{Workers: 11, Cores: 36, Span: 34 * time.Second,
-		Quick: Shape{PerSecond: 5, Steps: 1.6, Width: 6, Cores: 0.48, Length: 800 * time.Millisecond, Spread: 0.5, Uneven: 0.3, EstimateError: 0.9, Worth: 0.33},
-		Batch: Shape{PerSecond: 1.2, Steps: 2, Width: 8, Cores: 3.5, Length: 2200 * time.Millisecond, Spread: 0.5, Uneven: 0.15, EstimateError: 0.2, Images: 9, Worth: 7},
-		Watch: Shape{Width: 6, Cores: 6.4, Images: 3, Worth: 1.6}, WatchJobs: 9,
+		Quick: Shape{PerSecond: 5, Steps: 1.6, Width: 6, Cores: 0.48, WidthSpread: 0.6, CoresSpread: 0.3, Length: 800 * time.Millisecond, Spread: 0.5, Uneven: 0.3, EstimateError: 0.9, Worth: 0.33},
+		Batch: Shape{PerSecond: 1.2, Steps: 2, Width: 8, Cores: 3.5, WidthSpread: 0.6, CoresSpread: 0.3, Length: 2200 * time.Millisecond, Spread: 0.5, Uneven: 0.15, EstimateError: 0.2, Images: 9, Worth: 7},
+		Watch: Shape{Width: 6, Cores: 6.4, WidthSpread: 0.3, CoresSpread: 0.2, Images: 3, Worth: 1.6}, WatchJobs: 9,
 		ServingLoad: 0.48, Swing: 0.5, SwingTime: 20 * time.Second, TargetFactor: 6, Bursts: []Burst{{From: 12 * time.Second, For: 6 * time.Second, Factor: 1.5}}, HeavyShare: 0.55, Press: 3}
 }
 
+// Filling is a load under which tasks that stay come until they would hold
+// every processor, beside quick jobs that need a tenth of them.
+func Filling() Load {
+	return Load{Workers: 20, Cores: 64, Span: 34 * time.Second,
+		Quick: Shape{PerSecond: 6, Steps: 1.6, Width: 10, Cores: 1.8, WidthSpread: 0.8, CoresSpread: 0.45, Length: 800 * time.Millisecond, Spread: 0.5, Uneven: 0.3, EstimateError: 0.2, Worth: 0.36},
+		Watch: Shape{PerSecond: 0.1, Width: 14, Cores: 13, WidthSpread: 0.3, CoresSpread: 0.2, Images: 10, Worth: 1.46}, WatchJobs: 7,
+		ServingLoad: 0.45, Swing: 0.6, SwingTime: 14 * time.Second, TargetFactor: 5}
+}
+
+// Overfull is a load of quick jobs of very different sizes that need more than
+// twice the processors that tasks which were there before leave them.
+func Overfull() Load {
+	l := Filling()
+	l.Quick.PerSecond = 10
+	l.Watch.PerSecond, l.WatchJobs = 0, 8
+	return l
+}
+
 // source draws the jobs of a load.
 type source struct {
 	load Load
@@ -150,11 +170,8 @@
 	if at > s.load.Span {
 		return nil
 	}
-	for _, queue := range []string{QueueQuick, QueueBatch} {
-		shape := s.load.Quick
-		if queue == QueueBatch {
-			shape = s.load.Batch
-		}
+	for _, queue := range []string{QueueQuick, QueueBatch, QueueWatch} {
+		shape := s.load.shape(queue)
 		for shape.PerSecond > 0 && s.next[queue] <= at {
 			out = append(out, s.job(queue, shape))
 			s.next[queue] += time.Duration(s.rng.ExpFloat64() / (shape.PerSecond * s.factor(queue, at)) * float64(time.Second))
@@ -163,6 +180,11 @@
 	return out
 }
 
+// shape returns the jobs of a queue.
+func (l Load) shape(queue string) Shape {
+	return map[string]Shape{QueueQuick: l.Quick, QueueBatch: l.Batch, QueueWatch: l.Watch}[queue]
+}
+
 func (s *source) factor(queue string, at time.Duration) float64 {
 	for _, b := range s.load.Bursts {
 		if queue == QueueBatch && at >= b.From && at < b.From+b.For {
@@ -173,14 +195,17 @@
 }
 
 func (s *source) job(queue string, shape Shape) kqflow.Job {
+	if queue == QueueWatch {
+		return s.watch(s.rng.IntN(max(1, shape.Images)))
+	}
 	s.jobs++
 	j := kqflow.Job{ID: fmt.Sprintf("%s%d", queue, s.jobs), Queue: queue}
 	which := s.rng.IntN(max(1, shape.Images))
 	wrong := s.spread(shape.EstimateError)
 	for n := range max(1, int(math.Round(shape.Steps*s.spread(0.4)))) {
 		length := float64(shape.Length) * s.spread(shape.Spread)
-		x := kqflow.Step{Count: max(1, int(math.Round(shape.Width*s.spread(0.6)))),
-			Size:     kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(0.3)), MemoryBytes: 1 << 30},
+		x := kqflow.Step{Count: max(1, int(math.Round(shape.Width*s.spread(shape.WidthSpread)))),
+			Size:     kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(shape.CoresSpread)), MemoryBytes: 1 << 30},
 			Estimate: time.Duration(length * wrong)}
 		if n > 0 {
 			x.After = []int{n - 1}
@@ -201,16 +226,21 @@
 func (s *source) standing() []kqflow.Job {
 	var out []kqflow.Job
 	for n := range s.load.WatchJobs {
-		shape := s.load.Watch
-		s.jobs++
-		out = append(out, kqflow.Job{ID: fmt.Sprintf("%s%d", QueueWatch, s.jobs), Queue: QueueWatch, Steps: []kqflow.Step{{
-			Count: max(1, int(math.Round(shape.Width*s.spread(0.3)))), Estimate: time.Second,
-			Size: kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(0.2)), MemoryBytes: 1 << 30}, Standing: true,
-			Image: image(QueueWatch, n%max(1, shape.Images)), TailTarget: time.Duration(s.load.TargetFactor * float64(baseTail)), PerWorker: 3}}})
+		out = append(out, s.watch(n%max(1, s.load.Watch.Images)))
 	}
 	return out
 }
 
+// watch draws a watch job.
+func (s *source) watch(which int) kqflow.Job {
+	shape := s.load.Watch
+	s.jobs++
+	return kqflow.Job{ID: fmt.Sprintf("%s%d", QueueWatch, s.jobs), Queue: QueueWatch, Steps: []kqflow.Step{{
+		Count: max(1, int(math.Round(shape.Width*s.spread(shape.WidthSpread)))), Estimate: time.Second,
+		Size: kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(shape.CoresSpread)), MemoryBytes: 1 << 30}, Standing: true,
+		Image: image(QueueWatch, which), TailTarget: time.Duration(s.load.TargetFactor * float64(baseTail)), PerWorker: 3}}}
+}
+
 // policy is what the operator has set.
 func policy() *kqflow.Policy {
 	return &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -109,9 +110,11 @@
 func (p *Replay) note(j *kqflow.Job) {
 	j.SubmittedAt = p.now
 	p.specs[j.ID] = *j
-	if j.Queue != QueueWatch {
-		p.jobs = append(p.jobs, *j)
+	if j.Queue == QueueWatch {
+		p.account.watch(p.config.Load.Span + settle - p.now.Sub(epoch))
+		return
 	}
+	p.jobs = append(p.jobs, *j)
 }
 
 // fault begins and ends what strikes now.
@@ -241,6 +244,13 @@
 // settle counts the jobs.
 func (p *Replay) settle() Result {
 	mean := p.means()
+	var quick []float64
+	for _, j := range p.jobs {
+		if j.Queue == QueueQuick {
+			quick = append(quick, j.Work())
+		}
+	}
+	p.account.quick = kqsize.BoundsOf(quick)
 	for _, j := range p.jobs {
 		took := time.Duration(-1)
 		if e, ok := p.ended[j.ID]; ok {
@@ -256,7 +266,7 @@
 	mean, count := map[string]float64{}, map[string]float64{}
 	for _, j := range p.jobs {
 		count[j.Queue]++
-		mean[j.Queue] += (work(j) - mean[j.Queue]) / count[j.Queue]
+		mean[j.Queue] += (j.Work() - mean[j.Queue]) / count[j.Queue]
 	}
 	return mean
 }
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqreplay"
 )
 
@@ -24,6 +25,10 @@
 type mean struct {
 	whole, quick, batch, watch float64
 	over                       time.Duration
+	// served is the part of the quick jobs that was served, sizes the same for each
+	// size of them.
+	served float64
+	sizes  [kqsize.BandCount]float64
 }
 
 // play plays a load with several seeds.
@@ -53,8 +58,13 @@
 		m.batch += r.Batch.Of() / n
 		m.watch += r.Watch.Of() / n
 		m.over += r.Over / time.Duration(*seeds)
+		m.served += r.QuickServed().Of() / n
+		for b, c := range r.Served {
+			m.sizes[b] += c.Of() / n
+		}
 	}
-	t.Logf("%-12s whole %.4f quick %.3f batch %.3f watch %.3f over %s", name, m.whole, m.quick, m.batch, m.watch, m.over.Round(100*time.Millisecond))
+	t.Logf("%-12s whole %.4f quick %.3f batch %.3f watch %.3f over %s, quick served %.3f, by size %.3f", name, m.whole, m.quick, m.batch, m.watch,
+		m.over.Round(100*time.Millisecond), m.served, m.sizes)
 	return m
 }
 
@@ -102,3 +112,27 @@
 	const share = 2 * (12.0 + 8*0.75) / (54 * 11)
 	g.Expect(struck.whole).To(BeNumerically(">=", calm.whole-share))
 }
+
+// expectEverySizeServed asserts that no size of job is served less than half as
+// often as the queue.
+func expectEverySizeServed(g *WithT, m mean) {
+	for b, share := range m.sizes {
+		g.Expect(share).To(BeNumerically(">=", m.served/2), kqsize.Band(b).String())
+	}
+}
+
+// Tasks that stay come until no processor is free, while quick jobs of the same
+// priority need a few percent of them.
+func TestTasksThatStayTakeTheRoomOfQuickJobs(t *testing.T) {
+	g := NewWithT(t)
+	ours := play(t, "ours", kqreplay.Config{Load: kqreplay.Filling()}, (*kqreplay.Replay).Run)
+	expectEverySizeServed(g, ours)
+	g.Expect(ours.quick).To(BeNumerically(">=", target))
+}
+
+// Quick jobs need more than twice the room that there is, all the time.
+func TestTheLargestJobsStarveWhileRoomIsShort(t *testing.T) {
+	g := NewWithT(t)
+	ours := play(t, "ours", kqreplay.Config{Load: kqreplay.Overfull()}, (*kqreplay.Replay).Run)
+	expectEverySizeServed(g, ours)
+}
