A large task is not overtaken for ever by small ones

Callers would have seen: a batch task of six processors that never starts while tasks of one processor come as fast as they end.

Cause: the queue of a cell is by submission, but a task without room is passed over, and what comes free is taken at once by later ones that fit. Nothing keeps the pieces together.

Now the first task that has waited 10 s for room has the freest worker that is large enough kept for it, one at a time.

--- a/internal/cell/kqcell/placing.go
+++ b/internal/cell/kqcell/placing.go
@@ -20,6 +20,8 @@
 	racks   map[string]map[string]int
 	evicted map[kqmodel.TaskID]bool
 	full    map[shape]string
+	// saving is true once a worker is kept for a task that has waited for long.
+	saving bool
 }
 
 // shape is what makes two tasks alike to the placement.
@@ -138,12 +140,44 @@
 	}
 	if urgent && p.preempt(r, need) {
 		why += "; room is being made"
+	} else if p.save(r, t, need) {
+		why += "; a worker is kept for it"
 	} else if len(t.FailedOn) == 0 {
 		r.full[s] = why
 	}
 	p.wait(t, why)
 }
 
+// patience is how long a task may be overtaken by later ones that find room
+// where it does not.
+const patience = 10 * time.Second
+
+// save keeps the freest worker that is large enough for a task that has waited
+// for long, so that what comes free there adds up. One task at a time is helped:
+// what is kept stands idle.
+func (p *planner) save(r *room, t kqmodel.Task, need kqmodel.Resources) bool {
+	if r.saving || p.now.Sub(t.ChangedAt) < patience {
+		return false
+	}
+	avoid := p.avoid(r, t)
+	var best *kqplace.Worker
+	for i := range r.workers {
+		w := &r.workers[i]
+		if !w.Open || w.Pressed || !need.Fits(w.Capacity) || slices.Contains(avoid, w.ID) {
+			continue
+		}
+		if best == nil || w.Free().MilliProcessors > best.Free().MilliProcessors {
+			best = w
+		}
+	}
+	if best == nil {
+		return false
+	}
+	r.saving = true
+	best.Reserved = best.Reserved.Add(need)
+	return true
+}
+
 // avoidFor is how long a task stays away from the workers on which it failed.
 const avoidFor = 30 * time.Second
 
