While room is short, jobs that have begun go before new ones

Cause: a job's turn is what waiting costs for each core-second that is left, so small ones go first; while room is short each new one goes before the next tasks of large jobs that have begun. What those have done is wasted when they become late, after which they come last. Class: starvation by shortest job first.

Now, while tasks that end and reserve processors find no room, jobs that have begun go before new ones, and tasks that stay are packed before both as ever.

--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -81,6 +81,7 @@
 		}
 	}
 	p.backlog = waiting
+	p.short = x.crowd.WaitingEnding > 0
 	p.noteCrowd(now, x.crowd)
 }
 
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -36,16 +36,19 @@
 
 // Planner is the owner's state. It is not safe for concurrent use.
 type Planner struct {
-	config    Config
-	queues    map[string]kqflow.Queue
-	jobs      kqordered.Map[string, *job]
-	hosts     kqordered.Map[string, *host]
-	dirty     kqordered.Map[string, *job]
-	effects   []Effect
-	place     bool
-	hold      bool
-	active    int
-	backlog   int
+	config  Config
+	queues  map[string]kqflow.Queue
+	jobs    kqordered.Map[string, *job]
+	hosts   kqordered.Map[string, *host]
+	dirty   kqordered.Map[string, *job]
+	effects []Effect
+	place   bool
+	hold    bool
+	active  int
+	backlog int
+	// short is true if tasks that end and reserve what they take found no room in
+	// the latest pass.
+	short     bool
 	placedAt  time.Time
 	moves     int
 	approvals map[stepKey]*approval
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
 
 // phase orders jobs by what meeting their objective still earns.
@@ -34,10 +36,35 @@
 type turn struct {
 	job     *job
 	phase   phase
+	stage   stage
 	urgency float64
 	load    load
 }
 
+// stage orders jobs of a phase while tasks that end and reserve what they take
+// find no room.
+type stage int
+
+const (
+	// stageStanding is jobs that stay: packed before others take the room.
+	stageStanding stage = iota
+	// stageBegun is jobs whose work so far is lost if they have to wait for long.
+	stageBegun
+	stageNew
+)
+
+func (p *Planner) stage(j *job) stage {
+	switch {
+	case !p.short || j.spec.Steps[0].Fills:
+		return stageNew
+	case j.spec.Steps[0].Standing:
+		return stageStanding
+	case j.state == kqflow.StateRunning && j.hasObjective():
+		return stageBegun
+	}
+	return stageNew
+}
+
 // queued lists the jobs that have tasks to start, in order of their turn.
 func (p *Planner) queued(now time.Time) []*job {
 	var turns []turn
@@ -47,7 +74,7 @@
 			continue
 		}
 		l := j.load()
-		turns = append(turns, turn{job: j, phase: p.phase(now, j), load: l})
+		turns = append(turns, turn{job: j, phase: p.phase(now, j), stage: p.stage(j), load: l})
 		sums[j.queue.Name] += l.whole
 		counts[j.queue.Name]++
 	}
@@ -56,7 +83,7 @@
 		t.urgency = t.job.urgency(now, t.load, sums[t.job.queue.Name]/counts[t.job.queue.Name])
 	}
 	slices.SortFunc(turns, func(a, b turn) int {
-		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.phase, b.phase), cmp.Compare(b.urgency, a.urgency),
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.phase, b.phase), cmp.Compare(a.stage, b.stage), cmp.Compare(b.urgency, a.urgency),
 			a.job.deadline.Compare(b.job.deadline), strings.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 	out := make([]*job, len(turns))
