--- a/internal/flow/kqplan/crowd.go
+++ b/internal/flow/kqplan/crowd.go
@@ -6,8 +6,8 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 )
 
-// Crowd is what holds the processors of a cell and what waits for them, in
-// thousandths of a processor.
+// Crowd is what holds the processors of a cell and what waits for them, where
+// not said otherwise in thousandths of a processor.
 type Crowd struct {
 	// Capacity is the processors of all workers, Free what nothing has reserved.
 	Capacity int64 `json:"capacity"`
@@ -20,6 +20,9 @@
 	WaitingStanding int64 `json:"waiting_standing"`
 	WaitingEnding   int64 `json:"waiting_ending"`
 	WaitingFilling  int64 `json:"waiting_filling"`
+	// Weighed is how often a worker was weighed for a task since the last line: the
+	// owner's processor time goes by it.
+	Weighed int64 `json:"weighed"`
 }
 
 // wait counts a task that finds no room.
@@ -44,6 +47,7 @@
 		return
 	}
 	p.crowdedAt = now
+	c.Weighed, p.weighed = p.weighed, 0
 	for _, h := range p.hosts.All() {
 		c.Capacity += h.info.Capacity.MilliProcessors
 		c.Free += max(0, h.free().MilliProcessors)
--- /dev/null
+++ b/internal/flow/kqplan/crowd_test.go
@@ -0,0 +1,83 @@
+package kqplan_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+// weighed returns what the lines about waiting tasks say of the owner's work.
+func weighed(log *bytes.Buffer) []int64 {
+	var out []int64
+	for d := json.NewDecoder(log); d.More(); {
+		var l struct {
+			Msg   string       `json:"msg"`
+			Crowd kqplan.Crowd `json:"crowd"`
+		}
+		Expect(d.Decode(&l)).To(Succeed())
+		if l.Msg == "flow_crowded" {
+			out = append(out, l.Crowd.Weighed)
+		}
+	}
+	return out
+}
+
+// crowded returns how often workers are weighed in a second in which a number of
+// filling jobs wait beside serving tasks that leave no room.
+func crowded(jobs int) int64 {
+	var log bytes.Buffer
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&log), zapcore.InfoLevel))
+	c := newCellWith(kqplan.Config{Epoch: 1, Events: kqevent.New(kqevent.Config{Process: "p", Logger: logger})})
+	const hosts = 77
+	beat := func(d time.Duration) {
+		c.now = c.now.Add(d)
+		for n := range hosts {
+			c.Granted(c.now, fmt.Sprint("h", n), 7*time.Second)
+		}
+		c.settle()
+	}
+	for n := range hosts {
+		c.host(fmt.Sprint("h", n), fmt.Sprint("w", n), 64)
+	}
+	serving := kqflow.Step{Count: hosts, Size: kqmodel.Resources{MilliProcessors: 50_000}, Standing: true, PerWorker: 1, Image: "serving", TailTarget: 50 * time.Millisecond}
+	c.Submit(c.now, job("serving", "urgent", c.now, serving), nil, 0)
+	beat(time.Second)
+	for _, o := range c.take() {
+		host := "h" + o.Worker[1:]
+		c.Observe(c.now, host, kqplan.Report{Worker: o.Worker, Whole: true, Running: []kqexecution.Running{{Run: o.Run, Percent: 100, Measure: 49}}})
+	}
+	log.Reset()
+	for n := range jobs {
+		s := step(20, 7)
+		s.Fills, s.Image = true, "filling"
+		c.Submit(c.now, job(fmt.Sprintf("j%04d", n), "batch", c.now, s), nil, 0)
+	}
+	for range 22 {
+		beat(50 * time.Millisecond)
+	}
+	lines := weighed(&log)
+	Expect(len(lines)).To(BeNumerically(">=", 2))
+	return lines[1]
+}
+
+var _ = Describe("an owner with many workers", func() {
+	// The work of a second must not grow with what waits, or the owner falls behind
+	// when most is asked of it.
+	It("weighs no more workers while ten times as many filling jobs wait", func() {
+		few, many := crowded(40), crowded(400)
+		Expect(few).To(BeNumerically(">", 0))
+		Expect(many).To(BeNumerically("<=", few))
+	})
+})
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -196,6 +196,7 @@
 	var all peers
 	bestCost := 0.0
 	for _, h := range p.hosts.All() {
+		p.weighed++
 		if !allowed(h) || !p.eligible(now, t, h) {
 			continue
 		}
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -59,6 +59,7 @@
 	watchedAt   time.Time
 	watches     int
 	crowdedAt   time.Time
+	weighed     int64
 
 	loads map[string]*queueLoad
 }
