Tasks that stay may always take six tenths of a service

With half kept at most, a job of which nothing runs could have been held back while less than half of the service was in use, which its owner may not do (LOST).

--- a/internal/flow/kqplan/demand.go
+++ b/internal/flow/kqplan/demand.go
@@ -26,7 +26,7 @@
 	// leastKept is the share of a service below which nothing is kept free.
 	leastKept = 0.01
 	// mostKept bounds the share of a service that is kept free of tasks that stay.
-	mostKept = 0.5
+	mostKept = 0.4
 )
 
 // add takes over the work of a job or a task, in core-seconds.
