--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -21,8 +21,8 @@
 type Result struct {
 	// Quick, Batch and Watch are the shares of each queue.
 	Quick, Batch, Watch Share
-	// Served is how the quick jobs of each size were served.
-	Served [kqsize.BandCount]Count
+	// QuickSizes and BatchSizes are how the jobs of each size were served.
+	QuickSizes, BatchSizes Sizes
 	// Over is how long serving tasks were over their target by what fills beside
 	// them.
 	Over time.Duration
@@ -38,10 +38,13 @@
 // Of returns the part that was served.
 func (c Count) Of() float64 { return float64(c.Served) / float64(max(1, c.Jobs)) }
 
-// QuickServed returns how the quick jobs were served whatever their size.
-func (r Result) QuickServed() Count {
+// Sizes is how the jobs of each size of a queue were served.
+type Sizes [kqsize.BandCount]Count
+
+// All returns how the jobs were served whatever their size.
+func (s Sizes) All() Count {
 	var out Count
-	for _, c := range r.Served {
+	for _, c := range s {
 		out.Jobs, out.Served = out.Jobs+c.Jobs, out.Served+c.Served
 	}
 	return out
@@ -56,7 +59,7 @@
 type account struct {
 	load   Load
 	result Result
-	quick  kqsize.Bounds
+	bounds map[string]kqsize.Bounds
 }
 
 // serve counts a step of time of a serving task.
@@ -78,9 +81,9 @@
 
 // job counts a job by its true objective; took is negative if it has not ended.
 func (a *account) job(j kqflow.Job, chain, took time.Duration, meanWork float64) {
-	shape, share, q := a.load.Quick, &a.result.Quick, policy().Queues[j.Queue]
+	shape, share, sizes, q := a.load.Quick, &a.result.Quick, &a.result.QuickSizes, policy().Queues[j.Queue]
 	if j.Queue == QueueBatch {
-		shape, share = a.load.Batch, &a.result.Batch
+		shape, share, sizes = a.load.Batch, &a.result.Batch, &a.result.BatchSizes
 	}
 	worth := worth(shape, j, meanWork)
 	objective := time.Duration(q.Stretch*float64(chain)) + q.Target
@@ -90,11 +93,9 @@
 		earned = kqplan.Earned(took, objective)
 	}
 	share.Earned += worth * earned
-	if j.Queue == QueueQuick {
-		c := &a.result.Served[a.quick.Band(j.Work())]
-		c.Jobs++
-		if earned > 0 {
-			c.Served++
-		}
+	c := &sizes[a.bounds[j.Queue].Band(j.Work())]
+	c.Jobs++
+	if earned > 0 {
+		c.Served++
 	}
 }
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -114,6 +114,13 @@
 		ServingLoad: 0.48, Swing: 0.5, SwingTime: 20 * time.Second, TargetFactor: 6, Bursts: []Burst{{From: 12 * time.Second, For: 6 * time.Second, Factor: 1.5}}, HeavyShare: 0.55, Press: 3}
 }
 
+// Overfilled is the crowded load with three times as many filling jobs.
+func Overfilled() Load {
+	l := Crowded()
+	l.Batch.PerSecond *= 3
+	return l
+}
+
 // Filling is a load under which tasks that stay come until they would hold
 // every processor, beside quick jobs that need a sixth of them.
 func Filling() Load {
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -244,13 +244,14 @@
 // settle counts the jobs.
 func (p *Replay) settle() Result {
 	mean := p.means()
-	var quick []float64
+	work := map[string][]float64{}
 	for _, j := range p.jobs {
-		if j.Queue == QueueQuick {
-			quick = append(quick, j.Work())
-		}
+		work[j.Queue] = append(work[j.Queue], j.Work())
+	}
+	p.account.bounds = map[string]kqsize.Bounds{}
+	for queue, w := range work {
+		p.account.bounds[queue] = kqsize.BoundsOf(w)
 	}
-	p.account.quick = kqsize.BoundsOf(quick)
 	for _, j := range p.jobs {
 		took := time.Duration(-1)
 		if e, ok := p.ended[j.ID]; ok {
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -25,10 +25,29 @@
 type mean struct {
 	whole, quick, batch, watch float64
 	over                       time.Duration
-	// served is the part of the quick jobs that was served, sizes the same for each
-	// size of them.
-	served float64
-	sizes  [kqsize.BandCount]float64
+	quickSizes, batchSizes     sizes
+}
+
+// sizes is the mean part of the jobs of a queue that was served, of all and of
+// each size.
+type sizes struct {
+	all float64
+	by  [kqsize.BandCount]float64
+}
+
+func (s *sizes) add(of kqreplay.Sizes, weight float64) {
+	s.all += of.All().Of() * weight
+	for b, c := range of {
+		s.by[b] += c.Of() * weight
+	}
+}
+
+// expectServed asserts that no size of job is served less than half as often as
+// the queue.
+func (s *sizes) expectServed(g *WithT) {
+	for b, share := range s.by {
+		g.Expect(share).To(BeNumerically(">=", s.all/2), kqsize.Band(b).String())
+	}
 }
 
 // play plays a load with several seeds.
@@ -58,13 +77,11 @@
 		m.batch += r.Batch.Of() / n
 		m.watch += r.Watch.Of() / n
 		m.over += r.Over / time.Duration(*seeds)
-		m.served += r.QuickServed().Of() / n
-		for b, c := range r.Served {
-			m.sizes[b] += c.Of() / n
-		}
+		m.quickSizes.add(r.QuickSizes, 1/n)
+		m.batchSizes.add(r.BatchSizes, 1/n)
 	}
-	t.Logf("%-12s whole %.4f quick %.3f batch %.3f watch %.3f over %s, quick served %.3f, by size %.3f", name, m.whole, m.quick, m.batch, m.watch,
-		m.over.Round(100*time.Millisecond), m.served, m.sizes)
+	t.Logf("%-12s whole %.4f quick %.3f batch %.3f watch %.3f over %s, served quick %.3f, batch %.3f", name, m.whole, m.quick, m.batch, m.watch,
+		m.over.Round(100*time.Millisecond), m.quickSizes, m.batchSizes)
 	return m
 }
 
@@ -113,20 +130,12 @@
 	g.Expect(struck.whole).To(BeNumerically(">=", calm.whole-share))
 }
 
-// expectEverySizeServed asserts that no size of job is served less than half as
-// often as the queue.
-func expectEverySizeServed(g *WithT, m mean) {
-	for b, share := range m.sizes {
-		g.Expect(share).To(BeNumerically(">=", m.served/2), kqsize.Band(b).String())
-	}
-}
-
 // Tasks that stay come until no processor is free, while quick jobs of the same
 // priority need a few percent of them.
 func TestTasksThatStayTakeTheRoomOfQuickJobs(t *testing.T) {
 	g := NewWithT(t)
 	ours := play(t, "ours", kqreplay.Config{Load: kqreplay.Filling()}, (*kqreplay.Replay).Run)
-	expectEverySizeServed(g, ours)
+	ours.quickSizes.expectServed(g)
 	g.Expect(ours.quick).To(BeNumerically(">=", target))
 }
 
@@ -134,7 +143,14 @@
 func TestTheLargestJobsStarveWhileRoomIsShort(t *testing.T) {
 	g := NewWithT(t)
 	overfull := play(t, "overfull", kqreplay.Config{Load: kqreplay.Overfull()}, (*kqreplay.Replay).Run)
-	expectEverySizeServed(g, overfull)
+	overfull.quickSizes.expectServed(g)
 	filled := play(t, "filled", kqreplay.Config{Load: kqreplay.Filled()}, (*kqreplay.Replay).Run)
-	expectEverySizeServed(g, filled)
+	filled.quickSizes.expectServed(g)
+}
+
+// Filling jobs need more than serving tasks leave them, all the time.
+func TestTheLargestFillingJobsStarve(t *testing.T) {
+	g := NewWithT(t)
+	ours := play(t, "ours", kqreplay.Config{Load: kqreplay.Overfilled()}, (*kqreplay.Replay).Run)
+	ours.batchSizes.expectServed(g)
 }
