--- a/internal/flow/kqplan/crowd_test.go
+++ b/internal/flow/kqplan/crowd_test.go
@@ -8,10 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -38,8 +35,7 @@
 // filling jobs wait beside serving tasks that leave no room.
 func crowded(jobs int) int64 {
 	var log bytes.Buffer
-	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&log), zapcore.InfoLevel))
-	c := newCellWith(kqplan.Config{Epoch: 1, Events: kqevent.New(kqevent.Config{Process: "p", Logger: logger})})
+	c := newCellWith(kqplan.Config{Epoch: 1, Events: logTo(&log)})
 	const hosts = 77
 	beat := func(d time.Duration) {
 		c.now = c.now.Add(d)
--- a/internal/flow/kqplan/settle_test.go
+++ b/internal/flow/kqplan/settle_test.go
@@ -17,13 +17,17 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
+// logTo returns a log that writes its lines to a buffer.
+func logTo(b *bytes.Buffer) *kqevent.Log {
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(b), zapcore.InfoLevel))
+	return kqevent.New(kqevent.Config{Process: "p", Logger: logger})
+}
+
 var _ = Describe("how well jobs are served", func() {
 	It("is told once of each job, with its size", func() {
 		var got []kqplan.Settlement
 		var log bytes.Buffer
-		logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&log), zapcore.InfoLevel))
-		c := newCellWith(kqplan.Config{Epoch: 1, Settled: func(s kqplan.Settlement) { got = append(got, s) },
-			Events: kqevent.New(kqevent.Config{Process: "p", Logger: logger})})
+		c := newCellWith(kqplan.Config{Epoch: 1, Settled: func(s kqplan.Settlement) { got = append(got, s) }, Events: logTo(&log)})
 		c.host("h1", "w1", 100)
 		for n := range 11 {
 			c.Submit(c.now, job(fmt.Sprintf("small%02d", n), "urgent", c.now, step(1, 1)), nil, 0)
