A second takeover waits anew for the lease of a left worker: listed as known red

Cause: nothing that the store keeps says when a worker was last granted a lease, so each owner counts a whole lease from its own beginning, also for a worker that no owner since has reached. Not mended: it needs a row that each owner writes before its first grants.

--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -38,8 +38,11 @@
 func newCell(epoch uint64) *cell { return newCellWith(kqplan.Config{Epoch: epoch}) }
 
 func newCellWith(config kqplan.Config) *cell {
-	c := &cell{now: time.Unix(1000, 0), counter: &kqinvariant.Counter{}, states: map[string]kqflow.State{}, noted: map[string]uint64{}, records: map[string]kqflow.Record{}}
-	config.TakenAt, config.Lease, config.FarFactor, config.Counter = c.now, 7*time.Second, 1.5, c.counter
+	if config.TakenAt.IsZero() {
+		config.TakenAt = time.Unix(1000, 0)
+	}
+	c := &cell{now: config.TakenAt, counter: &kqinvariant.Counter{}, states: map[string]kqflow.State{}, noted: map[string]uint64{}, records: map[string]kqflow.Record{}}
+	config.Lease, config.FarFactor, config.Counter = 7*time.Second, 1.5, c.counter
 	c.Planner = kqplan.New(config)
 	c.SetPolicy(&kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
 		"urgent": {Name: "urgent", Service: "s", Attempts: 2, Stretch: 1.5, Target: 250 * time.Millisecond},
--- /dev/null
+++ b/internal/flow/kqplan/takeover_test.go
@@ -0,0 +1,46 @@
+package kqplan_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+)
+
+// A standing task must be back at work 6 s after its last run, and may be away
+// for 3 s beyond that.
+const standingAway = 9 * time.Second
+
+// A worker leaves with its agent, and the owner changes twice before anything of
+// it is stored: each owner waits for the lease that the last one might have given.
+func TestASecondTakeoverWaitsAnewForTheLeaseOfALeftWorker(t *testing.T) {
+	g := NewWithT(t)
+	first := newCell(1)
+	first.host("h1", "w1", 8)
+	s := step(1, 1)
+	s.Standing = true
+	submission := job("watch", "urgent", first.now, s)
+	first.Submit(first.now, submission, nil, 0)
+	first.now = first.now.Add(time.Second)
+	first.Granted(first.now, "h1", 7*time.Second)
+	first.settle()
+	g.Expect(first.take()).To(HaveLen(1))
+	left, record := first.now, first.records["watch"]
+
+	var owner *cell
+	for n, taken := range []time.Time{left.Add(500 * time.Millisecond), left.Add(3 * time.Second)} {
+		owner = newCellWith(kqplan.Config{Epoch: uint64(n + 2), TakenAt: taken})
+		r := record
+		owner.Submit(owner.now, kqflow.Submission{Job: submission.Job}, &r, 1)
+		owner.host("h2", "w2", 8)
+		owner.settle()
+		g.Expect(owner.take()).To(BeEmpty())
+	}
+	owner.now = left.Add(standingAway)
+	owner.Granted(owner.now, "h2", 7*time.Second)
+	owner.settle()
+	g.Expect(owner.take()).To(HaveLen(1))
+}
