One account of whether a job has an objective, and of its work

Found on the last read: the test for an objective stood three times (entry, plan, phase), the sum of a job's core-seconds twice, and a new job was taken into what is known of its queue by two calls one after the other.

--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -181,11 +181,22 @@
 	return longest
 }
 
+// HasObjective reports whether the job is to end within some time of being
+// accepted. The job must have passed Check.
+func (j Job) HasObjective() bool { return j.Repeat == 0 && !j.Steps[0].Standing }
+
 // Work returns the core-seconds of one occurrence, by its estimates.
 func (j Job) Work() float64 {
+	return j.coreSeconds(func(s Step) kqmodel.Resources { return s.Size })
+}
+
+// ReservedWork returns the part of Work that its tasks reserve.
+func (j Job) ReservedWork() float64 { return j.coreSeconds(Step.Reserved) }
+
+func (j Job) coreSeconds(size func(Step) kqmodel.Resources) float64 {
 	sum := 0.0
 	for _, s := range j.Steps {
-		sum += float64(s.Count) * float64(s.Size.MilliProcessors) / 1000 * s.Estimate.Seconds()
+		sum += float64(s.Count) * float64(size(s).MilliProcessors) / 1000 * s.Estimate.Seconds()
 	}
 	return sum
 }
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -122,7 +122,7 @@
 
 // sizeFields tells of a job that the owner may never see how large it is.
 func sizeFields(j kqflow.Job) []kqevent.Field {
-	if j.Steps[0].Standing || j.Repeat > 0 {
+	if !j.HasObjective() {
 		return nil
 	}
 	return []kqevent.Field{kqevent.Queue(j.Queue), kqevent.Value("work", j.Work())}
--- a/internal/flow/kqplan/demand.go
+++ b/internal/flow/kqplan/demand.go
@@ -29,7 +29,7 @@
 	mostKept = 0.4
 )
 
-// add takes over the work of a job or a task, in core-seconds.
+// add takes over the work of a job, in core-seconds.
 func (r *rate) add(now time.Time, work float64) {
 	if r.since.IsZero() {
 		r.since = now
@@ -67,23 +67,6 @@
 	return l
 }
 
-// reservedWork returns the core-seconds that a job takes of what tasks reserve.
-func reservedWork(j kqflow.Job) float64 {
-	sum := 0.0
-	for _, s := range j.Steps {
-		sum += float64(s.Count) * float64(s.Reserved().MilliProcessors) / milli * s.Estimate.Seconds()
-	}
-	return sum
-}
-
-// expect takes over a job that has come.
-func (p *Planner) expect(now time.Time, j *job) {
-	if !j.hasObjective() {
-		return
-	}
-	p.loadOf(j.queue.Name).demand.add(now, reservedWork(j.spec))
-}
-
 // withheld reports whether a task that stays would take room that its service
 // keeps for jobs that end and are at least as urgent. One that has run before is
 // put back wherever it fits.
@@ -110,8 +93,8 @@
 	return float64(standing) <= (1-p.kept(now, q, capacity))*float64(capacity)
 }
 
-// kept returns the share of the processors of a queue's service, in thousandths,
-// that tasks that stay leave to jobs that end.
+// kept returns the share of a queue's service that tasks that stay leave to jobs
+// that end; capacity is the processors of the service, in thousandths.
 func (p *Planner) kept(now time.Time, q kqflow.Queue, capacity int64) float64 {
 	need := 0.0
 	for name, l := range p.loads {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -157,9 +157,6 @@
 		p.active++
 		j.materialise(now)
 		p.measure(now, j, record == nil)
-		if record == nil {
-			p.expect(now, j)
-		}
 		if j.version == 0 {
 			age := now.Sub(s.Job.SubmittedAt)
 			p.config.Events.EmitFields(now, kqevent.FlowTaken, kqevent.Job(j.spec.ID), j.fields(age), "queue %s, steps %s, objective %s, accepted %s ago",
--- a/internal/flow/kqplan/settle.go
+++ b/internal/flow/kqplan/settle.go
@@ -37,25 +37,24 @@
 	Outcome Outcome
 }
 
-// hasObjective reports whether a job is to end within some time.
-func (j *job) hasObjective() bool { return j.spec.Repeat == 0 && !j.spec.Steps[0].Standing }
-
-// measure ranks a job among the latest ones of its queue. One that an earlier
-// owner saw too late was settled by that owner.
+// measure takes a job into what is known of its queue. One that an earlier owner
+// saw too late was settled by that owner.
 func (p *Planner) measure(now time.Time, j *job, isNew bool) {
-	if !j.hasObjective() {
+	if !j.spec.HasObjective() {
 		return
 	}
-	work := j.spec.Work()
-	scale := &p.loadOf(j.queue.Name).scale
-	scale.Add(work)
-	j.band = scale.Band(work)
+	work, l := j.spec.Work(), p.loadOf(j.queue.Name)
+	l.scale.Add(work)
+	j.band = l.scale.Band(work)
 	j.settled = !isNew && j.phase(now) == phaseWorthless
+	if isNew {
+		l.demand.add(now, j.spec.ReservedWork())
+	}
 }
 
 // settle tells once how well a job was served.
 func (p *Planner) settle(j *job, o Outcome) {
-	if j.settled || !j.hasObjective() {
+	if j.settled || !j.spec.HasObjective() {
 		return
 	}
 	j.settled = true
--- a/internal/flow/kqplan/trace.go
+++ b/internal/flow/kqplan/trace.go
@@ -33,7 +33,7 @@
 func (j *job) fields(age time.Duration) []kqevent.Field {
 	steps := make([]LoggedStep, len(j.spec.Steps))
 	for i, s := range j.spec.Steps {
-		steps[i] = LoggedStep{Count: s.Count, Cores: float64(s.Size.MilliProcessors) / 1000, EstimateMS: s.Estimate.Milliseconds(), After: s.After, Standing: s.Standing, Fills: s.Fills}
+		steps[i] = LoggedStep{Count: s.Count, Cores: float64(s.Size.MilliProcessors) / milli, EstimateMS: s.Estimate.Milliseconds(), After: s.After, Standing: s.Standing, Fills: s.Fills}
 	}
 	return []kqevent.Field{kqevent.Queue(j.queue.Name), kqevent.Millis("objective_ms", j.objective), kqevent.Millis("age_ms", age),
 		kqevent.Value("repeat", j.spec.Repeat), kqevent.Value("steps", steps)}
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -24,7 +24,7 @@
 
 func (j *job) phase(now time.Time) phase {
 	switch {
-	case j.spec.Repeat > 0 || j.spec.Steps[0].Standing || !now.After(j.deadline):
+	case !j.spec.HasObjective() || !now.After(j.deadline):
 		return phaseInTime
 	case now.Sub(j.spec.SubmittedAt) <= lateFactor*j.objective:
 		return phaseLate
@@ -59,7 +59,7 @@
 		return stageNew
 	case j.spec.Steps[0].Standing:
 		return stageStanding
-	case j.state == kqflow.StateRunning && j.hasObjective():
+	case j.state == kqflow.StateRunning && j.spec.HasObjective():
 		return stageBegun
 	}
 	return stageNew
@@ -153,7 +153,7 @@
 	var l load
 	rest := make([]time.Duration, len(j.spec.Steps))
 	for _, t := range j.tasks {
-		cores := float64(t.step.Size.MilliProcessors) / 1000
+		cores := float64(t.step.Size.MilliProcessors) / milli
 		l.whole += cores * t.step.Estimate.Seconds()
 		if t.done {
 			continue
