An owner waits only for leases that may have been granted

Change: an owner writes which hosts it is about to grant a lease (row leases, once per host and epoch, conditional on its ownership) and holds their questions until the row is stored. Its successor counts from when it first read an epoch above that of the last owner that may have granted; no clock is compared with another. Owners that do not record (the flag is missing) are taken to have granted all. Tests: TestASecondTakeoverWaitsAnewForTheLeaseOfALeftWorker in the rig fails before (9.62 s) and passes; the plan's test of that name is given what the successor knows, as the plan alone can't know it. The other side, a worker that the middle owner granted and that is cut off, fails with the bound taken from the first sighting (two places), and passes. Without the record the first test fails.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -100,13 +101,14 @@
 	pending     map[string]int
 	pendingAt   time.Time
 	wallOffset  time.Duration
+	leases      leases
 }
 
 // Take tries to take a cell whose row was read as old (with its version; 0 if
-// there is none) and loads its jobs.
-func Take(ctx context.Context, c Config, old OwnerRow, version uint64) (*Controller, error) {
+// there is none) and loads its jobs. Seen are the epochs that were read so far.
+func Take(ctx context.Context, c Config, old OwnerRow, version uint64, seen kqelect.Sightings) (*Controller, error) {
 	sent := c.Now()
-	row := OwnerRow{Name: c.Name, Boot: c.Boot, Address: c.Address, Epoch: old.Epoch + 1}
+	row := OwnerRow{Name: c.Name, Boot: c.Boot, Address: c.Address, Epoch: old.Epoch + 1, Recorded: true}
 	key := OwnerKey(c.Cell)
 	o, err := kqrows.Commit(ctx, c.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: version}},
 		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}}})
@@ -118,7 +120,9 @@
 	}
 	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent, fedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.Wall().Round(0))}
-	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, Lease: c.Lease, FarFactor: c.FarFactor, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
+	x.restoreLeases(ctx, old, seen)
+	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, LeftAt: func(host string) time.Time { return x.leftAt(host, sent) },
+		Lease: c.Lease, FarFactor: c.FarFactor, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
 	if err := x.load(ctx); err != nil {
 		return nil, err
 	}
@@ -295,7 +299,7 @@
 	defer cancel()
 	key := OwnerKey(c.config.Cell)
 	_, err := kqrows.Commit(ctx, c.config.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: c.version}},
-		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(OwnerRow{Boot: c.config.Boot, Epoch: c.row.Epoch})}}})
+		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(OwnerRow{Boot: c.config.Boot, Epoch: c.row.Epoch, Recorded: true})}}})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.config.Events.Emit(c.config.Now(), kqevent.HandedOver, kqevent.Process(c.config.Name), "%s with epoch %d: %v", c.config.Cell, c.row.Epoch, err)
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -17,6 +17,8 @@
 	CellTable = "cells"
 	// LearnedTable holds what owners have learned of images.
 	LearnedTable = "learned"
+	// LeaseTable holds which hosts owners have granted leases.
+	LeaseTable = "leases"
 	// SubmissionTable holds what callers handed in; entries write it.
 	SubmissionTable = "submissions"
 	// ProgressTable holds the progress of jobs; the owner writes it.
@@ -37,6 +39,9 @@
 	Address netip.AddrPort `json:"address,omitzero"`
 	// Epoch counts the owners from 1.
 	Epoch uint64 `json:"epoch"`
+	// Recorded says that the owner grants leases to no host but those in its
+	// LeasesRow.
+	Recorded bool `json:"recorded,omitempty"`
 }
 
 // OwnerKey returns the key of a cell's ownership.
@@ -49,6 +54,9 @@
 // written without conditions: losing it costs time, not safety.
 func LearnedKey(cell string) kqrows.Key { return kqrows.Key{Table: LearnedTable, Name: cell} }
 
+// LeasesKey returns the key of a cell's LeasesRow.
+func LeasesKey(cell string) kqrows.Key { return kqrows.Key{Table: LeaseTable, Name: cell} }
+
 // SubmissionKey returns the key of what a caller handed in.
 func SubmissionKey(job string) kqrows.Key { return kqrows.Key{Table: SubmissionTable, Name: job} }
 
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -94,6 +94,7 @@
 	}
 	if m.Registered {
 		x.registered = true
+		c.isRecorded(name)
 		c.planner.Linked(now, name)
 		x.send(kqmessage.FromOwner{Resync: true, Orders: c.planner.Resync(now, name)})
 	}
@@ -114,6 +115,10 @@
 	c := x.controller
 	age := now.Sub(c.confirmedAt)
 	left := max(0, c.config.Lease-age)
+	if left > 0 && x.registered && !c.isRecorded(x.hello.Name) {
+		c.leases.asks = append(c.leases.asks, heldAsk{x, ask})
+		return
+	}
 	if left > 0 && x.registered {
 		c.planner.Granted(now, x.hello.Name, left)
 	} else {
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -75,6 +75,8 @@
 	tomb     tomb.Tomb
 	listener net.Listener
 	observer *kqelect.Observer
+	// seen is used by the goroutine that looks and takes.
+	seen kqelect.Sightings
 
 	mu         sync.Mutex
 	controller *kqcontrol.Controller
@@ -217,6 +219,7 @@
 		}
 	}
 	n.observer.Read(c.Now(), seen)
+	n.seen = n.seen.See(c.Now(), owner.Epoch)
 	n.mu.Lock()
 	n.owner, n.version = owner, seen.Version
 	n.mu.Unlock()
@@ -233,7 +236,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	c, err := kqcontrol.Take(call, n.config.Control, owner, version)
+	c, err := kqcontrol.Take(call, n.config.Control, owner, version, n.seen)
 	if err != nil {
 		return
 	}
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -150,10 +150,18 @@
 		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, ordered: true, startedAt: now, movedAt: now, pace: fullPercent}
 		t.runs = append(t.runs, n)
 		h.add(n)
-		h.grantedTill = later(h.grantedTill, p.config.TakenAt.Add(p.lapse(p.config.Lease)))
+		h.grantedTill = later(h.grantedTill, p.leftAt(x.Host).Add(p.lapse(p.config.Lease)))
 	}
 }
 
+// leftAt returns from when on no earlier owner has granted a host a lease.
+func (p *Planner) leftAt(host string) time.Time {
+	if p.config.LeftAt == nil {
+		return p.config.TakenAt
+	}
+	return p.config.LeftAt(host)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -22,6 +22,9 @@
 	Epoch uint64
 	// TakenAt is when the ownership was taken.
 	TakenAt time.Time
+	// LeftAt returns from when on no earlier owner has granted a host a lease;
+	// nil means TakenAt.
+	LeftAt func(host string) time.Time
 	// Lease is the longest lease that an owner grants.
 	Lease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
--- a/internal/flow/kqplan/takeover_test.go
+++ b/internal/flow/kqplan/takeover_test.go
@@ -15,7 +15,8 @@
 const standingAway = 9 * time.Second
 
 // A worker leaves with its agent, and the owner changes twice before anything of
-// it is stored: each owner waits for the lease that the last one might have given.
+// it is stored: the second owner waits for the lease that the first owner of the
+// three may have granted, since the middle one has granted none.
 func TestASecondTakeoverWaitsAnewForTheLeaseOfALeftWorker(t *testing.T) {
 	g := NewWithT(t)
 	first := newCell(1)
@@ -32,7 +33,8 @@
 
 	var owner *cell
 	for n, taken := range []time.Time{left.Add(500 * time.Millisecond), left.Add(3 * time.Second)} {
-		owner = newCellWith(kqplan.Config{Epoch: uint64(n + 2), TakenAt: taken})
+		owner = newCellWith(kqplan.Config{Epoch: uint64(n + 2), TakenAt: taken,
+			LeftAt: func(string) time.Time { return left.Add(500 * time.Millisecond) }})
 		r := record
 		owner.Submit(owner.now, kqflow.Submission{Job: submission.Job}, &r, 1)
 		owner.host("h2", "w2", 8)
--- a/internal/standin/kqtaskhost/ledger.go
+++ b/internal/standin/kqtaskhost/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
@@ -70,6 +71,22 @@
 	return n
 }
 
+// Workers returns the workers that run a job's tasks.
+func (l *Ledger) Workers(job string) (out []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task, where := range l.at {
+		if jobOf(task) != job {
+			continue
+		}
+		for k := range where {
+			_, worker, _ := strings.Cut(k, "@")
+			out = append(out, worker)
+		}
+	}
+	return out
+}
+
 // Done reports whether a task has ended well.
 func (l *Ledger) Done(task string) bool {
 	l.mu.Lock()
