Callers are asked back by how long the store has been out, spread

Seen: every refusal said one second, however long the store had been out. In the replay of the test, 4,000 callers of an outage of 30 s call 25 times each and all meet the store in the second in which it is back. While the store answers nothing changes (1 s).

--- a/internal/flow/kqfront/health.go
+++ b/internal/flow/kqfront/health.go
@@ -33,9 +33,19 @@
 
 // out reports whether requests should not wait for the store.
 func (h *health) out(now time.Time) bool {
+	return h.outFor(now) > 0
+}
+
+// outFor returns for how long requests should not have waited for the store; 0 if
+// they should now.
+func (h *health) outFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failures >= outFailures || !h.waitingFrom.IsZero() && now.Sub(h.waitingFrom) >= outAfter
+	silent := now.Sub(h.waitingFrom)
+	if h.waitingFrom.IsZero() || h.failures < outFailures && silent < outAfter {
+		return 0
+	}
+	return max(1, silent)
 }
 
 // answered notes any answer of the store, also a refusal.
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -36,7 +36,6 @@
 const (
 	maxBody     = 256 << 10
 	callTimeout = 5 * time.Second
-	comeBack    = time.Second
 )
 
 // Gate answers callers and operators.
@@ -90,25 +89,25 @@
 	return kqresult.Errorf(kqresult.BadRequest, "the body is no %s: %v", what, err)
 }
 
-func unavailable() *kqresult.Error {
-	return kqresult.Errorf(kqresult.StoreUnavailable, "the store does not answer; nothing changed").After(comeBack)
+func (g *Gate) unavailable() *kqresult.Error {
+	return kqresult.Errorf(kqresult.StoreUnavailable, "the store does not answer; nothing changed").After(g.config.Front.ReturnAfter())
 }
 
-func unresolved(what string) *kqresult.Error {
-	return kqresult.Errorf(kqresult.StoreOutcomeUnknown, "the store's answer is lost; %s may have been taken", what).After(comeBack)
+func (g *Gate) unresolved(what string) *kqresult.Error {
+	return kqresult.Errorf(kqresult.StoreOutcomeUnknown, "the store's answer is lost; %s may have been taken", what).After(g.config.Front.ReturnAfter())
 }
 
 // outcome translates what became of a write.
-func outcome(o kqcontrol.Outcome, what string) *kqresult.Error {
+func (g *Gate) outcome(o kqcontrol.Outcome, what string) *kqresult.Error {
 	switch o {
 	case kqcontrol.OutcomeStored:
 		return nil
 	case kqcontrol.OutcomeAbsent:
 		return kqresult.Errorf(kqresult.NotFound, "there is no %s", what)
 	case kqcontrol.OutcomeRefused:
-		return unavailable()
+		return g.unavailable()
 	}
-	return unresolved(what)
+	return g.unresolved(what)
 }
 
 func (g *Gate) postFlow(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error) {
@@ -122,12 +121,12 @@
 	}
 	p := g.config.Book.Policy()
 	if p == nil {
-		return nil, unavailable()
+		return nil, g.unavailable()
 	}
 	if _, ok := p.Queues[f.Queue]; !ok {
 		return nil, kqresult.Errorf(kqresult.BadRequest, "queue: no queue %q is in force", f.Queue)
 	}
-	if err := outcome(g.config.Front.Submit(ctx, j), "flow "+f.ID); err != nil {
+	if err := g.outcome(g.config.Front.Submit(ctx, j), "flow "+f.ID); err != nil {
 		return nil, err
 	}
 	return FlowView{ID: f.ID, State: kqflow.StateQueued}, nil
@@ -138,16 +137,16 @@
 	s, found, err := g.config.Front.State(ctx, id)
 	switch {
 	case err != nil:
-		return nil, unavailable()
+		return nil, g.unavailable()
 	case !found:
-		return nil, outcome(kqcontrol.OutcomeAbsent, "flow "+id)
+		return nil, g.outcome(kqcontrol.OutcomeAbsent, "flow "+id)
 	}
 	return FlowView{ID: id, State: s}, nil
 }
 
 func (g *Gate) deleteFlow(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error) {
 	id := q.Param("id")
-	if err := outcome(g.config.Front.Cancel(ctx, id), "flow "+id); err != nil {
+	if err := g.outcome(g.config.Front.Cancel(ctx, id), "flow "+id); err != nil {
 		return nil, err
 	}
 	return FlowView{ID: id, State: kqflow.StateCancelled}, nil
@@ -169,7 +168,7 @@
 func (g *Gate) listQueues(context.Context, bunrouter.Request) (any, *kqresult.Error) {
 	p := g.config.Book.Policy()
 	if p == nil {
-		return nil, unavailable()
+		return nil, g.unavailable()
 	}
 	out := []QueueView{}
 	for _, q := range p.Queues {
@@ -182,7 +181,7 @@
 func (g *Gate) getQueue(_ context.Context, q bunrouter.Request) (any, *kqresult.Error) {
 	p := g.config.Book.Policy()
 	if p == nil {
-		return nil, unavailable()
+		return nil, g.unavailable()
 	}
 	x, ok := p.Queues[q.Param("name")]
 	if !ok {
@@ -219,9 +218,9 @@
 	o, err := kqrows.Commit(ctx, g.config.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: c.IfVersion}}, Puts: []kqrows.Put{{Key: key, Value: value}}})
 	switch {
 	case errors.Is(err, kqrows.ErrRefused):
-		return nil, unavailable()
+		return nil, g.unavailable()
 	case err != nil:
-		return nil, unresolved("queue " + c.Name)
+		return nil, g.unresolved("queue " + c.Name)
 	case !o.Committed:
 		r, _ := o.Find(key)
 		return nil, kqresult.Errorf(kqresult.VersionConflict, "queue %s: version %d is in force, not %d", c.Name, r.Version, c.IfVersion)
