Mutual TLS between processes and a token for operators

Files are read anew without a restart; wrong ones leave the earlier ones in force and are logged (107). Peers are dialled by address, so certificates carry one DNS name, kumquatswitch, and need not list addresses. Not covered: switching a running fleet between both ways (it is stopped), the settings as flags of real processes.

--- a/internal/command/kqcommand/operator.go
+++ b/internal/command/kqcommand/operator.go
@@ -17,9 +17,14 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
 )
 
-const requestTimeout = 10 * time.Second
+const (
+	requestTimeout = 10 * time.Second
+	tokenUsage     = "file with the operators' token; empty asks for none"
+)
 
 // operator is a command that speaks to an entry.
 type operator struct {
@@ -28,6 +33,9 @@
 	entry  netip.AddrPort
 	output string
 	author string
+	// identity is what the operator shows the entry.
+	identity identity
+	token    kqtoken.File
 }
 
 // operator returns a command with the settings that all operators' commands
@@ -35,13 +43,26 @@
 func (a *app) operator(c *cobra.Command) *operator {
 	o := &operator{command: newCommand(c), out: a.out}
 	o.settings.AddrPort(&o.entry, "entry", "127.0.0.1:7000", "address of an entry")
+	o.identity.declare(o.settings)
+	o.settings.Text(&o.token.Name, "operator-token-file", "", tokenUsage)
 	o.settings.Choice(&o.output, "output", "table", []string{"table", "json"}, "table for people, json for programs")
 	a.commands = append(a.commands, o.command)
 	return o
 }
 
-func (o *operator) client() kqclient.Client {
-	return kqclient.Client{Entry: o.entry, Author: o.author, HTTP: &http.Client{Timeout: requestTimeout}}
+func (o *operator) client() (kqclient.Client, error) {
+	i, err := o.identity.load(nil)
+	if err != nil {
+		return kqclient.Client{}, err
+	}
+	d := kqlink.Dialer{TLS: i.Client()}
+	// An unencrypted request may pass a proxy that speaks HTTP/1.1 only.
+	c := &http.Client{}
+	if i != nil {
+		c = d.NewClient()
+	}
+	c.Timeout = requestTimeout
+	return kqclient.Client{Dialer: d, Token: o.token, Entry: o.entry, Author: o.author, HTTP: c}, nil
 }
 
 // request sends a request and decodes the answer.
@@ -49,7 +70,11 @@
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	return failed(o.client().Do(ctx, method, path, body, out))
+	c, err := o.client()
+	if err != nil {
+		return failed(err)
+	}
+	return failed(c.Do(ctx, method, path, body, out))
 }
 
 // table is the answer of a command for people.
--- a/internal/command/kqcommand/process.go
+++ b/internal/command/kqcommand/process.go
@@ -16,12 +16,15 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqentry"
 	"github.com/kumquatswitch/kumquatswitch/internal/host/kqagent"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqprocess"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqsettings"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtls"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtrace"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqobject"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqruntime"
@@ -42,6 +45,7 @@
 	table     netip.AddrPort
 	entries   []netip.AddrPort
 	cells     int
+	identity  identity
 	logLevel  string
 	trace     string
 	drain     time.Duration
@@ -55,6 +59,7 @@
 	s.AddrPort(&c.table, "table", "", "address of the platform's table")
 	s.AddrPorts(&c.entries, "entries", "", "entries that are known to start with")
 	s.Int(&c.cells, "cells", 1, 1, 1024, "how many cells the workers are grouped into, the same in every process")
+	c.identity.declare(s)
 	s.Choice(&c.logLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "least level of what is logged")
 	s.Choice(&c.trace, "trace", "off", []string{"off", "stderr"}, "where traces go")
 	s.Duration(&c.drain, "drain-bound", drain, time.Second, time.Hour, "longest time for a graceful shutdown")
@@ -66,6 +71,8 @@
 	events *kqevent.Log
 	tracer *kqtrace.Tracer
 	table  kqtable.Table
+	// identity is nil if connections are unencrypted.
+	identity *kqtls.Identity
 }
 
 func (c *common) plumbing() (*plumbing, error) {
@@ -81,7 +88,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &plumbing{logger: logger, tracer: tracer, events: kqevent.New(kqevent.Config{Process: c.id, Logger: logger}),
+	events := kqevent.New(kqevent.Config{Process: c.id, Logger: logger})
+	identity, err := c.identity.load(func(err error) {
+		text := "in force"
+		if err != nil {
+			text = "the earlier ones stay: " + err.Error()
+		}
+		events.Emit(time.Now(), kqevent.CertificatesRead, kqevent.Process(c.id), "%s", text)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &plumbing{logger: logger, tracer: tracer, events: events, identity: identity,
 		table: kqtable.Remote(kqwire.NewTableServiceClient(kqlink.NewClient(), kqlink.URL(c.table), kqlink.ClientOptions()...))}, nil
 }
 
@@ -101,21 +119,26 @@
 	var s common
 	var deadline time.Duration
 	var maxBody int
+	var operators kqtoken.File
 	c := newCommand(&cobra.Command{Use: "entry", Args: cobra.NoArgs, Short: "Run an entry: callers, jobs and operators"})
 	s.declare(c.settings, 30*time.Second)
 	c.settings.Duration(&deadline, "default-deadline", kqentry.DefaultDeadline, time.Millisecond, 10*time.Minute, "deadline of calls that state none")
 	c.settings.Int(&maxBody, "max-body", int(kqentry.DefaultMaxBody), 1, 64<<20, "largest request body in bytes")
+	c.settings.Text(&operators.Name, "operator-token-file", "", tokenUsage)
 	c.cobra.RunE = func(cmd *cobra.Command, _ []string) error {
 		if err := c.settings.Require("id", "zone", "listen", "table"); err != nil {
 			return err
 		}
+		if err := operators.Check(); err != nil {
+			return failed(kqresult.Errorf(kqresult.BadSettings, "operator-token-file: %v", err))
+		}
 		p, err := s.plumbing()
 		if err != nil {
 			return failed(err)
 		}
 		defer p.close()
 		e, err := kqentry.Start(kqentry.Config{ID: s.id, Zone: s.zone, Listen: s.listen, Advertise: s.advertise, Cells: s.cells,
-			Seeds: s.entries, Table: p.table, FarDelay: kqentry.DefaultFarDelay, Hedge: kqretry.DefaultHedgeBudget,
+			Seeds: s.entries, Identity: p.identity, Operators: operators, Table: p.table, FarDelay: kqentry.DefaultFarDelay, Hedge: kqretry.DefaultHedgeBudget,
 			DefaultDeadline: deadline, MaxBody: int64(maxBody), DrainBound: s.drain, Seed: uint64(time.Now().UnixNano()),
 			Now: time.Now, Events: p.events, Tracer: p.tracer, Counter: &kqinvariant.Counter{}})
 		if err != nil {
@@ -145,7 +168,7 @@
 		}
 		defer p.close()
 		x, err := kqagent.Start(kqagent.Config{Worker: s.id, Zone: s.zone, Rack: rack, Listen: s.listen, Advertise: s.advertise,
-			Cells: s.cells, Seeds: s.entries, Table: p.table,
+			Cells: s.cells, Seeds: s.entries, Identity: p.identity, Table: p.table,
 			Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(kqlink.NewClient(), kqlink.URL(runtime), kqlink.ClientOptions()...)),
 			Throttling: true, Interference: true, DrainBound: s.drain, Now: time.Now, Events: p.events, Tracer: p.tracer,
 			Counter: &kqinvariant.Counter{}})
@@ -171,6 +194,7 @@
 	delay      time.Duration
 	down       bool
 	lose       int
+	identity   identity
 }
 
 func (a *app) standin() *command {
@@ -186,6 +210,7 @@
 	c.settings.Int(&s.memory, "memory-gigabytes", 250, 1, 100_000, "memory of a runtime's host")
 	c.settings.Duration(&s.delay, "delay", 0, 0, time.Minute, "delay before each request takes effect")
 	c.settings.Bool(&s.down, "down", false, "refuse every request")
+	s.identity.declare(c.settings)
 	c.settings.Int(&s.lose, "lose-answers-percent", 0, 0, 100, "share of writes whose answer is lost after they took effect")
 	c.cobra.RunE = func(cmd *cobra.Command, _ []string) error { return failed(a.runStandin(cmd.Context(), c.settings, s)) }
 	return c
@@ -236,7 +261,11 @@
 	if err := set.Require("agent"); err != nil {
 		return err
 	}
-	e, err := kqservice.Start(kqservice.Config{ID: s.id, Classes: splitList(s.classes), Slots: standinSlots, Connections: standinConnections,
+	own, err := s.identity.load(nil)
+	if err != nil {
+		return err
+	}
+	e, err := kqservice.Start(kqservice.Config{ID: s.id, Dialer: kqlink.Dialer{TLS: own.Client()}, Classes: splitList(s.classes), Slots: standinSlots, Connections: standinConnections,
 		ServiceTime: standinServiceTime, Spread: standinSpread, Agent: s.agent, Seed: 1, Record: kqservice.NewRecord()})
 	if err != nil {
 		return err
--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -14,6 +14,8 @@
 	DrainFinished        Number = 104
 	LoopFailed           Number = 105
 	SettingsRead         Number = 106
+	CertificatesRead     Number = 107
+	OperatorRefused      Number = 108
 	StoreOut             Number = 110
 	StoreBack            Number = 111
 	EndpointAnnounced    Number = 201
@@ -103,6 +105,8 @@
 	{DrainFinished, "drain_finished", "The last work of a stopping process has ended."},
 	{LoopFailed, "loop_failed", "A background loop met an error and goes on."},
 	{SettingsRead, "settings_read", "The settings file was read again."},
+	{CertificatesRead, "certificates_read", "The files of the certificate were read again; if they are wrong, the earlier ones stay in force."},
+	{OperatorRefused, "operator_refused", "A request to the operators' API carried no token, or a wrong one."},
 	{StoreOut, "store_out", "The platform's table does not answer."},
 	{StoreBack, "store_back", "The platform's table answers again."},
 	{EndpointAnnounced, "endpoint_announced", "An endpoint is new to this process."},
--- a/internal/core/kqresult/code.go
+++ b/internal/core/kqresult/code.go
@@ -35,6 +35,7 @@
 	BadSettings         Code = 303
 	BadDocument         Code = 304
 	NeverFits           Code = 305
+	NotPermitted        Code = 306
 	NotFound            Code = 401
 	VersionConflict     Code = 402
 	JobDiffers          Code = 403
@@ -84,6 +85,7 @@
 	{BadSettings, "bad_settings", http.StatusBadRequest, "A setting is wrong; the process did not start.", "Mend the setting named."},
 	{BadDocument, "bad_document", http.StatusUnprocessableEntity, "A document has a wrong field, unit or target; nothing changed.", "Mend the line named."},
 	{NeverFits, "never_fits", http.StatusUnprocessableEntity, "No worker could ever run a task of this size; the job was not accepted.", "Declare a smaller size."},
+	{NotPermitted, "not_permitted", http.StatusUnauthorized, "The request carries no token of an operator, or a wrong one; nothing changed.", "Send the operators' token."},
 	{NotFound, "not_found", http.StatusNotFound, "There is no such thing.", "Check the name."},
 	{VersionConflict, "version_conflict", http.StatusPreconditionFailed, "Another operator changed the class first; nothing changed.", "Read the newer version and apply again."},
 	{JobDiffers, "job_differs", http.StatusConflict, "A job with this ID and another content exists; nothing changed.", "Use another ID."},
--- a/internal/entry/kqclient/client.go
+++ b/internal/entry/kqclient/client.go
@@ -14,12 +14,18 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqentry"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
 )
 
 // Client is an operator or a caller of jobs that speaks to an entry.
 type Client struct {
 	// HTTP is the client used; nil means the default one.
 	HTTP *http.Client
+	// Dialer says how to reach the entry.
+	Dialer kqlink.Dialer
+	// Token is shown to the entry.
+	Token kqtoken.File
 	// Entry is the entry's address.
 	Entry netip.AddrPort
 	// Author names the operator in the history of classes.
@@ -29,10 +35,13 @@
 // Do sends a request and decodes the JSON answer; a refusal becomes a
 // kqresult.Error.
 func (c Client) Do(ctx context.Context, method, path string, body []byte, out any) error {
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+c.Entry.String()+path, bytes.NewReader(body))
+	q, err := http.NewRequestWithContext(ctx, method, c.Dialer.URL(c.Entry)+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
+	if err := c.Token.Sign(q); err != nil {
+		return err
+	}
 	if c.Author != "" {
 		q.Header.Set("Kq-Author", c.Author)
 	}
--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -25,6 +25,8 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqprocess"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtls"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtrace"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 	"github.com/kumquatswitch/kumquatswitch/internal/wire/kqwire"
@@ -44,6 +46,11 @@
 	Cells int
 	// Seeds is entries known from the settings.
 	Seeds []netip.AddrPort
+	// Identity secures the connections with agents, entries, callers and operators;
+	// nil leaves them unencrypted.
+	Identity *kqtls.Identity
+	// Operators guards the configuration and the views of the fleet.
+	Operators kqtoken.File
 	// Table is the platform's table.
 	Table kqtable.Table
 	// FarDelay is the extra time of a call to another availability zone.
@@ -88,6 +95,8 @@
 	caller    *kqcaller.Caller
 	claims    *kqclaim.Claims
 	roster    *kqmember.Roster
+	dialer    kqlink.Dialer
+	peers     *http.Client
 	pool      *kqlink.Pool
 	announcer *kqmember.Announcer
 	server    *kqserver.Server
@@ -104,16 +113,17 @@
 
 // Start begins to serve.
 func Start(c Config) (*Entry, error) {
-	e := &Entry{config: c, boot: kqprocess.NewBoot(), roster: kqmember.NewRoster()}
+	e := &Entry{config: c, boot: kqprocess.NewBoot(), roster: kqmember.NewRoster(), dialer: kqlink.Dialer{TLS: c.Identity.Client()}}
+	e.peers = e.dialer.NewClient()
 	e.holder = kqconfig.NewHolder(kqconfig.HolderConfig{Process: c.ID, Events: c.Events, Counter: c.Counter, Changed: e.configChanged})
 	e.store = kqconfig.Store{Resolver: kqtable.Resolver{Table: c.Table, Wait: kqtable.Sleep}}
 	e.claims = kqclaim.New(kqclaim.Config{Resolver: e.store.Resolver, Now: c.Now})
-	e.pool = kqlink.NewPool(kqlink.Config{Options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), Replaced: e.connectionReplaced})
+	e.pool = kqlink.NewPool(kqlink.Config{Dialer: e.dialer, Options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), Replaced: e.connectionReplaced})
 	e.caller = kqcaller.New(kqcaller.Config{
 		Routes:    kqroute.Config{Zone: c.Zone, FarDelay: c.FarDelay, Seed: c.Seed, Policy: c.Policy, Counter: c.Counter, Notice: e.endpointChanged},
 		Transport: kqremote.NewClient(e.pool).Transport(), Retry: kqretry.DefaultRetryBudget, Hedge: c.Hedge,
 		Now: c.Now, Events: c.Events, Counter: c.Counter})
-	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen})
+	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen, TLS: c.Identity.Server()})
 	if err != nil {
 		e.pool.Close()
 		e.claims.Close()
@@ -125,7 +135,7 @@
 	if !e.address.IsValid() {
 		e.address = server.Addr()
 	}
-	e.announcer = kqmember.Start(kqmember.Config{Self: c.ID, Seeds: c.Seeds, Table: c.Table, Announcement: e.announcement,
+	e.announcer = kqmember.Start(kqmember.Config{Self: c.ID, Seeds: c.Seeds, Dialer: e.dialer, Table: c.Table, Announcement: e.announcement,
 		Holder: e.holder, Now: c.Now})
 	e.tomb.Go(e.loop)
 	server.Serve(e.handler())
@@ -359,6 +369,7 @@
 	e.announcer.Stop()
 	e.claims.Close()
 	e.pool.Close()
+	e.peers.CloseIdleConnections()
 }
 
 // Kill ends the entry at once, as if its process had died.
--- a/internal/entry/kqentry/operator.go
+++ b/internal/entry/kqentry/operator.go
@@ -38,15 +38,27 @@
 	r.GET("/v1/jobs", e.listJobs)
 	r.GET("/v1/jobs/:id", e.getJob)
 	r.DELETE("/v1/jobs/:id", e.cancelJob)
-	r.POST("/v1/config", e.postConfig)
-	r.GET("/v1/config", e.getConfig)
-	r.GET("/v1/config/status", e.configStatus)
-	r.GET("/v1/config/:kind/:name", e.getConfigRow)
-	r.GET("/v1/config/:kind/:name/history", e.configHistory)
-	r.GET("/v1/workers", e.listWorkers)
-	r.GET("/v1/endpoints", e.listEndpoints)
-	r.GET("/v1/status", e.status)
-	r.GET("/v1/explain/:kind/*id", e.explain)
+	o := r.Use(e.operators)
+	o.POST("/v1/config", e.postConfig)
+	o.GET("/v1/config", e.getConfig)
+	o.GET("/v1/config/status", e.configStatus)
+	o.GET("/v1/config/:kind/:name", e.getConfigRow)
+	o.GET("/v1/config/:kind/:name/history", e.configHistory)
+	o.GET("/v1/workers", e.listWorkers)
+	o.GET("/v1/endpoints", e.listEndpoints)
+	o.GET("/v1/status", e.status)
+	o.GET("/v1/explain/:kind/*id", e.explain)
+}
+
+// operators lets only those through who show the operators' token.
+func (e *Entry) operators(next bunrouter.HandlerFunc) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, q bunrouter.Request) error {
+		if !e.config.Operators.Permits(q.Request) {
+			e.config.Events.Emit(e.config.Now(), kqevent.OperatorRefused, kqevent.Process(e.config.ID), "%s %s from %s", q.Method, q.URL.Path, q.RemoteAddr)
+			return kqresult.WriteHTTP(w, kqresult.Errorf(kqresult.NotPermitted, "expected the operators' token as Authorization: Bearer TOKEN"))
+		}
+		return next(w, q)
+	}
 }
 
 // postConfig serves POST /v1/config: documents that are accepted whole.
@@ -281,7 +293,7 @@
 	q := connect.NewRequest(&kqwire.ExplainRequest{Kind: a.explanation.subject.Kind, Id: a.explanation.subject.ID})
 	e := a.explanation.entry
 	if a.process.Entry {
-		client := kqwire.NewEntryServiceClient(http.DefaultClient, kqlink.URL(a.process.Address), kqlink.ClientOptions()...)
+		client := kqwire.NewEntryServiceClient(a.explanation.entry.peers, a.explanation.entry.dialer.URL(a.process.Address), kqlink.ClientOptions()...)
 		if r, err := client.ExplainLocal(ctx, q); err == nil {
 			a.explanation.add(kqevents.FromWire(r.Msg.Events))
 		}
--- a/internal/fleet/kqmember/announcer.go
+++ b/internal/fleet/kqmember/announcer.go
@@ -68,6 +68,8 @@
 	Self string
 	// Seeds is entries known from the settings.
 	Seeds []netip.AddrPort
+	// Dialer reaches them.
+	Dialer kqlink.Dialer
 	// Table lists the entries.
 	Table kqtable.Table
 	// Announcement makes the next announcement.
@@ -102,7 +104,7 @@
 
 // Start begins to announce.
 func Start(c Config) *Announcer {
-	a := &Announcer{config: c, http: kqlink.NewClient(), peers: map[netip.AddrPort]*peer{}}
+	a := &Announcer{config: c, http: c.Dialer.NewClient(), peers: map[netip.AddrPort]*peer{}}
 	for _, s := range c.Seeds {
 		a.add(Entry{Address: s})
 	}
@@ -151,7 +153,7 @@
 		return
 	}
 	a.peers[e.Address] = &peer{announcer: a, id: e.ID, address: e.Address,
-		client: kqwire.NewEntryServiceClient(a.http, kqlink.URL(e.Address), kqlink.ClientOptions()...)}
+		client: kqwire.NewEntryServiceClient(a.http, a.config.Dialer.URL(e.Address), kqlink.ClientOptions()...)}
 }
 
 // Flush announces to every entry at once and waits for the answers.
--- a/internal/host/kqagent/agent.go
+++ b/internal/host/kqagent/agent.go
@@ -56,8 +56,9 @@
 	a.dispatcher = kqdispatch.New(kqdispatch.Config{Boot: a.boot, Answers: kqanswer.DefaultConfig, Class: a.holder.Class,
 		Tracer: c.Tracer, Now: c.Now, Events: c.Events, Counter: c.Counter})
 	a.pressure = &pressure{dispatcher: a.dispatcher, class: a.holder.Class, baselines: map[string]*baseline{}}
-	a.owners = &owners{http: kqlink.NewClient(), options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), clients: map[netip.AddrPort]kqwire.AgentServiceClient{}}
-	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen})
+	dialer := kqlink.Dialer{TLS: c.Identity.Client()}
+	a.owners = &owners{dialer: dialer, http: dialer.NewClient(), options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), clients: map[netip.AddrPort]kqwire.AgentServiceClient{}}
+	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen, TLS: c.Identity.Server()})
 	if err != nil {
 		a.dispatcher.Close()
 		return nil, err
@@ -84,7 +85,7 @@
 	a.mu.Lock()
 	a.runner = runner
 	a.mu.Unlock()
-	a.announcer = kqmember.Start(kqmember.Config{Seeds: c.Seeds, Table: c.Table, Announcement: a.announcement,
+	a.announcer = kqmember.Start(kqmember.Config{Seeds: c.Seeds, Dialer: a.owners.dialer, Table: c.Table, Announcement: a.announcement,
 		Holder: a.holder, Now: c.Now})
 	a.tomb.Go(a.loop)
 }
@@ -236,6 +237,7 @@
 
 // owners holds the clients of owners of cells.
 type owners struct {
+	dialer  kqlink.Dialer
 	http    *http.Client
 	options []connect.ClientOption
 
@@ -248,7 +250,7 @@
 	defer o.mu.Unlock()
 	c, ok := o.clients[to]
 	if !ok {
-		c = kqwire.NewAgentServiceClient(o.http, kqlink.URL(to), o.options...)
+		c = kqwire.NewAgentServiceClient(o.http, o.dialer.URL(to), o.options...)
 		o.clients[to] = c
 	}
 	return c
--- a/internal/host/kqagent/config.go
+++ b/internal/host/kqagent/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtls"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtrace"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqruntime"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
@@ -30,6 +31,9 @@
 	Cells int
 	// Seeds is entries known from the settings.
 	Seeds []netip.AddrPort
+	// Identity secures the connections with entries, owners and endpoints; nil
+	// leaves them unencrypted.
+	Identity *kqtls.Identity
 	// Table is the platform's table.
 	Table kqtable.Table
 	// Runtime is the host's task runtime.
--- a/internal/plumb/kqlink/link.go
+++ b/internal/plumb/kqlink/link.go
@@ -21,6 +21,8 @@
 
 // Config sets up a Pool.
 type Config struct {
+	// Dialer makes the connections.
+	Dialer Dialer
 	// Options is passed to every client.
 	Options []connect.ClientOption
 	// Replaced is told when a silent connection was replaced; may be nil.
@@ -50,7 +52,7 @@
 	defer p.mu.Unlock()
 	l, ok := p.links[a]
 	if !ok {
-		l = newLink(a, p.config.Options)
+		l = newLink(a, p.config)
 		p.links[a] = l
 	}
 	l.usedAt = now
@@ -124,7 +126,7 @@
 	l.probing = false
 	silent := err != nil && connect.CodeOf(err) == connect.CodeDeadlineExceeded && p.tomb.Alive()
 	if silent {
-		l.dial(p.config.Options)
+		l.dial(p.config)
 	}
 	p.mu.Unlock()
 	if silent && p.config.Replaced != nil {
@@ -141,13 +143,13 @@
 	probing bool
 }
 
-func newLink(a netip.AddrPort, o []connect.ClientOption) *Link {
+func newLink(a netip.AddrPort, c Config) *Link {
 	l := &Link{peer: a}
-	l.dial(o)
+	l.dial(c)
 	return l
 }
 
-func (l *Link) dial(o []connect.ClientOption) {
-	l.http = NewClient()
-	l.client = kqwire.NewAgentServiceClient(l.http, URL(l.peer), o...)
+func (l *Link) dial(c Config) {
+	l.http = c.Dialer.NewClient()
+	l.client = kqwire.NewAgentServiceClient(l.http, c.Dialer.URL(l.peer), c.Options...)
 }
--- a/internal/plumb/kqlink/transport.go
+++ b/internal/plumb/kqlink/transport.go
@@ -3,6 +3,7 @@
 package kqlink
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -19,13 +20,22 @@
 	maxHeaderResponse = 256 << 10
 )
 
-// NewClient returns an HTTP client that speaks unencrypted HTTP/2 to a peer
-// and closes a connection that does not answer pings within two seconds.
-func NewClient() *http.Client {
+// Dialer makes clients of peers.
+type Dialer struct {
+	// TLS secures the connections; nil leaves them unencrypted.
+	TLS *tls.Config
+}
+
+// NewClient returns an HTTP client that speaks HTTP/2 to a peer and closes a
+// connection that does not answer pings within two seconds.
+func (d Dialer) NewClient() *http.Client {
 	var p http.Protocols
-	p.SetUnencryptedHTTP2(true)
+	p.SetUnencryptedHTTP2(d.TLS == nil)
+	p.SetHTTP2(d.TLS != nil)
 	return &http.Client{Transport: &http.Transport{
 		Protocols:              &p,
+		TLSClientConfig:        d.TLS,
+		TLSHandshakeTimeout:    dialTimeout,
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        idleLinkTimeout,
 		DisableCompression:     true,
@@ -40,4 +50,15 @@
 }
 
 // URL returns the base URL of a peer.
-func URL(a netip.AddrPort) string { return "http://" + a.String() }
+func (d Dialer) URL(a netip.AddrPort) string {
+	if d.TLS != nil {
+		return "https://" + a.String()
+	}
+	return "http://" + a.String()
+}
+
+// NewClient returns a client of an unencrypted peer.
+func NewClient() *http.Client { return Dialer{}.NewClient() }
+
+// URL returns the base URL of an unencrypted peer.
+func URL(a netip.AddrPort) string { return Dialer{}.URL(a) }
--- a/internal/plumb/kqserver/server.go
+++ b/internal/plumb/kqserver/server.go
@@ -1,8 +1,9 @@
-// Package kqserver serves HTTP/1.1 and unencrypted HTTP/2 on one address.
+// Package kqserver serves HTTP/1.1 and HTTP/2 on one address.
 package kqserver
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,6 +26,8 @@
 type Config struct {
 	// Listen is the address to serve on; port 0 takes a free one.
 	Listen netip.AddrPort
+	// TLS secures the connections; nil leaves them unencrypted.
+	TLS *tls.Config
 }
 
 // Server is an HTTP server. Connections wait from Listen until Serve.
@@ -52,9 +55,11 @@
 	}
 	var p http.Protocols
 	p.SetHTTP1(true)
-	p.SetUnencryptedHTTP2(true)
+	p.SetUnencryptedHTTP2(c.TLS == nil)
+	p.SetHTTP2(c.TLS != nil)
 	s := &Server{listener: l, server: &http.Server{
 		Protocols:         &p,
+		TLSConfig:         c.TLS,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -74,7 +79,11 @@
 }
 
 func (s *Server) run() error {
-	err := s.server.Serve(countingListener{s.listener, &s.traffic})
+	serve := s.server.Serve
+	if s.server.TLSConfig != nil {
+		serve = func(l net.Listener) error { return s.server.ServeTLS(l, "", "") }
+	}
+	err := serve(countingListener{s.listener, &s.traffic})
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- /dev/null
+++ b/internal/plumb/kqtoken/token_test.go
@@ -0,0 +1,68 @@
+package kqtoken_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
+)
+
+const (
+	first  = "first-token-of-operators"
+	second = "second-token-of-operators"
+)
+
+func request(authorization string) *http.Request {
+	q := httptest.NewRequest(http.MethodGet, "/v1/config", nil)
+	if authorization != "" {
+		q.Header.Set("Authorization", authorization)
+	}
+	return q
+}
+
+func TestOnlyTheTokensOfTheFilePermit(t *testing.T) {
+	g := NewWithT(t)
+	f := kqtoken.File{Name: filepath.Join(t.TempDir(), "token")}
+	g.Expect(f.Check()).NotTo(Succeed(), "there is no file")
+	g.Expect(f.Permits(request("Bearer "))).To(BeFalse())
+	g.Expect(os.WriteFile(f.Name, []byte(first+"\n"), 0o600)).To(Succeed())
+	g.Expect(f.Check()).To(Succeed())
+	for _, wrong := range []string{"", "Bearer", "Bearer ", "Bearer " + second, "Bearer " + first[:len(first)-1], "Basic " + first, first} {
+		g.Expect(f.Permits(request(wrong))).To(BeFalse(), wrong)
+	}
+	q := request("")
+	g.Expect(f.Sign(q)).To(Succeed())
+	g.Expect(f.Permits(q)).To(BeTrue())
+}
+
+func TestATokenIsReplacedWithoutARefusal(t *testing.T) {
+	g := NewWithT(t)
+	f := kqtoken.File{Name: filepath.Join(t.TempDir(), "token")}
+	for _, x := range []struct {
+		text          string
+		first, second bool
+	}{{first, true, false}, {first + "\n" + second, true, true}, {second + "\n" + first, true, true}, {second, false, true}} {
+		g.Expect(os.WriteFile(f.Name, []byte(x.text), 0o600)).To(Succeed())
+		g.Expect(f.Permits(request("Bearer "+first))).To(Equal(x.first), x.text)
+		g.Expect(f.Permits(request("Bearer "+second))).To(Equal(x.second), x.text)
+	}
+}
+
+func TestAWrongFilePermitsNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := kqtoken.File{Name: filepath.Join(t.TempDir(), "token")}
+	for _, text := range []string{"", "\n", "short", first + " short"} {
+		g.Expect(os.WriteFile(f.Name, []byte(text), 0o600)).To(Succeed())
+		g.Expect(f.Check()).NotTo(Succeed(), text)
+		g.Expect(f.Sign(request(""))).NotTo(Succeed(), text)
+		g.Expect(f.Permits(request("Bearer "+first))).To(BeFalse(), text)
+		g.Expect(f.Permits(request("Bearer short"))).To(BeFalse(), text)
+	}
+	g.Expect(kqtoken.File{}.Permits(request(""))).To(BeTrue(), "no file is named")
+	g.Expect(kqtoken.File{}.Check()).To(Succeed())
+}
--- a/internal/standin/kqservice/endpoint.go
+++ b/internal/standin/kqservice/endpoint.go
@@ -17,6 +17,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 )
 
@@ -40,6 +41,8 @@
 	Slowdown func() float64
 	// Agent is the address of the host's agent; the zero value announces to none.
 	Agent netip.AddrPort
+	// Dialer reaches the agent.
+	Dialer kqlink.Dialer
 	// Seed draws the times.
 	Seed uint64
 	// Record keeps what ran.
@@ -50,6 +53,7 @@
 type Endpoint struct {
 	config Config
 	server *kqserver.Server
+	client *http.Client
 	tomb   tomb.Tomb
 
 	mu      sync.Mutex
@@ -73,7 +77,7 @@
 
 // Start serves on a free loopback port and announces itself.
 func Start(c Config) (*Endpoint, error) {
-	e := &Endpoint{config: c, rng: rand.New(rand.NewPCG(c.Seed, c.Seed))}
+	e := &Endpoint{config: c, client: c.Dialer.NewClient(), rng: rand.New(rand.NewPCG(c.Seed, c.Seed))}
 	s, err := kqserver.Start(netip.MustParseAddrPort("127.0.0.1:0"), e)
 	if err != nil {
 		return nil, err
@@ -132,12 +136,12 @@
 func (e *Endpoint) announce(ctx context.Context, leaving bool) error {
 	c := e.config
 	body, _ := json.Marshal(announcement{Classes: c.Classes, Address: e.Addr().String(), Slots: c.Slots, Connections: c.Connections, Leaving: leaving})
-	url := "http://" + e.agent().String() + "/v1/endpoints/" + c.ID
+	url := c.Dialer.URL(e.agent()) + "/v1/endpoints/" + c.ID
 	q, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
-	a, err := http.DefaultClient.Do(q)
+	a, err := e.client.Do(q)
 	if err != nil {
 		return err
 	}
--- a/internal/trial/kqfleet/fleet.go
+++ b/internal/trial/kqfleet/fleet.go
@@ -15,6 +15,8 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqentry"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtls"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtrace"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqobject"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
@@ -50,6 +52,10 @@
 	Uncontrolled bool
 	// Behaviours is how the families really behave.
 	Behaviours map[string]kqhost.Behaviour
+	// Identity secures the connections of all processes; nil leaves them unencrypted.
+	Identity *kqtls.Identity
+	// Operators guards the operators' API; the zero value guards nothing.
+	Operators kqtoken.File
 	// DrainBound is the longest time for a drain.
 	DrainBound time.Duration
 	// Logger receives the events; nil logs nothing.
@@ -158,7 +164,7 @@
 		zone = f.config.Users[0].Zones[i%len(f.config.Users[0].Zones)]
 	}
 	id := fmt.Sprintf("entry-%d", i+1)
-	e, err := kqentry.Start(kqentry.Config{ID: id, Zone: zone, Listen: loopback, Cells: f.config.Cells, Seeds: f.seeds(),
+	e, err := kqentry.Start(kqentry.Config{ID: id, Zone: zone, Listen: loopback, Cells: f.config.Cells, Seeds: f.seeds(), Identity: f.config.Identity, Operators: f.config.Operators,
 		Table:    kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()), kqlink.ClientOptions()...)),
 		FarDelay: kqentry.DefaultFarDelay, Policy: f.config.Policy, Hedge: f.config.Hedge, DefaultDeadline: kqentry.DefaultDeadline,
 		MaxBody: kqentry.DefaultMaxBody, DrainBound: f.config.DrainBound, Seed: f.config.Seed + uint64(i), Now: time.Now,
--- /dev/null
+++ b/internal/trial/kqfleet/secured_test.go
@@ -0,0 +1,101 @@
+package kqfleet_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtls"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtoken"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqauthority"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqfleet"
+)
+
+// secured is a fleet whose connections are secured by mutual TLS, and what a
+// process needs to reach it.
+type secured struct {
+	fleet     *kqfleet.Fleet
+	authority *kqauthority.Authority
+	directory kqauthority.Directory
+	dialer    kqlink.Dialer
+	http      *http.Client
+	token     kqtoken.File
+}
+
+func startSecured(u kqfleet.User) *secured {
+	x := &secured{directory: kqauthority.Directory(GinkgoT().TempDir())}
+	var err error
+	x.authority, err = kqauthority.New(time.Now(), "fleet")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(x.directory.Write(time.Now(), x.authority, kqtls.Name, x.authority)).To(Succeed())
+	i, err := kqtls.Load(x.directory.Config(time.Now))
+	Expect(err).NotTo(HaveOccurred())
+	x.token = kqtoken.File{Name: filepath.Join(string(x.directory), "token")}
+	Expect(os.WriteFile(x.token.Name, []byte("token-of-the-operators\n"), 0o600)).To(Succeed())
+	x.dialer = kqlink.Dialer{TLS: i.Client()}
+	x.http = x.dialer.NewClient()
+	x.fleet, err = kqfleet.Start(kqfleet.Config{Users: []kqfleet.User{u}, Entries: 2, Seed: 1, Relays: true, Identity: i, Operators: x.token})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(x.fleet.Close)
+	return x
+}
+
+func (x *secured) operator(h *http.Client, d kqlink.Dialer) kqclient.Client {
+	return kqclient.Client{Entry: x.fleet.Entries()[0].Addr(), Dialer: d, HTTP: h, Token: x.token}
+}
+
+// call returns the status of a call, 0 if there was no answer.
+func (x *secured) call(h *http.Client, d kqlink.Dialer) int {
+	a, err := h.Get(d.URL(x.fleet.Entries()[0].Addr()) + "/v1/call/lockdesk/unlock")
+	if err != nil {
+		return 0
+	}
+	a.Body.Close()
+	return a.StatusCode
+}
+
+var _ = Describe("a fleet secured by mutual TLS", func() {
+	It("serves calls over entries, agents and endpoints through a rotation, and strangers nothing", func() {
+		u := small(3, 5*time.Millisecond)
+		x := startSecured(u)
+		Expect(x.operator(x.http, x.dialer).Apply(ctx, u.Documents())).To(Succeed())
+		Eventually(func() int { return x.fleet.Entries()[0].ReadyEndpoints() }).Should(Equal(u.Workers))
+		Eventually(func() int { return x.call(x.http, x.dialer) }).Should(Equal(http.StatusOK))
+		for _, w := range x.fleet.Workers {
+			Eventually(func() uint64 { row, _ := w.Agent().Owner(); return row.Epoch }).ShouldNot(BeZero())
+		}
+		_, err := x.operator(x.http, x.dialer).Submit(ctx, kqmodel.JobSpec{ID: "secured", Team: "kaluvi", Class: "night-settlement", Tasks: 6,
+			Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}, RunTime: kqmodel.Duration(200 * time.Millisecond)})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() string {
+			v, err := x.operator(x.http, x.dialer).Job(ctx, "secured")
+			Expect(err).NotTo(HaveOccurred())
+			return v.State
+		}, 20*time.Second).Should(Equal("finished"))
+
+		plain := &http.Client{Timeout: 2 * time.Second}
+		Expect(x.call(plain, kqlink.Dialer{})).NotTo(Equal(http.StatusOK))
+		Expect(x.operator(plain, kqlink.Dialer{}).Apply(ctx, u.Documents())).NotTo(Succeed())
+
+		stranger := x.operator(x.http, x.dialer)
+		stranger.Token = kqtoken.File{}
+		Expect(code(stranger.Apply(ctx, u.Documents()))).To(Equal(kqresult.NotPermitted))
+
+		Expect(x.directory.Write(time.Now(), x.authority, kqtls.Name, x.authority)).To(Succeed())
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			Expect(x.call(x.http, x.dialer)).To(Equal(http.StatusOK))
+			fresh := x.dialer.NewClient()
+			Expect(x.call(fresh, x.dialer)).To(Equal(http.StatusOK))
+			fresh.CloseIdleConnections()
+		}
+		Expect(x.fleet.Counter.Breaches()).To(BeEmpty())
+	})
+})
--- a/internal/trial/kqfleet/worker.go
+++ b/internal/trial/kqfleet/worker.go
@@ -63,7 +63,7 @@
 		advertise = w.relay.Addr()
 	}
 	a, err := kqagent.Start(kqagent.Config{Worker: w.Name, Zone: zone, Rack: rack, Listen: loopback, Advertise: advertise, Cells: f.config.Cells,
-		Seeds: f.seeds(), Table: kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()), kqlink.ClientOptions()...)),
+		Seeds: f.seeds(), Identity: f.config.Identity, Table: kqtable.Remote(kqwire.NewTableServiceClient(f.storeClient, kqlink.URL(f.storeServer.Addr()), kqlink.ClientOptions()...)),
 		Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(f.storeClient, kqlink.URL(w.server.Addr()), kqlink.ClientOptions()...)),
 		Throttling: !f.config.Uncontrolled, Interference: !f.config.Uncontrolled, DrainBound: f.config.DrainBound,
 		Now: time.Now, Events: f.events(w.Name), Tracer: f.config.Tracer, Counter: f.Counter})
@@ -83,7 +83,7 @@
 	e, err := kqservice.Start(kqservice.Config{ID: u.Service + "-" + w.Name, Classes: []string{u.Service, u.Background},
 		Slots: slotsToday, Connections: connectionsEach, ServiceTime: u.ServiceTime, Spread: f.config.Spread,
 		Slowdown: func() float64 { return w.Host.Slowdown(u.Service) * f.slowdown(w.Name) },
-		Agent:    w.agent.Addr(), Seed: f.config.Seed + uint64(w.index) + 1, Record: f.Records[u.Name]})
+		Agent:    w.agent.Addr(), Dialer: kqlink.Dialer{TLS: f.config.Identity.Client()}, Seed: f.config.Seed + uint64(w.index) + 1, Record: f.Records[u.Name]})
 	if err != nil {
 		return err
 	}
