--- a/internal/trial/kqflowdemo/cell.go
+++ b/internal/trial/kqflowdemo/cell.go
@@ -9,26 +9,23 @@
 	"math"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"gopkg.in/tomb.v2"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
 )
 
 const (
@@ -67,7 +64,7 @@
 	// Counter is the breaches that the program saw itself.
 	Counter *kqinvariant.Counter
 	// Members is the agents with their workers.
-	Members []*Member
+	Members []*kqmachine.Machine
 
 	config CellConfig
 	book   *kqgate.Book
@@ -80,7 +77,7 @@
 	x := &Cell{config: c, Store: kqrowstore.New(c.Seed), Counter: &kqinvariant.Counter{}}
 	x.Ledger = kqtaskhost.NewLedger(x.rules)
 	for i := range c.Workers {
-		m, err := newMember(x, fmt.Sprintf("worker-%d", i+1), c.Seed+uint64(i))
+		m, err := x.newMember(fmt.Sprintf("worker-%d", i+1), c.Seed+uint64(i))
 		if err != nil {
 			x.Close()
 			return nil, err
@@ -128,9 +125,9 @@
 }
 
 // Owner returns the member that owns the cell, or nil.
-func (x *Cell) Owner() *Member {
+func (x *Cell) Owner() *kqmachine.Machine {
 	for _, m := range x.Members {
-		if m.up && m.node.Load().Owning() {
+		if m.Owning() {
 			return m
 		}
 	}
@@ -190,29 +187,21 @@
 	return r
 }
 
-// Member is an agent with the worker beside it.
-type Member struct {
-	// Host is the machine that the worker runs on.
-	Host *kqtaskhost.Host
-
-	cell     *Cell
-	name     string
-	at       netip.AddrPort
-	boots    int
-	up       bool
-	book     *kqgate.Book
-	node     atomic.Pointer[kqnode.Node]
-	executor *kqexecutor.Executor
-	beats    *checkIns
-}
-
-func newMember(x *Cell, name string, seed uint64) (*Member, error) {
+// newMember starts an agent with the worker beside it.
+func (x *Cell) newMember(name string, seed uint64) (*kqmachine.Machine, error) {
 	at, err := freePort()
 	if err != nil {
 		return nil, err
 	}
-	m := &Member{cell: x, name: name, at: at}
-	m.Host = kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, Size: x.size, Ledger: x.Ledger})
+	var m *kqmachine.Machine
+	var book *kqgate.Book
+	m = kqmachine.New(kqmachine.Config{Name: name, Service: x.config.Service, Capacity: x.config.Capacity, CheckInEvery: checkInEvery,
+		Host: kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, Size: x.size, Ledger: x.Ledger}),
+		Control: func(boot int) kqcontrol.Config {
+			book = kqgate.NewBook(kqgate.BookConfig{Store: x.Store.Client(name), Now: time.Now, Events: x.config.Events, Changed: m.SetPolicy})
+			return x.control(name, boot, at, book)
+		},
+		Stopping: func() { book.Close() }})
 	return m, m.Start()
 }
 
@@ -225,63 +214,3 @@
 	defer l.Close()
 	return netip.ParseAddrPort(l.Addr().String())
 }
-
-// Name returns the member's name.
-func (m *Member) Name() string { return m.name }
-
-// Start starts the agent's process.
-func (m *Member) Start() error {
-	m.boots++
-	m.book = kqgate.NewBook(kqgate.BookConfig{Store: m.cell.Store.Client(m.name), Now: time.Now, Events: m.cell.config.Events, Changed: m.changed})
-	m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: lease, Now: time.Now, Events: m.cell.config.Events, Counter: m.cell.Counter})
-	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleAgent, Listen: m.at, Control: m.cell.control(m.name, m.boots, m.at, m.book),
-		Linked: m.executor.Linked, Unlinked: m.executor.Unlinked, Receive: m.executor.Receive})
-	if err != nil {
-		m.executor.Stop()
-		m.book.Close()
-		return err
-	}
-	m.node.Store(n)
-	m.up = true
-	m.beats = &checkIns{member: m, executor: m.executor}
-	m.beats.tomb.Go(m.beats.loop)
-	return nil
-}
-
-// changed hands a policy to the node; an owner that starts later reads the
-// policy itself.
-func (m *Member) changed(p *kqflow.Policy) {
-	if n := m.node.Load(); n != nil {
-		n.SetPolicy(p)
-	}
-}
-
-// Kill ends the process at once.
-func (m *Member) Kill() {
-	if !m.up {
-		return
-	}
-	m.up = false
-	m.beats.tomb.Kill(nil)
-	m.book.Close()
-	m.node.Load().Kill()
-	m.executor.Stop()
-}
-
-// checkIns is what the worker says to its agent.
-type checkIns struct {
-	tomb     tomb.Tomb
-	member   *Member
-	executor *kqexecutor.Executor
-}
-
-func (c *checkIns) loop() error {
-	for sequence := uint64(1); ; sequence++ {
-		c.executor.CheckIn(kqplan.WorkerInfo{Worker: c.member.Host.Worker(), Service: c.member.cell.config.Service, Capacity: c.member.cell.config.Capacity}, sequence)
-		select {
-		case <-c.tomb.Dying():
-			return nil
-		case <-time.After(checkInEvery):
-		}
-	}
-}
--- a/internal/trial/kqflowrig/chaos_test.go
+++ b/internal/trial/kqflowrig/chaos_test.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
 )
 
 var (
@@ -43,10 +44,10 @@
 
 func nothing() {}
 
-func (r *run) agent() *kqflowrig.Agent { return r.rig.Agents[r.rng.IntN(len(r.rig.Agents))] }
+func (r *run) agent() *kqmachine.Machine { return r.rig.Agents[r.rng.IntN(len(r.rig.Agents))] }
 
 // owner returns the owner's agent, or any.
-func (r *run) owner() *kqflowrig.Agent {
+func (r *run) owner() *kqmachine.Machine {
 	for _, a := range r.rig.Agents {
 		if a.Owning() {
 			return a
@@ -63,13 +64,15 @@
 	}
 }
 
-func everyone(*run) string    { return "" }
-func theOwner(r *run) string  { return r.owner().Name() }
-func kill(a *kqflowrig.Agent) { a.Kill() }
-func restart(a *kqflowrig.Agent) func() {
+func everyone(*run) string      { return "" }
+func theOwner(r *run) string    { return r.owner().Name() }
+func kill(a *kqmachine.Machine) { a.Kill() }
+func restart(a *kqmachine.Machine) func() {
 	return func() {
 		if !a.Up() {
-			a.Start()
+			if err := a.Start(); err != nil {
+				panic(err)
+			}
 		}
 	}
 }
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -13,14 +13,13 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
 )
 
 const (
@@ -53,7 +52,7 @@
 	// Counter is the breaches that the program saw itself.
 	Counter *kqinvariant.Counter
 	// Agents is the workers' agents.
-	Agents []*Agent
+	Agents []*kqmachine.Machine
 	// Front is the entry's side for callers.
 	Front *kqfront.Front
 
@@ -74,15 +73,23 @@
 		urgentQueue: {Name: urgentQueue, Service: service, Attempts: attempts, Stretch: 1.5, Target: 250 * time.Millisecond},
 		batchQueue:  {Name: batchQueue, Service: service, Priority: 2, Attempts: attempts, Stretch: 2, Target: time.Second}}}
 	for i := range c.Agents {
-		a := &Agent{rig: r, name: fmt.Sprintf("10.0.0.%d", i+1)}
-		a.Host = kqtaskhost.New(a.name, kqtaskhost.Config{Seed: c.Seed + uint64(i), Capacity: c.Capacity, Size: r.size, Ledger: r.Ledger})
-		a.Start()
-		r.Agents = append(r.Agents, a)
+		r.Agents = append(r.Agents, r.startAgent(i))
 	}
 	r.startEntry()
 	return r
 }
 
+func (r *Rig) startAgent(i int) *kqmachine.Machine {
+	name := fmt.Sprintf("10.0.0.%d", i+1)
+	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger})
+	m := kqmachine.New(kqmachine.Config{Name: name, Host: host, Service: service, Capacity: r.config.Capacity, CheckInEvery: checkInEvery,
+		Network: r.Network.of(name), Control: func(boot int) kqcontrol.Config { return r.control(name, boot) }})
+	if err := m.Start(); err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // Stop ends every process.
 func (r *Rig) Stop() {
 	for _, a := range r.Agents {
@@ -197,81 +204,9 @@
 func (r *Rig) Owners() int {
 	n := 0
 	for _, a := range r.Agents {
-		if a.up && a.node.Owning() {
+		if a.Owning() {
 			n++
 		}
 	}
 	return n
 }
-
-// Agent is a process beside a worker.
-type Agent struct {
-	// Host is the machine with the worker.
-	Host *kqtaskhost.Host
-
-	rig      *Rig
-	name     string
-	boots    int
-	up       bool
-	node     *kqnode.Node
-	executor *kqexecutor.Executor
-	beats    *checkIns
-}
-
-// Start starts the process.
-func (a *Agent) Start() {
-	a.boots++
-	c := a.rig.control(a.name, a.boots)
-	a.executor = kqexecutor.Start(kqexecutor.Config{Connect: a.Host.Connect, MaxLease: lease, Now: time.Now, Counter: a.rig.Counter})
-	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleAgent, Listen: c.Address, Control: c, Network: a.rig.Network.of(a.name),
-		Linked: a.executor.Linked, Unlinked: a.executor.Unlinked, Receive: a.executor.Receive})
-	if err != nil {
-		panic(err)
-	}
-	a.node, a.up = n, true
-	a.beats = &checkIns{agent: a, executor: a.executor, stop: make(chan struct{})}
-	go a.beats.loop()
-}
-
-// Kill ends the process at once.
-func (a *Agent) Kill() { a.end((*kqnode.Node).Kill) }
-
-// Leave ends the process as a planned stop does.
-func (a *Agent) Leave() { a.end((*kqnode.Node).Leave) }
-
-func (a *Agent) end(node func(*kqnode.Node)) {
-	if !a.up {
-		return
-	}
-	a.up = false
-	close(a.beats.stop)
-	node(a.node)
-	a.executor.Stop()
-}
-
-// Name returns the agent's address.
-func (a *Agent) Name() string { return a.name }
-
-// Up reports whether the process is there.
-func (a *Agent) Up() bool { return a.up }
-
-// Owning reports whether the process owns the cell.
-func (a *Agent) Owning() bool { return a.up && a.node.Owning() }
-
-// checkIns is what the worker says to its agent.
-type checkIns struct {
-	agent    *Agent
-	executor *kqexecutor.Executor
-	stop     chan struct{}
-}
-
-func (c *checkIns) loop() {
-	for sequence := uint64(1); ; sequence++ {
-		c.executor.CheckIn(kqplan.WorkerInfo{Worker: c.agent.Host.Worker(), Service: service, Capacity: c.agent.rig.config.Capacity}, sequence)
-		select {
-		case <-c.stop:
-			return
-		case <-time.After(checkInEvery):
-		}
-	}
-}
--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
 )
 
 const (
@@ -33,7 +34,7 @@
 }
 
 // place returns the agent whose worker runs the task; nil if none does.
-func (x *takeover) place() *kqflowrig.Agent {
+func (x *takeover) place() *kqmachine.Machine {
 	workers := x.rig.Ledger.Workers(watchJob)
 	for _, a := range x.rig.Agents {
 		if a.Up() && slices.Contains(workers, a.Host.Worker()) {
@@ -43,7 +44,7 @@
 	return nil
 }
 
-func (x *takeover) owner() *kqflowrig.Agent {
+func (x *takeover) owner() *kqmachine.Machine {
 	for _, a := range x.rig.Agents {
 		if a.Owning() {
 			return a
--- /dev/null
+++ b/internal/trial/kqmachine/machine.go
@@ -0,0 +1,132 @@
+// Package kqmachine runs a real agent beside a stand-in of its worker, for trials
+// of jobs of steps.
+package kqmachine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
+)
+
+// Config sets up a Machine.
+type Config struct {
+	// Name is the agent's name.
+	Name string
+	// Host is the machine that the worker runs on.
+	Host *kqtaskhost.Host
+	// Service names the pool that the worker belongs to, Capacity is what it has.
+	Service  string
+	Capacity kqmodel.Resources
+	// CheckInEvery is how often the worker checks in with the agent.
+	CheckInEvery time.Duration
+	// Network is how the agent reaches others; nil means TCP.
+	Network *kqnode.Network
+	// Control sets up the agent's process; boot counts its starts from 1.
+	Control func(boot int) kqcontrol.Config
+	// Stopping is called as the process begins to end; may be nil.
+	Stopping func()
+}
+
+// Machine is an agent with the worker beside it.
+type Machine struct {
+	// Host is the machine that the worker runs on.
+	Host *kqtaskhost.Host
+
+	config   Config
+	boots    int
+	up       bool
+	node     atomic.Pointer[kqnode.Node]
+	executor *kqexecutor.Executor
+	beats    *checkIns
+}
+
+// New returns a Machine whose agent is not started yet.
+func New(c Config) *Machine { return &Machine{Host: c.Host, config: c} }
+
+// Start starts the agent's process.
+func (m *Machine) Start() error {
+	m.boots++
+	c := m.config.Control(m.boots)
+	m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: c.Lease, Now: c.Now, Events: c.Events, Counter: c.Counter})
+	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleAgent, Listen: c.Address, Control: c, Network: m.config.Network,
+		Linked: m.executor.Linked, Unlinked: m.executor.Unlinked, Receive: m.executor.Receive})
+	if err != nil {
+		m.executor.Stop()
+		m.stopping()
+		return err
+	}
+	m.node.Store(n)
+	m.up = true
+	m.beats = &checkIns{machine: m, executor: m.executor}
+	m.beats.tomb.Go(m.beats.loop)
+	return nil
+}
+
+// SetPolicy hands a policy to the agent; an owner that starts later reads the
+// policy itself.
+func (m *Machine) SetPolicy(p *kqflow.Policy) {
+	if n := m.node.Load(); n != nil {
+		n.SetPolicy(p)
+	}
+}
+
+// Kill ends the process at once.
+func (m *Machine) Kill() { m.end((*kqnode.Node).Kill) }
+
+// Leave ends the process as a planned stop does.
+func (m *Machine) Leave() { m.end((*kqnode.Node).Leave) }
+
+func (m *Machine) end(node func(*kqnode.Node)) {
+	if !m.up {
+		return
+	}
+	m.up = false
+	m.beats.tomb.Kill(nil)
+	m.stopping()
+	node(m.node.Load())
+	m.executor.Stop()
+}
+
+func (m *Machine) stopping() {
+	if m.config.Stopping != nil {
+		m.config.Stopping()
+	}
+}
+
+// Name returns the agent's name.
+func (m *Machine) Name() string { return m.config.Name }
+
+// Up reports whether the process is there.
+func (m *Machine) Up() bool { return m.up }
+
+// Owning reports whether the process owns the cell.
+func (m *Machine) Owning() bool { return m.up && m.node.Load().Owning() }
+
+// checkIns is what the worker says to its agent.
+type checkIns struct {
+	tomb     tomb.Tomb
+	machine  *Machine
+	executor *kqexecutor.Executor
+}
+
+func (c *checkIns) loop() error {
+	m := c.machine
+	for sequence := uint64(1); ; sequence++ {
+		c.executor.CheckIn(kqplan.WorkerInfo{Worker: m.Host.Worker(), Service: m.config.Service, Capacity: m.config.Capacity}, sequence)
+		select {
+		case <-c.tomb.Dying():
+			return nil
+		case <-time.After(m.config.CheckInEvery):
+		}
+	}
+}
