--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -83,8 +83,15 @@
 	MaxSteps   = 64
 	MaxTasks   = 2400
 	MaxPayload = 4000
+	// MaxTime bounds every time of a job, and from its first occurrence to its last.
+	MaxTime = 365 * 24 * time.Hour
+	// lastYear is the last year that a stored time can have.
+	lastYear = 9999
 )
 
+// MaxSize bounds what one task takes.
+var MaxSize = kqmodel.Resources{MilliProcessors: 1_000_000_000, MemoryBytes: 1 << 50, Accelerators: 1_000_000}
+
 // Occurrences returns how many times the steps run.
 func (j Job) Occurrences() int { return max(1, j.Repeat) }
 
@@ -103,8 +110,12 @@
 		return kqresult.Errorf(kqresult.BadRequest, "steps: expected 1 to %d, got %d", MaxSteps, len(j.Steps))
 	case len(j.Payload) > MaxPayload:
 		return kqresult.Errorf(kqresult.BadRequest, "payload: at most %d bytes, got %d", MaxPayload, len(j.Payload))
-	case j.Repeat < 0 || (j.Repeat > 1 && j.Every <= 0):
-		return kqresult.Errorf(kqresult.BadRequest, "repeat: %d occurrences each %s", j.Repeat, j.Every)
+	case j.Repeat < 0 || j.Repeat > MaxTasks || j.Every < 0 || (j.Repeat > 1 && j.Every == 0):
+		return kqresult.Errorf(kqresult.BadRequest, "repeat: %d occurrences each %s, at most %d", j.Repeat, j.Every, MaxTasks)
+	case j.Every > MaxTime/time.Duration(j.Occurrences()):
+		return kqresult.Errorf(kqresult.BadRequest, "repeat: %d occurrences each %s take over %s", j.Repeat, j.Every, MaxTime)
+	case j.FirstAt.Year() < 0 || j.FirstAt.Year() > lastYear:
+		return kqresult.Errorf(kqresult.BadRequest, "first_at: the year is not between 0 and %d", lastYear)
 	}
 	total := 0
 	for n, s := range j.Steps {
@@ -120,12 +131,18 @@
 }
 
 func (s Step) check(n int) *kqresult.Error {
-	if s.Count < 1 {
-		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: count: expected 1 or more, got %d", n, s.Count)
+	if s.Count < 1 || s.Count > MaxTasks {
+		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: count: expected 1 to %d, got %d", n, MaxTasks, s.Count)
 	}
 	if s.Size.Negative() || s.Estimate < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
 		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: a size or bound is below 0", n)
 	}
+	if s.Size.MilliProcessors > MaxSize.MilliProcessors || s.Size.MemoryBytes > MaxSize.MemoryBytes || s.Size.Accelerators > MaxSize.Accelerators {
+		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: size: at most %s, got %s", n, MaxSize, s.Size)
+	}
+	if s.Estimate > MaxTime || s.TailTarget > MaxTime || s.TailTarget < 0 {
+		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: a time is below 0 or over %s", n, MaxTime)
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= n {
 			return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: after: %d is not an earlier step", n, a)
