--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -105,6 +105,10 @@
 	if a.jobs == nil {
 		a.jobs = map[string]*job{}
 	}
+	if !l.hasSteps() {
+		a.unread++
+		return
+	}
 	if a.jobs[l.ID] != nil || l.Repeat > 0 {
 		return
 	}
--- a/internal/flow/kqloss/line.go
+++ b/internal/flow/kqloss/line.go
@@ -31,6 +31,18 @@
 	Pace        kqpace.Tally        `json:"pace"`
 }
 
+// hasSteps reports whether the line has steps that wait for earlier ones only.
+func (l line) hasSteps() bool {
+	for n, s := range l.Steps {
+		for _, a := range s.After {
+			if a < 0 || a >= n {
+				return false
+			}
+		}
+	}
+	return len(l.Steps) > 0
+}
+
 const (
 	firstBuffer = 64 << 10
 	longestLine = 1 << 20
