A write of leases that comes late is refused

Found reading: the row of granted hosts was put on condition of the ownership alone. A first copy that the store takes late (a fault of the site files) put an older row over a newer one, so a successor could think that a host had no lease and start its task a second time. Change: the row's own version is a condition, and a write is repeated until its outcome is certain (kqrows.Commit), as for every other row that must last. An owner that can't read the row does not take the cell. Only the latest question of a host waits.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -120,7 +120,9 @@
 	}
 	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent, fedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.Wall().Round(0))}
-	x.restoreLeases(ctx, old, seen)
+	if err := x.restoreLeases(ctx, old, seen); err != nil {
+		return nil, err
+	}
 	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, LeftAt: func(host string) time.Time { return x.leftAt(host, sent) },
 		Lease: c.Lease, FarFactor: c.FarFactor, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
 	if err := x.load(ctx); err != nil {
--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -45,39 +45,40 @@
 	return out
 }
 
-// heldAsk is a question for a lease of a host that is not in the row yet.
-type heldAsk struct {
-	session *Session
-	ask     uint64
-}
-
 // leases is what an owner knows of the leases of its cell.
 type leases struct {
-	// row is as stored.
-	row LeasesRow
+	// row is as stored with version; 0 means that there is none.
+	row     LeasesRow
+	version uint64
 	// left is the row as the earlier owner left it.
 	left LeasesRow
 	seen kqelect.Sightings
 	// wanted are hosts that are not in the stored row yet.
-	wanted  map[string]bool
-	asks    []heldAsk
+	wanted map[string]bool
+	// asks are the latest questions for leases of hosts that are wanted.
+	asks    map[*Session]uint64
 	writing bool
 }
 
 // restoreLeases reads whom earlier owners granted leases.
-func (c *Controller) restoreLeases(ctx context.Context, old OwnerRow, seen kqelect.Sightings) {
-	c.leases = leases{row: LeasesRow{Floor: old.Epoch}, seen: seen, wanted: map[string]bool{}}
+func (c *Controller) restoreLeases(ctx context.Context, old OwnerRow, seen kqelect.Sightings) error {
+	l := &c.leases
+	*l = leases{row: LeasesRow{Floor: old.Epoch}, seen: seen, wanted: map[string]bool{}, asks: map[*Session]uint64{}}
 	rows, _, err := c.config.Store.Read(ctx, LeaseTable, c.config.Cell, After(c.config.Cell))
-	if err == nil && len(rows) > 0 && old.Recorded {
+	if err != nil {
+		return err
+	}
+	if len(rows) > 0 {
+		l.version = rows[0].Version
 		var row LeasesRow
-		if err = json.Unmarshal(rows[0].Value, &row); err == nil {
-			c.leases.row = row
+		if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+			c.config.Events.Emit(c.config.Now(), kqevent.RowUnreadable, kqevent.Process(c.config.Name), "leases: %v", err)
+		} else if old.Recorded {
+			l.row = row
 		}
 	}
-	if err != nil {
-		c.config.Events.Emit(c.config.Now(), kqevent.RowUnreadable, kqevent.Process(c.config.Name), "leases: %v", err)
-	}
-	c.leases.left = c.leases.row
+	l.left = l.row
+	return nil
 }
 
 // leftAt returns from when on no earlier owner has granted a host a lease.
@@ -108,49 +109,50 @@
 type recording struct{ controller *Controller }
 
 func (x *recording) run() error {
-	c := x.controller
-	for c.tomb.Alive() {
-		c.mu.Lock()
-		row := c.leases.row.with(c.row.Epoch, c.leases.wanted)
-		c.mu.Unlock()
-		if !x.store(row) {
-			kqtable.Sleep(c.tomb.Context(context.Background()), tickInterval)
-			continue
-		}
-		if x.stored(row) {
-			break
-		}
+	for x.write() {
 	}
 	return nil
 }
 
-func (x *recording) store(row LeasesRow) bool {
-	c := x.controller
-	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), kqrows.TryTimeout)
-	defer cancel()
-	o, err := c.config.Store.Transact(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}},
-		Puts: []kqrows.Put{{Key: LeasesKey(c.config.Cell), Value: kqtable.Encode(row)}}})
-	return err == nil && o.Committed
-}
-
-// stored answers the questions that waited for the row and reports whether no
-// more hosts wait.
-func (x *recording) stored(row LeasesRow) (done bool) {
+// write stores the row once and reports whether more hosts wait. The row's own
+// version is a condition, so that no copy of an earlier write is taken later.
+func (x *recording) write() (more bool) {
 	c := x.controller
+	c.mu.Lock()
+	row, version := c.leases.row.with(c.row.Epoch, c.leases.wanted), c.leases.version
+	c.mu.Unlock()
+	key := LeasesKey(c.config.Cell)
+	o, err := kqrows.Commit(c.tomb.Context(context.Background()), c.config.Store, kqrows.Tx{
+		Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}, {Key: key, Version: version}},
+		Puts:     []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}}})
+	if err != nil {
+		return false
+	}
 	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !o.Committed {
+		c.rejected(now, o)
+		return false
+	}
+	c.leases.version = o.Version
+	return c.recorded(now, row)
+}
+
+// recorded answers the questions that waited for the row and reports whether more
+// hosts wait; mu is held.
+func (c *Controller) recorded(now time.Time, row LeasesRow) (more bool) {
 	l := &c.leases
 	l.row = row
 	maps.DeleteFunc(l.wanted, func(host string, _ bool) bool { return row.Hosts[host] == c.row.Epoch })
 	asks := l.asks
-	l.asks = nil
-	for _, a := range asks {
-		if c.sessions[a.session.hello.Name] == a.session {
-			a.session.grant(now, a.ask)
+	l.asks = map[*Session]uint64{}
+	for x, ask := range asks {
+		if c.sessions[x.hello.Name] == x {
+			x.grant(now, ask)
 		}
 	}
 	l.writing = len(l.wanted) > 0
 	c.wake()
-	return !l.writing
+	return l.writing
 }
--- /dev/null
+++ b/internal/flow/kqcontrol/leases_test.go
@@ -0,0 +1,100 @@
+package kqcontrol_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+)
+
+const leasesCell = "cell"
+
+// lateStore takes the first write of leases late: it is not answered, and applied
+// only when the test says so.
+type lateStore struct {
+	kqrows.Store
+
+	mu   sync.Mutex
+	late *kqrows.Tx
+}
+
+func newLateStore(s kqrows.Store) *lateStore {
+	x := &lateStore{Store: s}
+	x.Store.Transact = func(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
+		if len(t.Puts) > 0 && t.Puts[0].Key == kqcontrol.LeasesKey(leasesCell) {
+			x.mu.Lock()
+			first := x.late == nil
+			if first {
+				x.late = &t
+			}
+			x.mu.Unlock()
+			if first {
+				return kqrows.Outcome{}, kqrows.ErrUnknown
+			}
+		}
+		return s.Transact(ctx, t)
+	}
+	return x
+}
+
+// join has an agent register and ask for a lease.
+func join(g Gomega, c *kqcontrol.Controller, name string) {
+	near, far := net.Pipe()
+	go func() {
+		b := make([]byte, 4096)
+		for {
+			if _, err := far.Read(b); err != nil {
+				return
+			}
+		}
+	}()
+	s := c.Attach(kqstream.New(near, kqstream.Config{Receive: func(*kqstream.Stream, []byte) {}, Closed: func(*kqstream.Stream, error) {}}),
+		kqmessage.Hello{Role: kqmessage.RoleAgent, Name: name, Boot: "b"})
+	b, err := json.Marshal(kqmessage.ToOwner{Registered: true, Ask: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.Receive(b)
+}
+
+func hosts(g Gomega, s kqrows.Store) map[string]uint64 {
+	rows, _, err := s.Read(context.Background(), kqcontrol.LeaseTable, "", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	var r kqcontrol.LeasesRow
+	if len(rows) > 0 {
+		g.Expect(json.Unmarshal(rows[0].Value, &r)).To(Succeed())
+	}
+	return r.Hosts
+}
+
+// A write of leases that the store takes late must not take hosts out of the row
+// that were granted leases meanwhile: their tasks would be started elsewhere.
+func TestALateWriteTakesGrantedHostsOutOfTheLeases(t *testing.T) {
+	g := NewWithT(t)
+	rows := kqrowstore.New(1)
+	late := newLateStore(rows.Client("owner"))
+	c, err := kqcontrol.Take(context.Background(), kqcontrol.Config{Cell: leasesCell, Name: "owner", Boot: "b", Store: late.Store, Lease: 7 * time.Second, FarFactor: 1,
+		Keep: time.Minute, Policy: func() *kqflow.Policy { return nil }, Now: time.Now, Wall: time.Now, Counter: &kqinvariant.Counter{}}, kqcontrol.OwnerRow{}, 0, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.Start()
+	defer c.Abandon()
+	for n := range 3 {
+		join(g, c, fmt.Sprint("host-", n))
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.Eventually(func() map[string]uint64 { return hosts(g, rows.Client("test")) }, 5*time.Second).Should(HaveLen(3))
+	_, err = rows.Client("owner").Transact(context.Background(), *late.late)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(hosts(g, rows.Client("test"))).To(HaveLen(3))
+}
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -116,7 +116,7 @@
 	age := now.Sub(c.confirmedAt)
 	left := max(0, c.config.Lease-age)
 	if left > 0 && x.registered && !c.isRecorded(x.hello.Name) {
-		c.leases.asks = append(c.leases.asks, heldAsk{x, ask})
+		c.leases.asks[x] = ask
 		return
 	}
 	if left > 0 && x.registered {
