--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -131,8 +131,11 @@
 }
 
 func (s Step) check(n int) *kqresult.Error {
-	if s.Count < 1 || s.Count > MaxTasks {
-		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: count: expected 1 to %d, got %d", n, MaxTasks, s.Count)
+	if s.Count < 1 {
+		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: count: expected 1 or more, got %d", n, s.Count)
+	}
+	if s.Count > MaxTasks {
+		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: count: at most %d tasks, got %d", n, MaxTasks, s.Count)
 	}
 	if s.Size.Negative() || s.Estimate < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
 		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: a size or bound is below 0", n)
