--- a/internal/flow/kqelect/elect_test.go
+++ b/internal/flow/kqelect/elect_test.go
@@ -1,6 +1,7 @@
 package kqelect_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +88,38 @@
 		Expect(e.Next(at(5 * time.Second))).To(Equal(kqelect.ActionDial))
 	})
 })
+
+var _ = Describe("sightings", func() {
+	begin := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+
+	It("tell when an epoch above another was first read", func() {
+		var s kqelect.Sightings
+		for n, epoch := range []uint64{0, 3, 3, 5, 4} {
+			s = s.See(at(time.Duration(n)*time.Second), epoch)
+		}
+		for _, x := range []struct {
+			epoch uint64
+			at    time.Duration
+		}{{0, time.Second}, {2, time.Second}, {3, 3 * time.Second}, {4, 3 * time.Second}} {
+			first, ok := s.After(x.epoch)
+			Expect(ok).To(BeTrue())
+			Expect(first).To(Equal(at(x.at)), "after epoch %d", x.epoch)
+		}
+		_, ok := s.After(5)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("forget the oldest, and never change what was handed on", func() {
+		var s kqelect.Sightings
+		for n := range uint64(100) {
+			s = s.See(at(time.Duration(n)*time.Second), n+1)
+		}
+		Expect(len(s)).To(BeNumerically("<", 20))
+		kept := slices.Clone(s)
+		s.See(begin, 1000)
+		Expect(s).To(Equal(kept))
+		first, _ := s.After(1)
+		Expect(first).To(Equal(s[0].At), "later than it was, so that nothing is given up too early")
+	})
+})
