A cancellation that may have taken effect is not called refused

Traced in its logs: the first write of the DELETE took effect without an answer (the owner logs flow_cancelled), the store then refused everything, and the entry logged 'refused' and answered 503; the product's own API says 'nothing changed' to that. Cause: StoreCancel forgot an uncertain try once two others were refused; StoreJob remembers it. Change: refused is said only if no try may have been taken; else 504 on the platform and store_outcome_unknown (507) in the product.

--- a/internal/flow/kqcontrol/submission.go
+++ b/internal/flow/kqcontrol/submission.go
@@ -59,50 +59,62 @@
 	return OutcomeRefused
 }
 
-// StoreCancel marks a stored job as cancelled. It tries on while there is no
-// answer, until ctx ends or waits says no, and gives up early when the store
+// StoreCancel marks a stored job as cancelled. It tries on while the outcome is
+// unknown, until ctx ends or waits says no, and gives up early when the store
 // refuses.
 func StoreCancel(ctx context.Context, store kqrows.Store, id string, waits func() bool) Outcome {
-	refused := 0
-	for try := 1; ctx.Err() == nil && refused < maxRefused && (try == 1 || waits()); try++ {
+	unsure, refused := false, 0
+	for try := 1; ctx.Err() == nil && (try == 1 || waits()); try++ {
 		call, cancel := context.WithTimeout(ctx, time.Duration(try)*tryTimeout)
-		o, done, err := tryCancel(call, store, id)
+		o, err := tryCancel(call, store, id)
 		cancel()
-		if done {
+		switch {
+		case o == OutcomeStored || o == OutcomeAbsent:
 			return o
-		}
-		if errors.Is(err, kqrows.ErrRefused) {
+		case o == OutcomeUnknown:
+			unsure = true
+		case errors.Is(err, kqrows.ErrRefused):
 			refused++
 		}
+		if refused >= maxRefused && !unsure {
+			return OutcomeRefused
+		}
 		kqtable.Sleep(ctx, tryPause)
 	}
-	if refused >= maxRefused {
-		return OutcomeRefused
+	if unsure {
+		return OutcomeUnknown
 	}
-	return OutcomeUnknown
+	return OutcomeRefused
 }
 
 // Always lets a caller wait until its context ends.
 func Always() bool { return true }
 
-func tryCancel(ctx context.Context, store kqrows.Store, id string) (o Outcome, done bool, err error) {
+// tryCancel tries once; OutcomeRefused means that this try has changed nothing.
+func tryCancel(ctx context.Context, store kqrows.Store, id string) (Outcome, error) {
 	rows, _, err := store.Read(ctx, SubmissionTable, id, After(id))
 	if err != nil {
-		return OutcomeUnknown, false, err
+		return OutcomeRefused, err
 	}
 	if len(rows) == 0 {
-		return OutcomeAbsent, true, nil
+		return OutcomeAbsent, nil
 	}
 	s, err := DecodeSubmission(rows[0])
 	if err != nil {
-		return OutcomeAbsent, true, nil
+		return OutcomeAbsent, nil
 	}
 	if s.Cancelled {
-		return OutcomeStored, true, nil
+		return OutcomeStored, nil
 	}
 	s.Cancelled = true
 	key := SubmissionKey(id)
 	x, err := store.Transact(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: rows[0].Version}},
 		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(s)}}})
-	return OutcomeStored, err == nil && x.Committed, err
+	switch {
+	case errors.Is(err, kqrows.ErrUnknown):
+		return OutcomeUnknown, err
+	case err != nil || !x.Committed:
+		return OutcomeRefused, err
+	}
+	return OutcomeStored, nil
 }
