A takeover reads what is left at the same time

Change: the four tables are read at once. Nothing can change in them once the ownership is taken, since every write of an earlier owner is conditional on it.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -120,14 +120,14 @@
 	}
 	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent, fedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.Wall().Round(0))}
-	if err := x.restoreLeases(ctx, old, seen); err != nil {
+	left := readLeft(ctx, c)
+	if err := left.err(); err != nil {
 		return nil, err
 	}
+	x.restoreLeases(left.leases.rows, old, seen)
 	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, LeftAt: func(host string) time.Time { return x.leftAt(host, sent) },
 		Lease: c.Lease, FarFactor: c.FarFactor, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
-	if err := x.load(ctx); err != nil {
-		return nil, err
-	}
+	x.load(left)
 	c.Events.Emit(c.Now(), kqevent.OwnerTaken, kqevent.Process(c.Name), "%s with epoch %d after %s (epoch %d): %d jobs not ended, %s after the write",
 		c.Cell, row.Epoch, old.Name, old.Epoch, x.planner.Active(), c.Now().Sub(sent).Round(time.Millisecond))
 	return x, nil
@@ -173,30 +173,21 @@
 // Epoch returns the epoch of the ownership.
 func (c *Controller) Epoch() uint64 { return c.row.Epoch }
 
-// load reads the jobs of the cell.
-func (c *Controller) load(ctx context.Context) error {
+// load takes over the jobs of the cell.
+func (c *Controller) load(l *left) {
 	if p := c.config.Policy(); p != nil {
 		c.planner.SetPolicy(p)
 	}
-	progress, _, err := c.config.Store.Read(ctx, ProgressTable, "", "")
-	if err != nil {
-		return err
-	}
-	records := make(map[string]kqrows.Row, len(progress))
-	for _, r := range progress {
+	records := make(map[string]kqrows.Row, len(l.progress.rows))
+	for _, r := range l.progress.rows {
 		records[r.Name] = r
 	}
-	rows, at, err := c.config.Store.Read(ctx, SubmissionTable, "", "")
-	if err != nil {
-		return err
-	}
-	c.submitAt = at
+	c.submitAt = l.submissions.at
 	now := c.config.Now()
-	c.restoreLearned(ctx, now)
-	for _, r := range rows {
+	c.restoreLearned(now, l.learned)
+	for _, r := range l.submissions.rows {
 		c.submitted(now, r, records)
 	}
-	return nil
 }
 
 // submitted takes over one stored submission; mu is held or not needed yet.
--- a/internal/flow/kqcontrol/learned.go
+++ b/internal/flow/kqcontrol/learned.go
@@ -14,15 +14,14 @@
 // learnedInterval is the least time between two writes of what was learned.
 const learnedInterval = 2 * time.Second
 
-// restoreLearned takes over what an earlier owner had learned, if it can be
-// read at once.
-func (c *Controller) restoreLearned(ctx context.Context, now time.Time) {
-	rows, _, err := c.config.Store.Read(ctx, LearnedTable, c.config.Cell, After(c.config.Cell))
-	if err != nil || len(rows) == 0 {
+// restoreLearned takes over what an earlier owner had learned, if it could be
+// read.
+func (c *Controller) restoreLearned(now time.Time, l reading) {
+	if l.err != nil || len(l.rows) == 0 {
 		return
 	}
 	var fits []kqlearn.Fit
-	if err := json.Unmarshal(rows[0].Value, &fits); err != nil {
+	if err := json.Unmarshal(l.rows[0].Value, &fits); err != nil {
 		c.config.Events.Emit(now, kqevent.RowUnreadable, kqevent.Process(c.config.Name), "learned: %v", err)
 		return
 	}
--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -60,14 +60,10 @@
 	writing bool
 }
 
-// restoreLeases reads whom earlier owners granted leases.
-func (c *Controller) restoreLeases(ctx context.Context, old OwnerRow, seen kqelect.Sightings) error {
+// restoreLeases takes over whom earlier owners granted leases.
+func (c *Controller) restoreLeases(rows []kqrows.Row, old OwnerRow, seen kqelect.Sightings) {
 	l := &c.leases
 	*l = leases{row: LeasesRow{Floor: old.Epoch}, seen: seen, wanted: map[string]bool{}, asks: map[*Session]uint64{}}
-	rows, _, err := c.config.Store.Read(ctx, LeaseTable, c.config.Cell, After(c.config.Cell))
-	if err != nil {
-		return err
-	}
 	if len(rows) > 0 {
 		l.version = rows[0].Version
 		var row LeasesRow
@@ -78,7 +74,6 @@
 		}
 	}
 	l.left = l.row
-	return nil
 }
 
 // leftAt returns from when on no earlier owner has granted a host a lease.
