--- a/internal/standin/kqtaskhost/ledger.go
+++ b/internal/standin/kqtaskhost/ledger.go
@@ -59,19 +59,9 @@
 }
 
 // AtWork returns the runs of a job that are at work.
-func (l *Ledger) AtWork(job string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for task, where := range l.at {
-		if jobOf(task) == job {
-			n += len(where)
-		}
-	}
-	return n
-}
+func (l *Ledger) AtWork(job string) int { return len(l.Workers(job)) }
 
-// Workers returns the workers that run a job's tasks.
+// Workers returns the worker of each run of a job's tasks.
 func (l *Ledger) Workers(job string) (out []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
