--- a/internal/trial/kqflowrig/size_test.go
+++ b/internal/trial/kqflowrig/size_test.go
@@ -13,7 +13,11 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
 )
 
-var span = flag.Duration("span", 4*time.Second, "how long the grown fleet gets jobs")
+var (
+	span = flag.Duration("span", 4*time.Second, "how long the grown fleet gets jobs")
+	// fleet is up to 250: each has an address of one network.
+	fleet = flag.Int("fleet", grownFleet, "how many workers the grown fleet has, with as many more jobs")
+)
 
 // sized submits jobs at a rate to a rig of a size.
 type sized struct {
@@ -59,24 +63,27 @@
 }
 
 const (
-	// fleet, standingJobs and jobRate are the larger of the users' grown sites.
-	fleet        = 77
-	standingJobs = 40
-	jobRate      = 17.3
+	// grownFleet, grownStanding and grownRate are the workers, standing jobs and jobs
+	// a second of the larger of the users' grown sites.
+	grownFleet    = 77
+	grownStanding = 40
+	grownRate     = 17.3
 	// settle is how long jobs may take after the last one.
 	settle = 6 * time.Second
 )
 
-// TestTheGrownFleetIsServed runs 77 agents and their owner at the rates of the
-// grown site. With -cpuprofile it shows what an owner of that size costs.
+// TestTheGrownFleetIsServed runs the agents of a fleet and their owner at the rates
+// of the grown site. With -cpuprofile it shows what an owner of that size costs.
 func TestTheGrownFleetIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &sized{rng: rand.New(rand.NewPCG(1, 1))}
-		s.rig = kqflowrig.New(kqflowrig.Config{Seed: 1, Agents: fleet, Capacity: kqmodel.Resources{MilliProcessors: 64_000, MemoryBytes: 256 << 30}})
+		s.rig = kqflowrig.New(kqflowrig.Config{Seed: 1, Agents: *fleet, Capacity: kqmodel.Resources{MilliProcessors: 64_000, MemoryBytes: 256 << 30}})
 		time.Sleep(3 * time.Second)
+		growth := float64(*fleet) / grownFleet
+		standingJobs := int(grownStanding * growth)
 		s.serve(standingJobs)
 		for end := time.Now().Add(*span); time.Now().Before(end); {
-			time.Sleep(time.Duration(s.rng.ExpFloat64() * float64(time.Second) / jobRate))
+			time.Sleep(time.Duration(s.rng.ExpFloat64() * float64(time.Second) / (grownRate * growth)))
 			s.rig.Submit(s.job())
 		}
 		time.Sleep(settle)
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -146,6 +146,26 @@
 	return l
 }
 
+const (
+	// fleetWorkers is the size of the users' large fleet, whose rates a fleet of
+	// another size takes its share of.
+	fleetWorkers = 160
+	// fleetWatchJobs is how many watch jobs are there from its start.
+	fleetWatchJobs = 31
+)
+
+// Fleet is the load of the users' large fleet on a number of workers: tasks that
+// stay reserve most of the processors and use half of them, beside wide filling
+// jobs of many images.
+func Fleet(workers int) Load {
+	share := float64(workers) / fleetWorkers
+	return Load{Workers: workers, Cores: 75, Span: 34 * time.Second,
+		Quick: Shape{PerSecond: 10.5 * share, Steps: 1.6, Width: 9.4, Cores: 3.8, WidthSpread: 0.8, CoresSpread: 0.45, Length: time.Second, Spread: 0.5, Uneven: 0.15, EstimateError: 0.2, Worth: 0.367},
+		Batch: Shape{PerSecond: 3.37 * share, Steps: 2, Width: 39, Cores: 7, WidthSpread: 0.6, CoresSpread: 0.3, Length: 2200 * time.Millisecond, Spread: 0.5, Uneven: 0.15, EstimateError: 0.2, Images: 30, Worth: 5.67},
+		Watch: Shape{PerSecond: 0.171 * share, Width: 24, Cores: 13, WidthSpread: 0.4, CoresSpread: 0.25, Images: 16, Worth: 0.99}, WatchJobs: int(math.Round(fleetWatchJobs * share)),
+		ServingLoad: 0.45, Swing: 0.5, SwingTime: 14 * time.Second, TargetFactor: 5, Bursts: []Burst{{From: 11 * time.Second, For: 6 * time.Second, Factor: 1.4}}, HeavyShare: 0.6, Press: 4.5}
+}
+
 // source draws the jobs of a load.
 type source struct {
 	load Load
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -55,6 +55,7 @@
 	ended   map[string]time.Duration
 	saved   map[string]time.Duration
 	account *account
+	cost    Cost
 	version uint64
 	now     time.Time
 }
@@ -160,10 +161,10 @@
 	}
 	r.Ended = ends
 	if r.Whole || len(ends) > 0 {
-		p.planner.Observe(p.now, w.name, r)
+		p.listen(func() { p.planner.Observe(p.now, w.name, r) })
 	}
 	if n%grantEvery == 0 {
-		p.planner.Granted(p.now, w.name, lease)
+		p.listen(func() { p.planner.Granted(p.now, w.name, lease) })
 	}
 }
 
@@ -175,9 +176,11 @@
 
 // decide lets the owner plan, commit and order.
 func (p *Replay) decide() {
-	p.planner.Tick(p.now)
 	p.version++
-	p.planner.Committed(p.now, p.planner.Writes(writes), p.version)
+	p.deciding(func() {
+		p.planner.Tick(p.now)
+		p.planner.Committed(p.now, p.planner.Writes(writes), p.version)
+	})
 	for _, e := range p.planner.TakeEffects() {
 		switch {
 		case e.Order != nil:
