A pass weighs each worker once for a step, not once for each of its tasks

Cause: each waiting task was weighed against every worker, and on each worker every run that fills against every one that serves; a step of 39 tasks did that 39 times, though one start changes one worker only. Each grant of a lease (320 a second there) asked for a whole pass as well.

Change: a step's tasks share a list of the workers with room (shortlist), of which only the one that got a task is weighed anew; hosts keep what serves and what fills apart with the least room of each image (beside); tasks of a job are found by their place and a step's open tasks are counted; what could be preempted is bounded before it is searched; the learner finds images by a map. A grant asks for a pass only if the worker could not be used before, and waiting tasks are looked at again after 100 ms at the latest.

Test: kqplan "weighs each worker about once and not once for each task"; on the code before it fails (18,000 and more weighed for 160 workers).

--- a/internal/cell/kqlearn/press.go
+++ b/internal/cell/kqlearn/press.go
@@ -55,6 +55,8 @@
 // fit is a least squares fit for one image of serving tasks.
 type fit struct {
 	images []string
+	// places is where each image stands in images.
+	places map[string]int
 	// square and product are the normal equations of a least squares fit.
 	square  [][]float64
 	product []float64
@@ -133,12 +135,16 @@
 
 // index returns the place of an image, or -1 if there are too many.
 func (f *fit) index(image string) int {
-	if i := slices.Index(f.images, image); i >= 0 {
+	if i, ok := f.places[image]; ok {
 		return i
 	}
 	if len(f.images) >= maxImages {
 		return -1
 	}
+	if f.places == nil {
+		f.places = map[string]int{}
+	}
+	f.places[image] = len(f.images)
 	f.images = append(f.images, image)
 	for i := range f.square {
 		f.square[i] = append(f.square[i], 0)
@@ -168,8 +174,8 @@
 
 // of returns the room that an image takes, and whether there is evidence enough.
 func (f *fit) of(image string) (float64, bool) {
-	i := slices.Index(f.images, image)
-	if i < 0 {
+	i, ok := f.places[image]
+	if !ok {
 		return pressPrior, false
 	}
 	if f.stale {
--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
 
 const (
@@ -42,11 +44,11 @@
 	light bool
 }
 
-func (p *Planner) peersFor(t *task) peers {
+func (p *Planner) peersFor(s *kqflow.Step) peers {
 	switch {
-	case t.step.Fills:
-		return peers{light: p.lightSomewhere(t.step)}
-	case t.step.TailTarget > 0:
+	case s.Fills:
+		return peers{light: p.lightSomewhere(s)}
+	case s.TailTarget > 0:
 		return peers{largest: p.largest()}
 	}
 	return peers{}
@@ -54,37 +56,43 @@
 
 // cost is about how long a task takes on a host against its estimate.
 func (p *Planner) cost(t *task, h *host, all peers) float64 {
+	c := p.stepCost(t.step, h, all)
+	if h.name == t.shunned {
+		c += shunCost
+	}
+	return c
+}
+
+// stepCost is the cost of any task of a step.
+func (p *Planner) stepCost(s *kqflow.Step, h *host, all peers) float64 {
 	c := h.health.slowdown()
 	if c < slowFactor {
 		c = 1 + (c-1)/4
 	}
-	if t.step.Rack != "" && !slices.Contains(h.info.Labels, t.step.Rack) {
+	if s.Rack != "" && !slices.Contains(h.info.Labels, s.Rack) {
 		c *= max(1, p.config.FarFactor)
 	}
-	if h.name == t.shunned {
-		c += shunCost
-	}
 	load := float64(h.tally.plain+h.tally.serving) / float64(h.total())
 	switch {
-	case t.step.Fills:
-		press := p.pressOf(t.step, h)
-		c += float64(h.tally.filling+t.step.Size.MilliProcessors) / float64(max(1, h.unused(h.paceOf(press))))
+	case s.Fills:
+		press := p.pressing(s, h)
+		c += float64(h.tally.filling+s.Size.MilliProcessors) / float64(max(1, h.unused(press.pace)))
 		switch {
-		case h.tally.serving > 0 && heaviest(press) >= heavyPress:
+		case h.tally.serving > 0 && press.heaviest >= heavyPress:
 			c += pressCost
 		case h.tally.serving == 0 && all.light:
 			// What disturbs little leaves the other hosts to what disturbs much.
 			c += lightCost
 		}
-	case t.step.TailTarget > 0:
+	case s.TailTarget > 0:
 		// Serving tasks are packed, so that filling ones find room apart.
-		if h.mixes(t.step.Image) {
+		if h.mixes(s.Image) {
 			c += mixCost
 		}
 		if h.tally.serving == 0 {
 			c += openCost
 		}
-		c += packGain*(1-load) + sizeCost*float64(h.total())/float64(all.largest) + pressCost*p.pressBy(h, t)
+		c += packGain*(1-load) + sizeCost*float64(h.total())/float64(all.largest) + pressCost*p.pressBy(h, s)
 	default:
 		c += loadCost * load
 	}
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -1,6 +1,7 @@
 package kqplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -27,18 +28,13 @@
 // pressOf returns the room that a filling task of a step takes at full speed of
 // each image that serves on a host.
 func (p *Planner) pressOf(s *kqflow.Step, h *host) map[string]float64 {
-	if !s.Fills {
+	images := h.beside.images()
+	if !s.Fills || len(images) == 0 {
 		return nil
 	}
-	var out map[string]float64
-	for _, r := range h.runs.All() {
-		if r.task.step.TailTarget == 0 {
-			continue
-		}
-		if out == nil {
-			out = map[string]float64{}
-		}
-		out[r.task.step.Image], _ = p.pressOn(s, r)
+	out := make(map[string]float64, len(images))
+	for _, x := range images {
+		out[x.image], _ = p.pressAt(h, x.image, s)
 	}
 	return out
 }
@@ -48,16 +44,10 @@
 	return float64(s.Size.MilliProcessors) / float64(h.total())
 }
 
-// pressOn returns the room that a filling task of a step takes of one serving
-// task, and whether that was measured.
-func (p *Planner) pressOn(s *kqflow.Step, serving *run) (press float64, known bool) {
-	return p.pressAt(serving.host, serving.task.step, s)
-}
-
-// pressAt returns the room that a filling step's task takes of a serving step's
-// on a host, and whether that was measured.
-func (p *Planner) pressAt(h *host, serving, filling *kqflow.Step) (press float64, known bool) {
-	whole, known := p.press.Of(serving.Image, filling.Image)
+// pressAt returns the room that a filling step's task takes of a serving image on
+// a host, and whether that was measured.
+func (p *Planner) pressAt(h *host, serving string, filling *kqflow.Step) (press float64, known bool) {
+	whole, known := p.press.Of(serving, filling.Image)
 	return whole * h.shareOf(filling), known
 }
 
@@ -71,34 +61,28 @@
 		return false
 	}
 	need := t.step.Size.MilliProcessors
-	return h.tally.filling == 0 || h.tally.filling+need <= h.unused(h.paceOf(p.pressOf(t.step, h)))*overcommit/fullPercent
+	return h.tally.filling == 0 || h.tally.filling+need <= h.unused(p.pressing(t.step, h).pace)*overcommit/fullPercent
 }
 
 // leavesRoom reports whether the serving tasks of a host bear one more filling
 // task. Runs that have begun so lately that no measurement shows them count;
 // an image whose press is not known is tried with one run at a time.
 func (p *Planner) leavesRoom(now time.Time, t *task, h *host) bool {
-	for _, s := range h.runs.All() {
-		if s.task.step.TailTarget == 0 {
-			continue
-		}
-		press, known := p.pressOn(t.step, s)
+	for _, x := range h.beside.images() {
+		press, known := p.pressAt(h, x.image, t.step)
 		if known && press < lightPress {
 			continue
 		}
-		if s.room == 0 {
+		if x.least == 0 {
 			return false
 		}
-		left := s.room - press
-		for _, f := range h.runs.All() {
-			if !f.task.step.Fills {
-				continue
-			}
+		left := x.least - press
+		for _, f := range h.beside.filling {
 			if !known && f.task.step.Image == t.step.Image {
 				return false
 			}
 			if now.Sub(f.startedAt) < measureLag {
-				taken, _ := p.pressOn(f.task.step, s)
+				taken, _ := p.pressAt(h, x.image, f.task.step)
 				left -= taken
 			}
 		}
@@ -119,18 +103,6 @@
 // measureLag is after how long a run shows in the measurements.
 const measureLag = time.Second
 
-// paceOf returns the share at which a run works that takes some room of each
-// image that serves on a host.
-func (h *host) paceOf(press map[string]float64) int {
-	pace := fullPercent
-	for image, taken := range press {
-		if share, ok := h.paces[image]; ok && taken >= heavyPress {
-			pace = min(pace, share)
-		}
-	}
-	return pace
-}
-
 // refreshPress tells agents anew what filling runs take of serving tasks, where
 // that has become known since they were ordered or others serve now.
 func (p *Planner) refreshPress(now time.Time) {
@@ -139,8 +111,8 @@
 	}
 	p.refreshedAt = now
 	for _, h := range p.hosts.All() {
-		for _, r := range h.runs.All() {
-			if !r.task.step.Fills || !r.ordered || r.stopping || r.worker != h.info.Worker {
+		for _, r := range h.beside.filling {
+			if !r.ordered || r.stopping || r.worker != h.info.Worker {
 				continue
 			}
 			press := p.pressOf(r.task.step, h)
@@ -173,22 +145,13 @@
 // where others serve.
 func (p *Planner) lightSomewhere(s *kqflow.Step) bool {
 	for _, h := range p.hosts.All() {
-		if press := p.pressOf(s, h); press != nil && heaviest(press) < heavyPress {
+		if len(h.beside.serving) > 0 && p.pressing(s, h).heaviest < heavyPress {
 			return true
 		}
 	}
 	return false
 }
 
-// heaviest returns the most room that is taken of an image.
-func heaviest(press map[string]float64) float64 {
-	most := 0.0
-	for _, taken := range press {
-		most = max(most, taken)
-	}
-	return most
-}
-
 // idleSince returns for how long a job has had nothing at work though a task's
 // turn had come.
 func (j *job) idleSince(now time.Time) time.Duration {
@@ -204,23 +167,16 @@
 // mixes reports whether a host serves an image other than the given one: what
 // disturbs one image may leave others alone, so images are kept apart.
 func (h *host) mixes(image string) bool {
-	for _, r := range h.runs.All() {
-		if r.task.step.TailTarget > 0 && r.task.step.Image != image {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(h.beside.images(), func(x imageRoom) bool { return x.image != image })
 }
 
 // pressBy returns the room that the filling tasks of a host would take of a
-// serving task.
-func (p *Planner) pressBy(h *host, t *task) float64 {
+// serving step's task.
+func (p *Planner) pressBy(h *host, serving *kqflow.Step) float64 {
 	sum := 0.0
-	for _, r := range h.runs.All() {
-		if r.task.step.Fills {
-			press, _ := p.pressAt(h, t.step, r.task.step)
-			sum += press
-		}
+	for _, r := range h.beside.filling {
+		press, _ := p.pressAt(h, serving.Image, r.task.step)
+		sum += press
 	}
 	return sum
 }
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -105,7 +105,7 @@
 	if hosts == nil {
 		if t.waitingAt.IsZero() {
 			t.waitingAt = now
-			p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.id.String()), "no room for %d of %s at once", len(members), t.step.Size)
+			p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.name), "no room for %d of %s at once", len(members), t.step.Size)
 		}
 		waited := now.Sub(t.waitingAt) % (gangHold + gangPause)
 		if waited < gangHold && p.couldFit(now, t, len(members)) {
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -180,7 +180,7 @@
 		return
 	}
 	to := p.choose(now, r.task)
-	if to == nil || to == h || to.paceOf(p.pressOf(s, to)) <= heldPace {
+	if to == nil || to == h || p.pressing(s, to).pace <= heldPace {
 		return
 	}
 	p.moved(now, r, "at %.0f %% held back at %d %%", r.percent, r.pace)
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -82,6 +82,7 @@
 	health      health
 	paces       map[string]int
 	tally       tally
+	beside      beside
 	asks        int
 }
 
@@ -110,9 +111,10 @@
 // Granted notes that a host was granted a lease.
 func (p *Planner) Granted(now time.Time, name string, lease time.Duration) {
 	h := p.host(name)
+	usable := h.usable(now)
 	h.heardAt = now
 	h.grantedTill = later(h.grantedTill, now.Add(p.lapse(lease)))
-	p.place = true
+	p.place = p.place || !usable && h.usable(now)
 }
 
 // Linked notes that the agent of a host is connected.
@@ -192,9 +194,7 @@
 	for _, e := range r.Ended {
 		p.ended(now, h, e)
 	}
-	present := make(map[kqexecution.Run]bool, len(r.Running))
 	for _, x := range r.Running {
-		present[x.Run] = true
 		p.progress(now, h, x)
 	}
 	if !r.Whole {
@@ -203,7 +203,7 @@
 	h.takePaces(r)
 	p.learn(now, h)
 	for k := range h.strays {
-		if !present[k] {
+		if !slices.ContainsFunc(r.Running, func(x kqexecution.Running) bool { return x.Run == k }) {
 			delete(h.strays, k)
 			p.place = true
 		}
@@ -226,13 +226,14 @@
 // learn compares the rooms of serving tasks with what others use beside them.
 func (p *Planner) learn(now time.Time, h *host) {
 	s := kqlearn.Sample{At: now, Rooms: map[string]kqlearn.Room{}, Shares: map[string]float64{}}
+	h.beside.rooms = nil
 	for _, r := range h.runs.All() {
 		x := r.task.step
 		switch {
 		case !r.seen || r.stopping:
 		case x.TailTarget > 0 && r.measure > 0:
 			r.room = float64(x.TailTarget.Milliseconds()) / r.measure
-			s.Rooms[r.task.id.String()] = kqlearn.Room{Image: x.Image, Value: r.room}
+			s.Rooms[r.task.name] = kqlearn.Room{Image: x.Image, Value: r.room}
 		case x.Fills:
 			s.Shares[x.Image] += r.measure / float64(max(1, h.info.Capacity.MilliProcessors))
 		}
@@ -316,12 +317,7 @@
 	if j == nil {
 		return nil
 	}
-	for _, t := range j.tasks {
-		if t.id == id {
-			return t
-		}
-	}
-	return nil
+	return j.task(id)
 }
 
 // note tells the host up to where its worker may forget ends.
@@ -374,7 +370,7 @@
 		ended = t.members()
 	}
 	for _, m := range ended {
-		m.done = true
+		m.finish()
 		for _, r := range m.runs {
 			p.stop(r)
 		}
@@ -408,7 +404,7 @@
 	}
 	r.stopping = true
 	if r.host.runs.Get(r.key()) == r {
-		r.host.tally.stopping++
+		r.host.tally.countStopping(r, 1)
 	}
 	if !r.ordered {
 		return
@@ -420,7 +416,7 @@
 
 // lose takes a run off a host where it cannot be any more.
 func (p *Planner) lose(now time.Time, r *run, why string) {
-	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s: %s", r.number, r.worker, why)
 	r.task.remove(r)
 	p.write(r.task.job)
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -27,7 +27,10 @@
 	state     kqflow.State
 	committed kqflow.State
 	tasks     []*task
-	started   bool
+	// undone counts the tasks that have not ended well, of each step of each
+	// occurrence.
+	undone  []int
+	started bool
 
 	revision uint64
 	stored   uint64
@@ -44,7 +47,9 @@
 
 // task is one task with the runs that have not ended.
 type task struct {
-	id         kqflow.TaskID
+	id kqflow.TaskID
+	// name is the id as others write it.
+	name       string
 	job        *job
 	step       *kqflow.Step
 	done       bool
@@ -115,13 +120,32 @@
 func (j *job) addTasks(occurrence int) {
 	for n := range j.spec.Steps {
 		s := &j.spec.Steps[n]
+		j.undone = append(j.undone, s.Count)
 		for i := range s.Count {
 			id := kqflow.TaskID{Job: j.spec.ID, Occurrence: occurrence, Step: n, Index: i}
-			j.tasks = append(j.tasks, &task{id: id, job: j, step: s})
+			j.tasks = append(j.tasks, &task{id: id, name: id.String(), job: j, step: s})
 		}
 	}
 }
 
+// task returns the task of an id, or nil if the job has no such task now.
+func (j *job) task(id kqflow.TaskID) *task {
+	steps := j.spec.Steps
+	if id.Occurrence >= j.occurrences || id.Step >= len(steps) || id.Index >= steps[id.Step].Count || len(j.tasks) == 0 {
+		return nil
+	}
+	return j.tasks[id.Occurrence*len(j.tasks)/j.occurrences+j.offset(id.Step)+id.Index]
+}
+
+// offset returns how many tasks of an occurrence come before a step.
+func (j *job) offset(step int) int {
+	n := 0
+	for _, s := range j.spec.Steps[:step] {
+		n += s.Count
+	}
+	return n
+}
+
 // restore takes over what an earlier owner stored.
 func (p *Planner) restore(now time.Time, j *job, r kqflow.Record, version uint64) {
 	j.state, j.committed, j.version = r.State, r.State, version
@@ -144,7 +168,10 @@
 }
 
 func (p *Planner) restoreTask(now time.Time, t *task, r kqflow.TaskRecord) {
-	t.done, t.failed, t.lastRun, t.checkpoint = r.Done, r.Failed, r.LastRun, r.Checkpoint
+	t.failed, t.lastRun, t.checkpoint = r.Failed, r.LastRun, r.Checkpoint
+	if r.Done {
+		t.finish()
+	}
 	for _, x := range r.Runs {
 		h := p.host(x.Host)
 		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, ordered: true, startedAt: now, movedAt: now, pace: fullPercent}
@@ -213,25 +240,20 @@
 }
 
 func (j *job) stepDone(occurrence, step int) bool {
-	for _, t := range j.tasks {
-		if t.id.Occurrence == occurrence && t.id.Step == step && !t.done {
-			return false
-		}
+	return j.undone[occurrence*len(j.spec.Steps)+step] == 0
+}
+
+// finish notes that a task has ended well.
+func (t *task) finish() {
+	if !t.done {
+		t.done = true
+		t.job.undone[t.id.Occurrence*len(t.job.spec.Steps)+t.id.Step]--
 	}
-	return true
 }
 
 // allDone reports whether every task of every occurrence has ended well.
 func (j *job) allDone() bool {
-	if j.occurrences < j.spec.Occurrences() {
-		return false
-	}
-	for _, t := range j.tasks {
-		if !t.done {
-			return false
-		}
-	}
-	return true
+	return j.occurrences >= j.spec.Occurrences() && !slices.ContainsFunc(j.undone, func(n int) bool { return n > 0 })
 }
 
 func (t *task) remove(r *run) {
@@ -245,7 +267,7 @@
 }
 
 func (r *run) key() kqexecution.Run {
-	return kqexecution.Run{Task: r.task.id.String(), Number: r.number}
+	return kqexecution.Run{Task: r.task.name, Number: r.number}
 }
 
 func (r *run) reserved() kqmodel.Resources { return r.task.step.Reserved() }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -35,6 +35,8 @@
 	misses int
 	// crowd is what waits so far.
 	crowd Crowd
+	// list is the hosts with room for the latest step.
+	list *shortlist
 	// held is the services in which a gang waits for what comes free.
 	held map[string]bool
 }
@@ -108,8 +110,9 @@
 		return false
 	}
 	if !x.full[t.stepKey()] && (!t.step.Fills || x.misses < mostMisses) {
-		if h := p.choose(now, t); h != nil {
+		if h := p.chooseInPass(now, t, x); h != nil {
 			p.start(now, t, h)
+			x.list.started(p, now, t, h)
 			return true
 		}
 		x.full[t.stepKey()] = true
@@ -135,7 +138,7 @@
 		return
 	}
 	t.waiting = true
-	p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.id.String()), "%s of service %s: %s", t.step.Size, t.job.queue.Service, why)
+	p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.name), "%s of service %s: %s", t.step.Size, t.job.queue.Service, why)
 }
 
 // wait notes that a task finds no room, and makes room for an urgent one.
@@ -163,7 +166,7 @@
 	}
 	p.write(j)
 	j.held = append(j.held, heldEffect{revision: j.revision, effect: Effect{Host: h.name, Order: r.order(now)}, run: r})
-	p.config.Events.EmitFields(now, kqevent.FlowRunPlaced, kqevent.Task(t.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+	p.config.Events.EmitFields(now, kqevent.FlowRunPlaced, kqevent.Task(t.name), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s of host %s, free %s", r.number, r.worker, h.name, h.free())
 }
 
@@ -201,7 +204,7 @@
 			continue
 		}
 		if best == nil {
-			all = p.peersFor(t)
+			all = p.peersFor(t.step)
 		}
 		c := p.cost(t, h, all)
 		if best == nil || c < bestCost || c == bestCost && h.name < best.name {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -272,8 +272,15 @@
 	p.watchProgress(now)
 	p.refreshPress(now)
 	p.seekApprovals(now)
-	if p.place && now.Sub(p.placedAt) >= p.spacing() {
+	if p.isPassDue(now) {
 		p.place, p.placedAt = false, now
 		p.placeAll(now)
 	}
 }
+
+// isPassDue reports whether the waiting tasks are to be looked at: something has
+// changed, or room may have come by itself.
+func (p *Planner) isPassDue(now time.Time) bool {
+	age := now.Sub(p.placedAt)
+	return p.place && age >= p.spacing() || p.backlog > 0 && age >= mostSpacing
+}
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -17,7 +17,7 @@
 	var best *host
 	var victims []*run
 	for _, h := range p.hosts.All() {
-		if h.tally.stopping == 0 && !h.hasBelow(t.job.queue.Priority) || h.health.quarantined() || !p.allowed(now, t, h) || !p.approved(now, t, h) {
+		if h.tally.stopping == 0 && !h.hasBelow(t.job.queue.Priority) || !need.Fits(h.mostRoom(t.job.queue.Priority)) || h.health.quarantined() || !p.allowed(now, t, h) || !p.approved(now, t, h) {
 			continue
 		}
 		v, ok := h.victims(t, need.Add(coming[h]))
@@ -30,7 +30,7 @@
 	}
 	coming[best] = coming[best].Add(need)
 	for _, r := range victims {
-		p.config.Events.EmitFields(now, kqevent.FlowRunPreempted, kqevent.Task(r.task.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+		p.config.Events.EmitFields(now, kqevent.FlowRunPreempted, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 			"run %d on %s makes room for %s", r.number, r.worker, t.id)
 		p.stop(r)
 	}
@@ -61,7 +61,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.percent, b.percent), strings.Compare(a.task.id.String(), b.task.id.String()))
+		return cmp.Or(cmp.Compare(a.percent, b.percent), strings.Compare(a.task.name, b.task.name))
 	})
 	for _, r := range lower {
 		if need.Fits(free) {
--- /dev/null
+++ b/internal/flow/kqplan/shortlist_test.go
@@ -0,0 +1,58 @@
+package kqplan_test
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+)
+
+var _ = Describe("a pass over a wide step", func() {
+	const hosts, wide = 160, 120
+
+	// fleet returns a cell of many workers, one of which is larger than the others.
+	fleet := func(log *bytes.Buffer) *cell {
+		c := newCellWith(kqplan.Config{Epoch: 1, Events: logTo(log)})
+		for n := range hosts {
+			c.host(fmt.Sprintf("h%03d", n), fmt.Sprintf("w%03d", n), 64)
+		}
+		return c
+	}
+
+	// Every task of a step asks for the same: what one start changes is one worker.
+	It("weighs each worker about once and not once for each task", func() {
+		var log bytes.Buffer
+		c := fleet(&log)
+		// A task without room has the work of the pass written down.
+		huge := kqflow.Step{Count: 1, Size: kqmodel.Resources{MilliProcessors: 65_000}, Estimate: time.Second}
+		c.Submit(c.now, job("huge", "urgent", c.now, huge), nil, 0)
+		c.Submit(c.now, job("wide", "urgent", c.now, kqflow.Step{Count: wide, Size: kqmodel.Resources{MilliProcessors: 8_000}, Estimate: time.Second}), nil, 0)
+		c.now = c.now.Add(time.Second)
+		c.settle()
+		Expect(c.take()).To(HaveLen(wide))
+		lines := weighed(&log)
+		Expect(lines).NotTo(BeEmpty())
+		Expect(lines[0]).To(BeNumerically("<=", 4*hosts))
+	})
+
+	It("spreads the tasks as if each were weighed by itself", func() {
+		var log bytes.Buffer
+		c := fleet(&log)
+		c.Submit(c.now, job("wide", "urgent", c.now, kqflow.Step{Count: 2 * hosts, Size: kqmodel.Resources{MilliProcessors: 8_000}, Estimate: time.Second}), nil, 0)
+		c.settle()
+		on := map[string]int{}
+		for _, o := range c.take() {
+			on[o.Worker]++
+		}
+		Expect(on).To(HaveLen(hosts))
+		for _, n := range on {
+			Expect(n).To(Equal(2))
+		}
+	})
+})
--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -1,6 +1,10 @@
 package kqplan
 
-import "github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+import (
+	"slices"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+)
 
 // tally is what the runs of a host take, kept as they come and go: every task
 // that waits is weighed against every host.
@@ -13,10 +17,29 @@
 	filling int64
 	// standing is the processors of tasks that do not end, whatever kind they are.
 	standing int64
-	// byPriority counts the runs of tasks that end, which may be preempted.
-	byPriority map[int]int
-	// stopping counts the runs that are being stopped.
+	// ending is the runs of tasks that end, which may be preempted, by priority.
+	ending []level
+	// stopping counts the runs that are being stopped, leaving is what they take.
 	stopping int
+	leaving  kqmodel.Resources
+}
+
+// level is what the runs of one priority take.
+type level struct {
+	priority int
+	runs     int
+	reserved kqmodel.Resources
+}
+
+// level returns that of a priority.
+func (t *tally) level(priority int) *level {
+	for i := range t.ending {
+		if t.ending[i].priority == priority {
+			return &t.ending[i]
+		}
+	}
+	t.ending = append(t.ending, level{priority: priority})
+	return &t.ending[len(t.ending)-1]
 }
 
 func (t *tally) count(r *run, sign int64) {
@@ -36,16 +59,29 @@
 		t.plain += sign * s.Size.MilliProcessors
 	}
 	if r.stopping {
-		t.stopping += int(sign)
+		t.countStopping(r, sign)
 	}
 	if s.Standing {
 		t.standing += sign * s.Size.MilliProcessors
 		return
 	}
-	if t.byPriority == nil {
-		t.byPriority = map[int]int{}
+	l := t.level(r.counted)
+	l.runs += int(sign)
+	if sign > 0 {
+		l.reserved = l.reserved.Add(res)
+	} else {
+		l.reserved = l.reserved.Sub(res)
+	}
+}
+
+// countStopping counts a run that is being stopped.
+func (t *tally) countStopping(r *run, sign int64) {
+	t.stopping += int(sign)
+	if sign > 0 {
+		t.leaving = t.leaving.Add(r.reserved())
+	} else {
+		t.leaving = t.leaving.Sub(r.reserved())
 	}
-	t.byPriority[r.counted] += int(sign)
 }
 
 // add and drop are the only ways by which runs come to a host and leave it.
@@ -53,6 +89,7 @@
 	r.counted = r.task.job.queue.Priority
 	h.runs.Put(r.key(), r)
 	h.tally.count(r, 1)
+	h.beside.add(r)
 }
 
 func (h *host) drop(r *run) {
@@ -61,6 +98,7 @@
 	}
 	h.runs.Delete(r.key())
 	h.tally.count(r, -1)
+	h.beside.drop(r)
 }
 
 // recount takes over changed priorities.
@@ -75,10 +113,17 @@
 // hasBelow reports whether a host has runs that a queue of a priority may take
 // the room of.
 func (h *host) hasBelow(priority int) bool {
-	for p, n := range h.tally.byPriority {
-		if p > priority && n > 0 {
-			return true
+	return slices.ContainsFunc(h.tally.ending, func(l level) bool { return l.priority > priority && l.runs > 0 })
+}
+
+// mostRoom returns a bound on the room that a host can have for a queue of a
+// priority once what is less urgent has been stopped.
+func (h *host) mostRoom(priority int) kqmodel.Resources {
+	most := h.free().Add(h.tally.leaving)
+	for _, l := range h.tally.ending {
+		if l.priority > priority {
+			most = most.Add(l.reserved)
 		}
 	}
-	return false
+	return most
 }
--- a/internal/flow/kqplan/trace.go
+++ b/internal/flow/kqplan/trace.go
@@ -9,7 +9,7 @@
 
 // moved notes why a run is stopped to go on elsewhere.
 func (p *Planner) moved(now time.Time, r *run, format string, args ...any) {
-	p.config.Events.EmitFields(now, kqevent.FlowRunMoved, kqevent.Task(r.task.id.String()), []kqevent.Field{kqevent.Run(r.number)},
+	p.config.Events.EmitFields(now, kqevent.FlowRunMoved, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s: %s", r.number, r.worker, fmt.Sprintf(format, args...))
 }
 
