A run given up with its lease is stopped before the lease is renewed

Cause: when the lease of a worker ends at the owner while the agent stays connected (the owner is behind, or the store does not confirm it), the owner gives up what ran there and starts it elsewhere, and says nothing to the agent. An agent whose start had not been answered, or had been answered late, goes on trying; with the next grant the lease is good again and the given-up run begins.

Why it works: the stop goes out on the stream on which the next grant follows, in the same order; a worker that has taken a stop refuses that run for good. An agent that connects anew gets all orders that stand and stops the rest, as before.

--- /dev/null
+++ b/internal/flow/kqplan/expire_test.go
@@ -0,0 +1,28 @@
+package kqplan_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a lease that ends while the agent is connected", func() {
+	// The agent may still be trying to start the run.
+	It("has the run stopped before another lease is granted", func() {
+		c := newCell(1)
+		c.host("h1", "w1", 8)
+		c.Submit(c.now, job("j", "batch", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		first := c.take()
+		Expect(first).To(HaveLen(1))
+		c.now = c.now.Add(7500 * time.Millisecond)
+		c.Tick(c.now)
+		c.collect()
+		stops := c.take()
+		Expect(stops).To(HaveLen(1))
+		Expect(stops[0].Stop).To(BeTrue())
+		Expect(stops[0].Run).To(Equal(first[0].Run))
+		Expect(c.counter.Breaches()).To(BeEmpty())
+	})
+})
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -424,13 +424,18 @@
 	p.breakUp(r.task)
 }
 
-// expire gives up what ran under leases that have ended.
+// expire gives up what ran under leases that have ended. An agent that is still
+// connected may have a start under way: it is told to stop it before it can be
+// granted another lease, under which that start would be carried out.
 func (p *Planner) expire(now time.Time) {
 	for _, h := range p.hosts.All() {
 		if h.runs.Len() == 0 || !now.After(h.grantedTill) {
 			continue
 		}
 		for _, r := range h.list() {
+			if r.ordered && h.linked {
+				p.effects = append(p.effects, Effect{Host: h.name, Order: r.stopOrder()})
+			}
 			p.lose(now, r, "the lease of its worker has ended")
 		}
 	}
