flow losses measures work where it is done; an owner says how far it keeps up

Cause: the target of a flow was stretched by the longest run as the owner noted it, so a slow owner made its own flows late and called them in time.

Change: the agent tells with each end how long the run was on its worker and how long its order took to get there; flow losses takes that for the work, and what the owner counted beyond it is a cause of its own (owner). A message without an end or a change of a worker no longer asks for a pass of its own.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -85,6 +85,7 @@
 	HandedOver           Number = 805
 	StoreSilent          Number = 806
 	StoreAnswers         Number = 807
+	OwnerPulse           Number = 808
 )
 
 // Info describes an event for operators.
@@ -176,6 +177,7 @@
 	{HandedOver, "handed_over", "This process has given up the ownership of a cell on purpose."},
 	{StoreSilent, "store_silent", "The store gives no answer; requests that need it are refused at once."},
 	{StoreAnswers, "store_answers", "The store answers again."},
+	{OwnerPulse, "owner_pulse", "How far an owner keeps up, once a second: its passes, what it hears, its commits and its processor time against the limit."},
 }
 
 var names = func() map[Number]string {
--- a/internal/flow/kqcontrol/commit.go
+++ b/internal/flow/kqcontrol/commit.go
@@ -32,6 +32,7 @@
 	defer c.mu.Unlock()
 	c.commits--
 	c.commitTook = now.Sub(sent)
+	c.pulse.committed(c.commitTook)
 	if c.config.Took != nil {
 		c.config.Took("commit", c.commitTook)
 	}
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -48,6 +48,10 @@
 	Took func(kind string, d time.Duration)
 	// Settled is told once of each job how well it was served; may be nil.
 	Settled func(kqplan.Settlement)
+	// Processor returns the processor time that the process has used; may be nil.
+	// ProcessorLimit is the part of a processor that it may use; 0 if not known.
+	Processor      func() time.Duration
+	ProcessorLimit float64
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// Wall is the time of day.
@@ -102,6 +106,8 @@
 	pendingAt   time.Time
 	wallOffset  time.Duration
 	leases      leases
+	pulse       pulse
+	latest      Pulse
 }
 
 // Take tries to take a cell whose row was read as old (with its version; 0 if
@@ -249,6 +255,8 @@
 	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer func() { c.pulse.decided(now, c.config.Now()) }()
+	c.logPulse(now)
 	c.planner.Hold(now.Sub(c.fedAt) > feedAge)
 	c.planner.Tick(now)
 	for c.commits < c.width() {
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -64,6 +64,7 @@
 // Receive takes a message of the session's process.
 func (x *Session) Receive(body []byte) {
 	c := x.controller
+	began := c.config.Now()
 	var m kqmessage.ToOwner
 	if err := json.Unmarshal(body, &m); err != nil {
 		x.stream.Close()
@@ -76,11 +77,19 @@
 		return
 	}
 	x.take(now, m)
-	if m.Ask == 0 || m.Worker != nil {
+	c.pulse.heard(began, c.config.Now())
+	if asksDecision(m) {
+		c.pulse.asked(now)
 		c.wake()
 	}
 }
 
+// asksDecision reports whether a message may change what is decided. A look at
+// what runs is taken up by the next tick.
+func asksDecision(m kqmessage.ToOwner) bool {
+	return m.Worker != nil || m.Gone != "" || m.Registered || m.Approved != nil || m.Report != nil && len(m.Report.Ended) > 0
+}
+
 func (x *Session) take(now time.Time, m kqmessage.ToOwner) {
 	c, name := x.controller, x.hello.Name
 	if m.Worker != nil {
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -19,7 +19,7 @@
 	}
 	e := x.runs[o.Run]
 	if e == nil {
-		e = &entry{order: *o, paced: fullPercent}
+		e = &entry{order: *o, paced: fullPercent, orderedAt: x.config.Now()}
 		x.runs[o.Run] = e
 	} else if !o.Stop && e.order.Size.IsZero() {
 		e.order = *o
@@ -151,6 +151,7 @@
 	switch answer {
 	case kqexecution.AnswerDone:
 		d.entry.delivery = nil
+		d.entry.began(now)
 		if p := x.pacer.Share(d.order); d.entry.order.Fills && p != d.entry.paced {
 			x.paceRun(d.entry, d.order, p)
 		}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -95,6 +95,10 @@
 	stopping  bool
 	stoppedAt uint64
 	paced     int
+	// orderedAt is when the order came, beganAt when the worker was known to have
+	// begun; zero if it is not.
+	orderedAt time.Time
+	beganAt   time.Time
 	// use is the share of its size that a filling run has used lately, due when
 	// its job is to end.
 	use float64
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -122,8 +122,11 @@
 	x.listed = make(map[kqexecution.Run]bool, len(h.Running))
 	for _, r := range h.Running {
 		x.listed[r.Run] = true
+		if e := x.runs[r.Run]; e != nil {
+			e.began(now)
+		}
 	}
-	fresh := x.takeEnds(h.Ended)
+	fresh := x.takeEnds(now, h.Ended)
 	fresh = append(fresh, x.absent()...)
 	rooms := x.pace(now, h.Running)
 	x.look(now, h.Running, rooms)
@@ -145,6 +148,13 @@
 	}
 }
 
+// began notes that the run is on the worker.
+func (e *entry) began(now time.Time) {
+	if e.beganAt.IsZero() {
+		e.beganAt = now
+	}
+}
+
 // register tells an owner everything about the worker.
 func (x *Executor) register(now time.Time, h kqexecution.Held) {
 	x.registered, x.reported = true, now
@@ -163,12 +173,15 @@
 }
 
 // takeEnds returns the ends that are new.
-func (x *Executor) takeEnds(ended []kqexecution.End) []kqexecution.End {
+func (x *Executor) takeEnds(now time.Time, ended []kqexecution.End) []kqexecution.End {
 	var fresh []kqexecution.End
 	for _, e := range ended {
 		if e.Number <= x.noted {
 			continue
 		}
+		if run := x.runs[e.Run]; run != nil && !run.beganAt.IsZero() {
+			e.Ran, e.Carried = now.Sub(run.beganAt), run.beganAt.Sub(run.orderedAt)
+		}
 		x.ends[e.Number] = e
 		delete(x.runs, e.Run)
 		if e.Number > x.lastEnd {
--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -21,6 +21,9 @@
 	CauseAccept Cause = iota
 	// CauseWait is the time in which a task's turn had come and it had no run.
 	CauseWait
+	// CauseOwner is the time of runs that ended well in which they were not on their
+	// worker: the owner's commit and order before, its taking note after.
+	CauseOwner
 	// CauseSlow is the time that a filling run took beyond its estimate: held back
 	// beside serving tasks, a slow worker, or an estimate that was too low.
 	CauseSlow
@@ -38,7 +41,7 @@
 
 // String returns the name of the cause in tables.
 func (c Cause) String() string {
-	return [...]string{"accept", "wait", "slow", "moved", "preempted", "failed", "lost"}[c]
+	return [...]string{"accept", "wait", "owner", "slow", "moved", "preempted", "failed", "lost"}[c]
 }
 
 // run is a run of a task as the log tells it.
@@ -46,6 +49,18 @@
 	from, to time.Time
 	cause    Cause
 	done     bool
+	// ran is how long it was on its worker, by the agent; 0 if not known.
+	ran time.Duration
+}
+
+// worked returns how long a run that has ended was at work: what the agent saw, or
+// else what the owner did.
+func (r *run) worked() time.Duration {
+	seen := r.to.Sub(r.from)
+	if r.ran > 0 {
+		return min(r.ran, seen)
+	}
+	return seen
 }
 
 // job is a job as the log tells it.
@@ -142,6 +157,7 @@
 		r.to = l.Time
 	case kqevent.FlowRunEnded:
 		r.to, r.done = l.Time, l.How == "done"
+		r.ran = time.Duration(l.RanMS) * time.Millisecond
 		if l.How == "failed" {
 			r.cause = CauseFailed
 		}
@@ -189,7 +205,7 @@
 		}
 		for _, r := range runs {
 			if r.done {
-				out = max(out, r.to.Sub(r.from))
+				out = max(out, r.worked())
 			}
 		}
 	}
--- a/internal/flow/kqloss/chain.go
+++ b/internal/flow/kqloss/chain.go
@@ -117,6 +117,11 @@
 		}
 		took := max(0, to.Sub(from))
 		if r.done || r.to.IsZero() {
+			if r.done {
+				outside := min(took, r.to.Sub(r.from)-r.worked())
+				out[CauseOwner] += outside
+				took -= outside
+			}
 			if step.Fills {
 				out[CauseSlow] += max(0, took-time.Duration(step.EstimateMS)*time.Millisecond)
 			}
--- a/internal/flow/kqloss/line.go
+++ b/internal/flow/kqloss/line.go
@@ -22,6 +22,7 @@
 	ID          string              `json:"id"`
 	Run         uint64              `json:"run"`
 	How         string              `json:"how"`
+	RanMS       int64               `json:"ran_ms"`
 	Queue       string              `json:"queue"`
 	ObjectiveMS int64               `json:"objective_ms"`
 	AgeMS       int64               `json:"age_ms"`
--- a/internal/flow/kqloss/loss_test.go
+++ b/internal/flow/kqloss/loss_test.go
@@ -158,3 +158,26 @@
 	g.Expect(byName["upper"]).To(And(HaveField("Jobs", 2), HaveField("Served", 1), HaveField("Share", 0.5)))
 	g.Expect(byName["largest"]).To(And(HaveField("Jobs", 2), HaveField("Served", 0), HaveField("Against", 0.0)))
 }
+
+// A task worked for a second, and its owner took four more to have it started and
+// to take note of its end: the job is late, and by the owner's doing.
+func TestASlowOwnerDoesNotExcuseItself(t *testing.T) {
+	g := NewWithT(t)
+	plain := step()
+	plain.Fills = false
+	for _, c := range []struct {
+		ran    time.Duration
+		inTime int
+		owner  float64
+	}{{time.Second, 0, 4}, {5 * time.Second, 1, 0}} {
+		h := newHistory()
+		h.submit("a", plain)
+		h.pass(5 * time.Second)
+		h.planner.Observe(h.now, "h", kqplan.Report{Worker: "w", Ended: []kqexecution.End{
+			{Number: 1, Run: kqexecution.Run{Task: "a.0.0.0", Number: 1}, How: kqexecution.HowDone, Ran: c.ran, Carried: 10 * time.Millisecond}}})
+		h.pass(0)
+		row := h.report(g).Rows[0]
+		g.Expect(row.InTime).To(Equal(c.inTime), "at work for %s", c.ran)
+		g.Expect(row.Seconds["owner"]).To(BeNumerically("~", c.owner, 0.1))
+	}
+}
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// Pulse returns how far this process keeps up as the owner of its cell; ok is false
+// if it owns none.
+func (n *Node) Pulse() (p kqcontrol.Pulse, ok bool) {
+	c := n.owned()
+	if c == nil {
+		return p, false
+	}
+	return c.Pulse(), true
+}
+
 // SetPolicy passes a new policy to the controller, if there is one.
 func (n *Node) SetPolicy(p *kqflow.Policy) {
 	if c := n.owned(); c != nil {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -342,7 +342,7 @@
 	if e.Saved != "" && (r != nil || len(t.runs) == 0) {
 		t.keep(e.Saved)
 	}
-	p.config.Events.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), []kqevent.Field{kqevent.Run(e.Run.Number), kqevent.How(string(e.How))},
+	p.config.Events.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), endFields(e),
 		"run %d on %s: %s", e.Run.Number, h.info.Worker, e.How)
 	h.health.ended(now, r, e.How)
 	switch e.How {
--- a/internal/flow/kqplan/trace.go
+++ b/internal/flow/kqplan/trace.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 // moved notes why a run is stopped to go on elsewhere.
@@ -13,6 +14,16 @@
 		"run %d on %s: %s", r.number, r.worker, fmt.Sprintf(format, args...))
 }
 
+// endFields returns what the log holds of an end. The agent saw how long the run
+// was on its worker: what the owner counts beyond that is its own delay.
+func endFields(e kqexecution.End) []kqevent.Field {
+	out := []kqevent.Field{kqevent.Run(e.Run.Number), kqevent.How(string(e.How))}
+	if e.Ran > 0 {
+		out = append(out, kqevent.Millis("ran_ms", e.Ran), kqevent.Millis("carried_ms", e.Carried))
+	}
+	return out
+}
+
 // LoggedStep is what the log holds of a step.
 type LoggedStep struct {
 	// Count is how many tasks the step has, Cores what each takes.
--- a/internal/seam/kqexecution/execution.go
+++ b/internal/seam/kqexecution/execution.go
@@ -79,6 +79,10 @@
 	How How `json:"how"`
 	// Saved is the last checkpoint, if there is one.
 	Saved string `json:"saved,omitempty"`
+	// Ran is how long the run was on the worker, Carried how long its order took to
+	// get there, both as the agent beside it saw them; 0 if it did not.
+	Ran     time.Duration `json:"ran,omitempty"`
+	Carried time.Duration `json:"carried,omitempty"`
 }
 
 // How is how a run ended.
