Filling tasks are looked at ten times a second while many wait; an owner that is slow makes fewer passes

While more than twenty tasks wait, each pass searched room for those that fill, which costs most and matters least in a tenth of a second, and before quick tasks' turn came again.

Change: passes between two looks at filling tasks leave them out, with the jobs that only fill; the next pass comes no sooner than three times what the latest took, by the owner's own clock; what fresh runs press is added up once a host and time; nothing is preempted for a filling task where what it reserves is free.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -259,6 +259,7 @@
 	c.logPulse(now)
 	c.planner.Hold(now.Sub(c.fedAt) > feedAge)
 	c.planner.Tick(now)
+	c.planner.Took(now, c.config.Now().Sub(now))
 	for c.commits < c.width() {
 		ws := c.planner.Writes(maxBatch)
 		if len(ws) == 0 {
--- a/internal/flow/kqplan/beside.go
+++ b/internal/flow/kqplan/beside.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
@@ -14,6 +15,10 @@
 	// rooms is the least room of each image that serves; nil if it must be counted
 	// anew.
 	rooms []imageRoom
+	// fresh is what filling runs that no measurement shows yet take of each of rooms,
+	// as of freshAt.
+	fresh   []float64
+	freshAt time.Time
 }
 
 // imageRoom is the least room that a serving image has on a host, 0 if one of its
@@ -24,6 +29,7 @@
 }
 
 func (b *beside) add(r *run) {
+	b.freshAt = time.Time{}
 	switch s := r.task.step; {
 	case s.TailTarget > 0:
 		b.serving, b.rooms = append(b.serving, r), nil
@@ -33,6 +39,7 @@
 }
 
 func (b *beside) drop(r *run) {
+	b.freshAt = time.Time{}
 	is := func(x *run) bool { return x == r }
 	switch s := r.task.step; {
 	case s.TailTarget > 0:
@@ -58,6 +65,32 @@
 	return b.rooms
 }
 
+// has reports whether a run of an image fills.
+func (b *beside) has(image string) bool {
+	return slices.ContainsFunc(b.filling, func(r *run) bool { return r.task.step.Image == image })
+}
+
+// freshPress returns what filling runs that have begun so lately that no
+// measurement shows them take of each image that serves.
+func (p *Planner) freshPress(now time.Time, h *host) []float64 {
+	b := &h.beside
+	if b.freshAt.Equal(now) {
+		return b.fresh
+	}
+	images := b.images()
+	b.fresh, b.freshAt = append(b.fresh[:0], make([]float64, len(images))...), now
+	for _, f := range b.filling {
+		if now.Sub(f.startedAt) >= measureLag {
+			continue
+		}
+		for i, x := range images {
+			taken, _ := p.pressAt(h, x.image, f.task.step)
+			b.fresh[i] += taken
+		}
+	}
+	return b.fresh
+}
+
 // pressing is what a filling task would do to what serves on a host.
 type pressing struct {
 	// heaviest is the most room that it takes of an image at full speed.
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -68,25 +68,12 @@
 // task. Runs that have begun so lately that no measurement shows them count;
 // an image whose press is not known is tried with one run at a time.
 func (p *Planner) leavesRoom(now time.Time, t *task, h *host) bool {
-	for _, x := range h.beside.images() {
+	fresh := p.freshPress(now, h)
+	for i, x := range h.beside.images() {
 		press, known := p.pressAt(h, x.image, t.step)
-		if known && press < lightPress {
-			continue
-		}
-		if x.least == 0 {
-			return false
-		}
-		left := x.least - press
-		for _, f := range h.beside.filling {
-			if !known && f.task.step.Image == t.step.Image {
-				return false
-			}
-			if now.Sub(f.startedAt) < measureLag {
-				taken, _ := p.pressAt(h, x.image, f.task.step)
-				left -= taken
-			}
-		}
-		if left < p.roomToLeave() {
+		switch {
+		case known && press < lightPress:
+		case x.least == 0, !known && h.beside.has(t.step.Image), x.least-fresh[i]-press < p.roomToLeave():
 			return false
 		}
 	}
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -226,7 +226,7 @@
 // learn compares the rooms of serving tasks with what others use beside them.
 func (p *Planner) learn(now time.Time, h *host) {
 	s := kqlearn.Sample{At: now, Rooms: map[string]kqlearn.Room{}, Shares: map[string]float64{}}
-	h.beside.rooms = nil
+	h.beside.rooms, h.beside.freshAt = nil, time.Time{}
 	for _, r := range h.runs.All() {
 		x := r.task.step
 		switch {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -26,7 +26,9 @@
 	deadline  time.Time
 	state     kqflow.State
 	committed kqflow.State
-	tasks     []*task
+	// fills is true if every step fills.
+	fills bool
+	tasks []*task
 	// undone counts the tasks that have not ended well, of each step of each
 	// occurrence.
 	undone  []int
@@ -90,7 +92,8 @@
 }
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
-	j := &job{spec: spec, state: kqflow.StateQueued, committed: kqflow.StateQueued}
+	j := &job{spec: spec, state: kqflow.StateQueued, committed: kqflow.StateQueued,
+		fills: !slices.ContainsFunc(spec.Steps, func(s kqflow.Step) bool { return !s.Fills })}
 	j.setQueue(q)
 	return j
 }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -23,6 +23,8 @@
 // pass is what one look at all waiting tasks has found so far. Room only
 // shrinks meanwhile, so what one task of a step does not find no other finds.
 type pass struct {
+	// filling is true if filling tasks are looked at too.
+	filling bool
 	// coming is the room that preempted runs will leave.
 	coming map[*host]kqmodel.Resources
 	// full and firm are the steps for which no host has room, and for which nothing
@@ -48,6 +50,8 @@
 	// mostSpacing.
 	spacingOf   = 500 * time.Microsecond
 	mostSpacing = 100 * time.Millisecond
+	// spacingShare is how many times as long as the latest pass the next one waits.
+	spacingShare = 3
 	// mostMisses is for how many steps of filling tasks a pass finds no room
 	// before it leaves those whose turn is later: looking for their room
 	// costs most, since every run on a host counts.
@@ -55,36 +59,68 @@
 )
 
 // spacing is the least time between two passes: while many tasks wait, a pass
-// is expensive and a short delay costs them little.
+// is expensive and a short delay costs them little. An owner that is slow for its
+// fleet spends most of its time on what it hears.
 func (p *Planner) spacing() time.Duration {
+	least := min(mostSpacing, spacingShare*p.passTook)
 	if p.backlog <= shortQueue {
-		return 0
+		return least
 	}
-	return min(mostSpacing, time.Duration(p.backlog)*spacingOf)
+	return max(least, min(mostSpacing, time.Duration(p.backlog)*spacingOf))
+}
+
+// looksAtFilling reports whether a pass looks at filling tasks too. Their search
+// weighs every run on every host and they work for long: while many wait, only
+// some passes do, and urgent tasks need not wait for the others.
+func (p *Planner) looksAtFilling(now time.Time) bool {
+	return p.backlog <= shortQueue || now.Sub(p.filledAt) >= mostSpacing
 }
 
 // placeAll starts every task whose turn has come and for which there is room.
 func (p *Planner) placeAll(now time.Time) {
-	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[stepKey]bool{}, firm: map[stepKey]bool{}, withheld: map[stepKey]bool{}, held: map[string]bool{}}
+	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[stepKey]bool{}, firm: map[stepKey]bool{}, withheld: map[stepKey]bool{}, held: map[string]bool{}, filling: p.looksAtFilling(now)}
+	if x.filling {
+		p.filledAt, p.filling = now, 0
+	}
 	waiting := 0
-	for _, j := range p.queued(now) {
+	for _, j := range p.queued(now, x.filling) {
 		for _, t := range j.tasks {
-			switch {
-			case !p.isDue(now, t):
-			case t.step.Gang:
-				if t.id.Index == 0 && p.placeGang(now, t, x) {
-					waiting += t.step.Count
-					x.crowd.wait(t, t.step.Count)
-				}
-			case !p.placeTask(now, t, x):
-				waiting++
-				x.crowd.wait(t, 1)
+			if t.step.Fills && !x.filling {
+				continue
+			}
+			n := p.placeDue(now, t, x)
+			if n > 0 {
+				waiting += n
+				x.crowd.wait(t, n)
+			}
+			if t.step.Fills {
+				p.filling += n
 			}
 		}
 	}
 	p.backlog = waiting
+	if !x.filling {
+		p.backlog += p.filling
+	}
 	p.short = x.crowd.WaitingEnding > 0
-	p.noteCrowd(now, x.crowd)
+	if x.filling {
+		p.noteCrowd(now, x.crowd)
+	}
+}
+
+// placeDue starts a task, or a gang at its first member, whose turn has come; it
+// returns how many tasks wait for room.
+func (p *Planner) placeDue(now time.Time, t *task, x *pass) int {
+	switch {
+	case !p.isDue(now, t):
+	case t.step.Gang:
+		if t.id.Index == 0 && p.placeGang(now, t, x) {
+			return t.step.Count
+		}
+	case !p.placeTask(now, t, x):
+		return 1
+	}
+	return 0
 }
 
 // isDue reports whether a task may start; a pass will follow if it may soon.
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -48,11 +48,17 @@
 	place   bool
 	hold    bool
 	active  int
+	// backlog is how many tasks wait, filling how many of them fill.
 	backlog int
+	filling int
 	// short is true if tasks that end and reserve what they take found no room in
 	// the latest pass.
-	short     bool
-	placedAt  time.Time
+	short    bool
+	placedAt time.Time
+	// filledAt is when filling tasks were looked at last, passTook how long the latest
+	// pass took the owner.
+	filledAt  time.Time
+	passTook  time.Duration
 	moves     int
 	approvals map[stepKey]*approval
 	askedAt   time.Time
@@ -278,6 +284,14 @@
 	}
 }
 
+// Took notes how long the decisions of a Tick took the owner: one that is slow for
+// its fleet makes fewer passes, so that it keeps up with what it hears.
+func (p *Planner) Took(now time.Time, d time.Duration) {
+	if p.placedAt.Equal(now) {
+		p.passTook = d
+	}
+}
+
 // isPassDue reports whether the waiting tasks are to be looked at: something has
 // changed, or room may have come by itself.
 func (p *Planner) isPassDue(now time.Time) bool {
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -17,7 +17,7 @@
 	var best *host
 	var victims []*run
 	for _, h := range p.hosts.All() {
-		if h.tally.stopping == 0 && !h.hasBelow(t.job.queue.Priority) || !need.Fits(h.mostRoom(t.job.queue.Priority)) || h.health.quarantined() || !p.allowed(now, t, h) || !p.approved(now, t, h) {
+		if !h.mayMakeRoom(t) || h.health.quarantined() || !p.allowed(now, t, h) || !p.approved(now, t, h) {
 			continue
 		}
 		v, ok := h.victims(t, need.Add(coming[h]))
@@ -37,6 +37,14 @@
 	return true
 }
 
+// mayMakeRoom reports whether stopping less urgent runs, or runs that stop already,
+// could give a task what it reserves. A filling task that finds no place where that
+// is free is kept away for other reasons.
+func (h *host) mayMakeRoom(t *task) bool {
+	need, priority := t.step.Reserved(), t.job.queue.Priority
+	return (h.tally.stopping > 0 || h.hasBelow(priority)) && need.Fits(h.mostRoom(priority)) && !(t.step.Fills && need.Fits(h.free()))
+}
+
 // victims returns the runs to stop so that need fits, counting what is being
 // stopped already; ok is false if that is not enough.
 func (h *host) victims(t *task, need kqmodel.Resources) (out []*run, ok bool) {
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -65,12 +65,13 @@
 	return stageNew
 }
 
-// queued lists the jobs that have tasks to start, in order of their turn.
-func (p *Planner) queued(now time.Time) []*job {
+// queued lists the jobs that have tasks to start, in order of their turn; jobs that
+// only fill are left out unless asked for.
+func (p *Planner) queued(now time.Time, filling bool) []*job {
 	var turns []turn
 	sums, counts := map[string]float64{}, map[string]float64{}
 	for _, j := range p.jobs.All() {
-		if j.state.Final() {
+		if j.state.Final() || j.fills && !filling {
 			continue
 		}
 		l := j.load()
