The candidates to follow an owner come one by one, and the new owner beats while it reads

Cause: the store carries the writes of a cell out one after another. 160 agents that took the owner for gone wrote within 40 ms, and went on writing for 6 s when refused; that keeps out the beats of the owner that follows, which besides beat only once it had read all rows. Its bound of silence was 1.2 s however slow the store was, and one that was still reading was taken for refusing.

Change: candidates are spread over two answers of the store for each agent, by the number that the owner tells and the time that the store takes, and look again before they write; a refused write is not repeated (kqrows.Try); an owner beats from the moment it has taken the cell; the bounds of silence are at least six answers of the store.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -83,16 +83,19 @@
 
 // Controller is the work of a process that owns a cell.
 type Controller struct {
-	config   Config
-	tomb     tomb.Tomb
-	row      OwnerRow
-	version  uint64
-	kick     chan struct{}
+	config  Config
+	tomb    tomb.Tomb
+	row     OwnerRow
+	version uint64
+	kick    chan struct{}
+	// loaded is closed when what earlier owners left has been read.
+	loaded   chan struct{}
 	submitAt uint64
 
 	mu          sync.Mutex
 	planner     *kqplan.Planner
 	sessions    map[string]*Session
+	agents      int
 	confirmedAt time.Time
 	fedAt       time.Time
 	commits     int
@@ -116,7 +119,7 @@
 	sent := c.Now()
 	row := OwnerRow{Name: c.Name, Boot: c.Boot, Address: c.Address, Epoch: old.Epoch + 1, Recorded: true}
 	key := OwnerKey(c.Cell)
-	o, err := kqrows.Commit(ctx, c.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: version}},
+	o, err := kqrows.Try(ctx, c.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: version}},
 		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}}})
 	if err != nil {
 		return nil, err
@@ -124,10 +127,13 @@
 	if !o.Committed {
 		return nil, ErrLost
 	}
-	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), confirmedAt: sent, fedAt: c.Now(),
+	x := &Controller{config: c, row: row, version: o.Version, kick: make(chan struct{}, 1), loaded: make(chan struct{}), confirmedAt: sent, fedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.Wall().Round(0))}
+	// The beat goes on while the rows are read, or others take the cell meanwhile.
+	x.tomb.Go(x.run)
 	left := readLeft(ctx, c)
 	if err := left.err(); err != nil {
+		x.tomb.Kill(err)
 		return nil, err
 	}
 	x.restoreLeases(left.leases.rows, old, seen)
@@ -140,12 +146,15 @@
 }
 
 // Start begins to decide.
-func (c *Controller) Start() {
-	c.tomb.Go(c.run)
-}
+func (c *Controller) Start() { close(c.loaded) }
 
 func (c *Controller) run() error {
 	c.tomb.Go((&beater{c}).loop)
+	select {
+	case <-c.tomb.Dying():
+		return nil
+	case <-c.loaded:
+	}
 	c.tomb.Go((&submissionFeed{c}).loop)
 	c.loop()
 	return nil
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -34,6 +34,7 @@
 		old.stream.Close()
 	}
 	c.sessions[h.Name] = x
+	c.countAgents()
 	x.send(kqmessage.FromOwner{Welcome: c.row.Epoch})
 	c.config.Events.Emit(now, kqevent.PeerLinked, kqevent.Process(h.Name), "%s with boot %s", h.Role, h.Boot)
 	if w, ok := c.planner.Known(h.Name); ok && h.Role == kqmessage.RoleAgent {
@@ -55,12 +56,23 @@
 		return
 	}
 	delete(c.sessions, x.hello.Name)
+	c.countAgents()
 	c.config.Events.Emit(now, kqevent.PeerLost, kqevent.Process(x.hello.Name), "%s with boot %s", x.hello.Role, x.hello.Boot)
 	if x.hello.Role == kqmessage.RoleAgent {
 		c.planner.Unlinked(now, x.hello.Name)
 	}
 }
 
+// countAgents counts the agents that are connected; mu is held.
+func (c *Controller) countAgents() {
+	c.agents = 0
+	for _, s := range c.sessions {
+		if s.hello.Role == kqmessage.RoleAgent {
+			c.agents++
+		}
+	}
+}
+
 // Receive takes a message of the session's process.
 func (x *Session) Receive(body []byte) {
 	c := x.controller
@@ -133,7 +145,7 @@
 	} else {
 		left = 0
 	}
-	x.send(kqmessage.FromOwner{Grant: &kqmessage.Grant{Ask: ask, Left: left, StoreAge: age}})
+	x.send(kqmessage.FromOwner{Grant: &kqmessage.Grant{Ask: ask, Left: left, StoreAge: age, Peers: c.agents}})
 }
 
 const pendingInterval = 300 * time.Millisecond
--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -18,6 +18,12 @@
 )
 
 const (
+	// storeFactor is how many of the store's answers an owner may take between two
+	// beats: it waits for other writes before its own.
+	storeFactor = 6
+	// mostSpread bounds for how long the candidates to follow an owner are spread.
+	mostSpread  = time.Minute
+	leastSpread = 40 * time.Millisecond
 	// SilenceBound is after how long without a beat an owner is taken for gone.
 	SilenceBound = 1200 * time.Millisecond
 	// RefusedBound is the same for an owner that cannot be connected to.
@@ -52,23 +58,39 @@
 	movedAt time.Time
 	readAt  time.Time
 	refused bool
+	// took is how long the store's latest answer took.
+	took time.Duration
 }
 
 // New returns an Observer that has seen nothing.
 func New(c Config) *Observer { return &Observer{config: c} }
 
-// Read takes over what the store says.
-func (o *Observer) Read(now time.Time, w Owner) {
+// Read takes over what the store says, after it was asked for some time.
+func (o *Observer) Read(now time.Time, w Owner, took time.Duration) {
+	o.took = took
 	if w != o.owner {
 		// An owner that has just taken the cell may have been dialled too early.
 		o.refused = false
 	}
-	if w != o.owner || o.movedAt.IsZero() || now.Sub(o.readAt) > SilenceBound {
+	if w != o.owner || o.movedAt.IsZero() || now.Sub(o.readAt) > o.bound(SilenceBound) {
 		o.movedAt = now
 	}
 	o.owner, o.readAt = w, now
 }
 
+// bound returns after how long without a beat the owner is taken for gone, given the
+// time for a store that answers at once: while the store is slow the owner's beats
+// are, and a successor's would be no faster.
+func (o *Observer) bound(usual time.Duration) time.Duration { return max(usual, storeFactor*o.took) }
+
+// Spread returns over what time the candidates to follow an owner are spread, by how
+// many processes the cell has: about one comes in the time of two answers of the
+// store. The store carries the writes of a cell out one after another, so that all at
+// once they would keep out the beats of the owner that follows.
+func (o *Observer) Spread(peers int) time.Duration {
+	return min(mostSpread, max(leastSpread, 2*time.Duration(peers)*o.took))
+}
+
 // Refused notes that the owner's address does not lead to the owner.
 func (o *Observer) Refused() { o.refused = true }
 
@@ -87,7 +109,7 @@
 		return ActionDial
 	case o.owner.Name == "" || o.owner.Name == o.config.Name:
 		return ActionTake
-	case silent >= SilenceBound, o.refused && silent >= RefusedBound:
+	case silent >= o.bound(SilenceBound), o.refused && silent >= o.bound(RefusedBound):
 		return ActionTake
 	case o.refused:
 		return ActionWait
@@ -101,5 +123,5 @@
 // Unconfirmed reports whether to replace an owner that is connected: by its own
 // word the store has not confirmed it since a time, and the beat stands still.
 func (o *Observer) Unconfirmed(now, confirmed time.Time) bool {
-	return o.config.Candidate && now.Sub(confirmed) >= SilenceBound && now.Sub(o.movedAt) >= stillBound
+	return o.config.Candidate && now.Sub(confirmed) >= o.bound(SilenceBound) && now.Sub(o.movedAt) >= stillBound
 }
--- a/internal/flow/kqelect/elect_test.go
+++ b/internal/flow/kqelect/elect_test.go
@@ -19,49 +19,50 @@
 }
 
 var _ = Describe("an observer", func() {
+	const answer = 4 * time.Millisecond
 	begin := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return begin.Add(d) }
 	var o *kqelect.Observer
 	BeforeEach(func() { o = kqelect.New(kqelect.Config{Name: "a", Boot: "a1", Candidate: true}) })
 
 	It("takes a cell that nobody owns, and one whose owner's process it replaces", func() {
-		o.Read(begin, kqelect.Owner{})
+		o.Read(begin, kqelect.Owner{}, answer)
 		Expect(o.Next(begin)).To(Equal(kqelect.ActionTake))
-		o.Read(begin, kqelect.Owner{Name: "a", Boot: "a0", Version: 3})
+		o.Read(begin, kqelect.Owner{Name: "a", Boot: "a0", Version: 3}, answer)
 		Expect(o.Next(begin)).To(Equal(kqelect.ActionTake))
 	})
 
 	It("dials an owner whose beat moves, also after it was refused there", func() {
-		o.Read(begin, kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4})
+		o.Read(begin, kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4}, answer)
 		Expect(o.Next(begin)).To(Equal(kqelect.ActionDial))
 		o.Refused()
-		o.Read(at(150*time.Millisecond), kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4})
+		o.Read(at(150*time.Millisecond), kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4}, answer)
 		Expect(o.Next(at(150 * time.Millisecond))).To(Equal(kqelect.ActionWait))
-		o.Read(at(300*time.Millisecond), kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 5})
+		o.Read(at(300*time.Millisecond), kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 5}, answer)
 		Expect(o.Next(at(300 * time.Millisecond))).To(Equal(kqelect.ActionDial))
 	})
 
 	It("takes the cell of an owner that is silent, sooner if it cannot be reached", func() {
 		owner := kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4}
-		o.Read(begin, owner)
-		o.Read(at(600*time.Millisecond), owner)
+		o.Read(begin, owner, answer)
+		o.Read(at(600*time.Millisecond), owner, answer)
 		Expect(o.Next(at(600 * time.Millisecond))).To(Equal(kqelect.ActionDial))
 		o.Refused()
 		Expect(o.Next(at(600 * time.Millisecond))).To(Equal(kqelect.ActionTake))
 		o.Linked()
-		o.Read(at(1200*time.Millisecond), owner)
+		o.Read(at(1200*time.Millisecond), owner, answer)
 		Expect(o.Next(at(1200 * time.Millisecond))).To(Equal(kqelect.ActionTake))
 	})
 
 	It("does not hold silence against an owner while the store could not be read", func() {
 		owner := kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4}
-		o.Read(begin, owner)
-		o.Read(at(5*time.Second), owner)
+		o.Read(begin, owner, answer)
+		o.Read(at(5*time.Second), owner, answer)
 		Expect(o.Next(at(5 * time.Second))).To(Equal(kqelect.ActionDial))
 	})
 
 	It("takes its own cell again if it could not load it", func() {
-		o.Read(begin, kqelect.Owner{Name: "a", Boot: "a1", Version: 3})
+		o.Read(begin, kqelect.Owner{Name: "a", Boot: "a1", Version: 3}, answer)
 		Expect(o.Next(begin)).To(Equal(kqelect.ActionDial))
 		o.Refused()
 		Expect(o.Next(begin)).To(Equal(kqelect.ActionTake))
@@ -69,27 +70,28 @@
 
 	It("replaces a connected owner only if neither its word nor its beat speaks for it", func() {
 		owner := kqelect.Owner{Name: "b", Boot: "b1", Version: 3, Beat: 4}
-		o.Read(begin, owner)
+		o.Read(begin, owner, answer)
 		Expect(o.Unconfirmed(begin, begin.Add(-2*time.Second))).To(BeFalse())
-		o.Read(at(450*time.Millisecond), owner)
+		o.Read(at(450*time.Millisecond), owner, answer)
 		Expect(o.Unconfirmed(at(450*time.Millisecond), begin)).To(BeFalse())
 		Expect(o.Unconfirmed(at(450*time.Millisecond), begin.Add(-time.Second))).To(BeTrue())
 		owner.Beat = 5
-		o.Read(at(500*time.Millisecond), owner)
+		o.Read(at(500*time.Millisecond), owner, answer)
 		Expect(o.Unconfirmed(at(500*time.Millisecond), begin.Add(-time.Second))).To(BeFalse())
 	})
 
 	It("never takes a cell without being a candidate", func() {
 		e := kqelect.New(kqelect.Config{Name: "e", Boot: "e1"})
-		e.Read(begin, kqelect.Owner{})
+		e.Read(begin, kqelect.Owner{}, answer)
 		Expect(e.Next(begin)).To(Equal(kqelect.ActionWait))
-		e.Read(at(100*time.Millisecond), kqelect.Owner{Name: "b", Boot: "b1", Version: 3})
+		e.Read(at(100*time.Millisecond), kqelect.Owner{Name: "b", Boot: "b1", Version: 3}, answer)
 		e.Refused()
 		Expect(e.Next(at(5 * time.Second))).To(Equal(kqelect.ActionDial))
 	})
 })
 
 var _ = Describe("sightings", func() {
+	const answer = 4 * time.Millisecond
 	begin := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return begin.Add(d) }
 
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -76,6 +76,8 @@
 	Left time.Duration `json:"left"`
 	// StoreAge is how long ago the store confirmed the ownership.
 	StoreAge time.Duration `json:"store_age"`
+	// Peers is how many agents are connected.
+	Peers int `json:"peers,omitempty"`
 }
 
 // FromOwner is a message of the owner.
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -47,7 +47,6 @@
 	welcomeTimeout = 700 * time.Millisecond
 	lookInterval   = 150 * time.Millisecond
 	takeTimeout    = 6 * time.Second
-	takeSpread     = 40 * time.Millisecond
 	suspectAge     = 700 * time.Millisecond
 	watchInterval  = 250 * time.Millisecond
 )
@@ -83,7 +82,9 @@
 	owner      kqcontrol.OwnerRow
 	version    uint64
 	confirmed  time.Time
-	leaving    bool
+	// peers is how many agents the owner had, by its own word.
+	peers   int
+	leaving bool
 }
 
 // Start listens, if the process is an agent, and begins to look for the owner.
@@ -185,8 +186,10 @@
 		}
 		switch n.observer.Next(n.config.Control.Now()) {
 		case kqelect.ActionTake:
-			n.pause(time.Duration(rand.Int64N(int64(takeSpread))))
-			n.take(ctx)
+			n.pause(n.turn())
+			if n.look(ctx) && n.observer.Next(n.config.Control.Now()) == kqelect.ActionTake {
+				n.take(ctx)
+			}
 		case kqelect.ActionDial:
 			if !n.dial(ctx) {
 				n.pause(lookInterval)
@@ -197,6 +200,14 @@
 	}
 }
 
+// turn returns how long to wait before taking a cell, so that the candidates do not
+// all write at once; most find then that another has taken it.
+func (n *Node) turn() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(rand.Int64N(int64(n.observer.Spread(n.peers))))
+}
+
 func (n *Node) pause(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -211,6 +222,7 @@
 	c := n.config.Control
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	asked := c.Now()
 	rows, _, err := c.Store.Read(call, kqcontrol.CellTable, c.Cell+".", c.Cell+"/")
 	if err != nil {
 		return false
@@ -228,7 +240,7 @@
 			seen.Beat = r.Version
 		}
 	}
-	n.observer.Read(c.Now(), seen)
+	n.observer.Read(c.Now(), seen, c.Now().Sub(asked))
 	n.seen = n.seen.See(c.Now(), owner.Epoch)
 	n.mu.Lock()
 	n.owner, n.version = owner, seen.Version
@@ -300,16 +312,17 @@
 		return
 	}
 	if m.Grant != nil {
-		l.node.setConfirmed(l.node.config.Control.Now().Add(-m.Grant.StoreAge))
+		l.node.setConfirmed(l.node.config.Control.Now().Add(-m.Grant.StoreAge), m.Grant.Peers)
 	}
 	l.node.config.Receive(m)
 }
 
-// setConfirmed notes when the store last confirmed the owner, by its own word.
-func (n *Node) setConfirmed(at time.Time) {
+// setConfirmed notes when the store last confirmed the owner, and how many agents it
+// has, by its own word.
+func (n *Node) setConfirmed(at time.Time, peers int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.confirmed = at
+	n.confirmed, n.peers = at, max(peers, 1)
 }
 
 // state returns the owner as last read and when the store last confirmed the
@@ -338,7 +351,9 @@
 		return true
 	}
 	n.observer.Linked()
-	n.setConfirmed(n.config.Control.Now())
+	n.mu.Lock()
+	n.confirmed = n.config.Control.Now()
+	n.mu.Unlock()
 	defer n.config.Unlinked()
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
@@ -360,17 +375,21 @@
 // true if this process leaves it, for its successor or to become that.
 func (l *link) replace(ctx context.Context) bool {
 	n := l.node
-	_, confirmed := n.state()
-	if n.config.Control.Now().Sub(confirmed) < suspectAge || !n.look(ctx) {
-		return false
-	}
-	owner, confirmed := n.state()
-	if owner.Epoch > l.epoch {
-		return true
-	}
-	now := n.config.Control.Now()
-	if !n.observer.Unconfirmed(now, confirmed) {
-		return false
+	for turn := range 2 {
+		_, confirmed := n.state()
+		if n.config.Control.Now().Sub(confirmed) < suspectAge || !n.look(ctx) {
+			return false
+		}
+		owner, confirmed := n.state()
+		if owner.Epoch > l.epoch {
+			return true
+		}
+		if !n.observer.Unconfirmed(n.config.Control.Now(), confirmed) {
+			return false
+		}
+		if turn == 0 {
+			n.pause(n.turn())
+		}
 	}
 	n.take(ctx)
 	return true
--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -22,6 +22,16 @@
 // most one copy can find the conditions true, and the rows show whose write it
 // was. Rows that are put without being expected tell nothing.
 func Commit(ctx context.Context, s Store, t Tx) (Outcome, error) {
+	return commit(ctx, s, t, true)
+}
+
+// Try is Commit for a write that many may send at the same time: a store that
+// refuses it is not asked again, unless a copy may have taken effect.
+func Try(ctx context.Context, s Store, t Tx) (Outcome, error) {
+	return commit(ctx, s, t, false)
+}
+
+func commit(ctx context.Context, s Store, t Tx, insists bool) (Outcome, error) {
 	unsure := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
 		try, cancel := context.WithTimeout(ctx, TryTimeout)
@@ -34,6 +44,8 @@
 			return o, nil
 		case errors.Is(err, ErrUnknown):
 			unsure = true
+		case !unsure && !insists:
+			return Outcome{}, ErrRefused
 		}
 		kqtable.Sleep(ctx, pause)
 		if ctx.Err() != nil {
--- a/internal/standin/kqrowstore/store.go
+++ b/internal/standin/kqrowstore/store.go
@@ -25,12 +25,16 @@
 	Late float64
 	// Delay is how long a call takes.
 	Delay time.Duration
+	// Serial is how long each transaction keeps the others waiting; one that would
+	// wait for over a second is refused.
+	Serial time.Duration
 }
 
 const (
 	ordinaryDelay = 4 * time.Millisecond
 	leastLate     = 500 * time.Millisecond
 	mostLate      = 6 * time.Second
+	longestQueue  = time.Second
 	historyKept   = 4000
 )
 
@@ -44,6 +48,8 @@
 	version uint64
 	faults  map[string]Faults
 	changed chan struct{}
+	// busyTill is until when transactions that came before are carried out.
+	busyTill time.Time
 }
 
 // New returns an empty Store.
@@ -112,11 +118,40 @@
 	}
 }
 
+// wait lets a transaction wait for those before it.
+func (c client) wait(ctx context.Context, serial time.Duration) error {
+	s := c.store
+	s.mu.Lock()
+	now := time.Now()
+	if s.busyTill.Sub(now) > longestQueue {
+		s.mu.Unlock()
+		return kqrows.ErrRefused
+	}
+	if s.busyTill.Before(now) {
+		s.busyTill = now
+	}
+	s.busyTill = s.busyTill.Add(serial)
+	t := time.NewTimer(s.busyTill.Sub(now))
+	s.mu.Unlock()
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return kqrows.ErrUnknown
+	}
+}
+
 func (c client) transact(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
 	f, err := c.enter(ctx)
 	if err != nil {
 		return kqrows.Outcome{}, err
 	}
+	if f.Serial > 0 {
+		if err := c.wait(ctx, f.Serial); err != nil {
+			return kqrows.Outcome{}, err
+		}
+	}
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -210,3 +210,20 @@
 	}
 	return n
 }
+
+// Epoch returns how often the cell was taken.
+func (r *Rig) Epoch() uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	rows, _, err := r.Store.Client("").Read(ctx, kqcontrol.CellTable, "", "")
+	if err != nil {
+		return 0
+	}
+	for _, x := range rows {
+		if x.Key == kqcontrol.OwnerKey("cell") {
+			owner, _ := kqcontrol.DecodeOwner(x)
+			return owner.Epoch
+		}
+	}
+	return 0
+}
