Serving images are kept together by how many others are on a worker

Cause: a worker on which k images serve takes only filling images that press none of them.

Change: an image that is new to a worker costs 1.0 for each other image there, one that is there already 0.2.

--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -7,14 +7,15 @@
 )
 
 const (
-	shunCost  = 0.8
-	loadCost  = 0.4
-	pressCost = 1.0
-	packGain  = 0.5
-	lightCost = 0.5
-	sizeCost  = 0.2
-	mixCost   = 0.4
-	openCost  = 0.3
+	shunCost    = 0.8
+	loadCost    = 0.4
+	pressCost   = 1.0
+	packGain    = 0.5
+	lightCost   = 0.5
+	sizeCost    = 0.2
+	newMixCost  = 1.0
+	heldMixCost = 0.2
+	openCost    = 0.3
 	// servingUse is the share of its processors that a serving task uses, in
 	// percent, where nothing was measured.
 	servingUse = 50
@@ -86,9 +87,7 @@
 		}
 	case s.TailTarget > 0:
 		// Serving tasks are packed, so that filling ones find room apart.
-		if h.mixes(s.Image) {
-			c += mixCost
-		}
+		c += h.mixing(s.Image)
 		if h.tally.serving == 0 {
 			c += openCost
 		}
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -1,7 +1,6 @@
 package kqplan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -151,10 +150,25 @@
 	return now.Sub(j.busyAt)
 }
 
-// mixes reports whether a host serves an image other than the given one: what
-// disturbs one image may leave others alone, so images are kept apart.
-func (h *host) mixes(image string) bool {
-	return slices.ContainsFunc(h.beside.images(), func(x imageRoom) bool { return x.image != image })
+// mixing returns the cost of a serving image on a host for the other images there:
+// what disturbs one may leave others alone, so the fewer there are, the more may
+// fill beside them. An image that is there already mixes nothing new.
+func (h *host) mixing(image string) float64 {
+	others, held := 0, false
+	for _, x := range h.beside.images() {
+		if x.image == image {
+			held = true
+		} else {
+			others++
+		}
+	}
+	switch {
+	case others == 0:
+		return 0
+	case held:
+		return heldMixCost
+	}
+	return newMixCost * float64(others)
 }
 
 // pressBy returns the room that the filling tasks of a host would take of a
--- /dev/null
+++ b/internal/flow/kqplan/mixing_test.go
@@ -0,0 +1,57 @@
+package kqplan_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+)
+
+var _ = Describe("where serving images are put", func() {
+	serving := func(image string, count int, processors int64) kqflow.Step {
+		return kqflow.Step{Count: count, Size: kqmodel.Resources{MilliProcessors: processors * 1000}, Estimate: time.Hour, Standing: true, Image: image, TailTarget: 50 * time.Millisecond}
+	}
+
+	// settled submits jobs one after another and returns the images on each worker.
+	settled := func(workers int, steps ...kqflow.Step) map[string]map[string]bool {
+		c := newCell(1)
+		for n := range workers {
+			c.host(fmt.Sprint("h", n), fmt.Sprint("w", n), 60)
+		}
+		on := map[string]map[string]bool{}
+		for n, s := range steps {
+			c.Submit(c.now, job(fmt.Sprint("j", n), "urgent", c.now, s), nil, 0)
+			c.now = c.now.Add(time.Second)
+			for w := range workers {
+				c.Granted(c.now, fmt.Sprint("h", w), 7*time.Second)
+			}
+			c.settle()
+			for _, o := range c.take() {
+				if on[o.Worker] == nil {
+					on[o.Worker] = map[string]bool{}
+				}
+				on[o.Worker][s.Image] = true
+			}
+		}
+		return on
+	}
+
+	It("keeps images apart while a worker is free", func() {
+		on := settled(4, serving("a", 3, 9), serving("b", 3, 9), serving("c", 3, 9), serving("d", 3, 9), serving("a", 1, 9), serving("c", 2, 9))
+		Expect(on).To(HaveLen(4))
+		for worker, images := range on {
+			Expect(images).To(HaveLen(1), worker)
+		}
+	})
+
+	It("adds an image where the fewest others are", func() {
+		on := settled(2, serving("a", 1, 10), serving("b", 1, 40), serving("c", 1, 10), serving("d", 1, 10))
+		for worker, images := range on {
+			Expect(images).To(HaveLen(2), worker)
+		}
+	})
+})
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -166,6 +166,15 @@
 		ServingLoad: 0.45, Swing: 0.5, SwingTime: 14 * time.Second, TargetFactor: 5, Bursts: []Burst{{From: 11 * time.Second, For: 6 * time.Second, Factor: 1.4}}, HeavyShare: 0.6, Press: 4.5}
 }
 
+// Pressed is the load of the large fleet with 1.6 times as many filling jobs, whose
+// images press harder.
+func Pressed(workers int) Load {
+	l := Fleet(workers)
+	l.Batch.PerSecond *= 1.6
+	l.Press = 7
+	return l
+}
+
 // source draws the jobs of a load.
 type source struct {
 	load Load
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -18,6 +18,14 @@
 	parallel = flag.Int("replays", 3, "how many replays run at a time")
 )
 
+const (
+	// fleet is how many workers of the large fleet are played.
+	fleet = 80
+	// floor is the least part of a kind of job's worth that the users accept of the
+	// large fleet.
+	floor = 0.3
+)
+
 // target is the part of all worth that the users ask for on days with trouble.
 const target = 0.61
 
@@ -148,6 +156,15 @@
 	filled.quickSizes.expectServed(g)
 }
 
+// Tasks of sixteen images stay and reserve most of a large fleet, and each image that
+// fills presses most of them: a worker on which several images serve has room for
+// hardly any.
+func TestServingImagesAreSpreadOverAllWorkers(t *testing.T) {
+	g := NewWithT(t)
+	ours := play(t, "pressed", kqreplay.Config{Load: kqreplay.Pressed(fleet)}, (*kqreplay.Replay).Run)
+	g.Expect(ours.batch).To(BeNumerically(">=", floor))
+}
+
 // Filling jobs need more than serving tasks leave them, all the time.
 func TestTheLargestFillingJobsStarve(t *testing.T) {
 	g := NewWithT(t)
