A message with a missing order does not end an agent

Cause: a null in the list of orders or of questions of an owner's message was followed, which ends the process; an owner of another version is enough.

Test: kqexecutor AMalformedMessageTakesNoAgentDown panics on the code before.

--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -252,6 +252,7 @@
 
 // Receive takes a message of the owner.
 func (x *Executor) Receive(m kqmessage.FromOwner) {
+	m = m.Readable()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if m.Known != nil && x.info.Worker == "" && !x.gone[m.Known.Worker] {
--- /dev/null
+++ b/internal/flow/kqexecutor/message_test.go
@@ -0,0 +1,30 @@
+package kqexecutor_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+)
+
+// What an owner of another version may send must not end an agent.
+func TestAMalformedMessageTakesNoAgentDown(t *testing.T) {
+	w := &worker{}
+	play(t, w, func(g *WithT, x *kqexecutor.Executor, _ *owner) {
+		for _, body := range []string{`{"orders":[null]}`, `{"resync":true,"orders":[null,{}]}`, `{"ask":[null]}`, `{"grant":{"ask":7,"left":-1}}`, `{"noted":18446744073709551615}`, `{"known":{}}`} {
+			var m kqmessage.FromOwner
+			g.Expect(json.Unmarshal([]byte(body), &m)).To(Succeed())
+			x.Receive(m)
+		}
+		x.Receive(kqmessage.FromOwner{Orders: []*kqplan.Order{order()}})
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		g.Expect(w.starts).NotTo(BeEmpty())
+	})
+}
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -3,6 +3,7 @@
 package kqmessage
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -110,3 +111,11 @@
 	// Submitted answers a request of an entry.
 	Submitted *Submitted `json:"submitted,omitempty"`
 }
+
+// Readable returns the message without what is missing in its lists: a peer of another
+// version may send what this one cannot read.
+func (m FromOwner) Readable() FromOwner {
+	m.Orders = slices.DeleteFunc(m.Orders, func(o *kqplan.Order) bool { return o == nil })
+	m.Ask = slices.DeleteFunc(m.Ask, func(a *kqplan.Ask) bool { return a == nil })
+	return m
+}
