An owner that is behind does not delay quick jobs behind batch work

Cause: one pass looks for room for up to 24 steps of filling tasks that find none, each on every worker; quick tasks that come meanwhile wait until it has ended, and the slower the owner the longer.

Change: after a pass over filling tasks that took more than 100 ms of the owner's time the next looks in vain for half as many steps, down to one, and comes no sooner than three times as long after it; meanwhile one run at a time is moved or copied for being slow. Workers without what a task reserves are passed over before they are weighed. A pass takes its time after it has waited for others, not before.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -261,9 +261,9 @@
 }
 
 func (c *Controller) step() {
-	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.config.Now()
 	defer func() { c.pulse.decided(now, c.config.Now()) }()
 	c.logPulse(now)
 	c.planner.Hold(now.Sub(c.fedAt) > feedAge)
--- a/internal/flow/kqplan/crowd.go
+++ b/internal/flow/kqplan/crowd.go
@@ -47,7 +47,7 @@
 		return
 	}
 	p.crowdedAt = now
-	c.Weighed, p.weighed = p.weighed, 0
+	c.Weighed, p.told = p.weighed-p.told, p.weighed
 	for _, h := range p.hosts.All() {
 		c.Capacity += h.info.Capacity.MilliProcessors
 		c.Free += max(0, h.free().MilliProcessors)
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -85,6 +85,8 @@
 	// mostMoves is for how many held runs another host is sought at a time: each
 	// search weighs every host.
 	mostMoves = 12
+	// slowPass is from how long a pass on an owner is taken to be behind.
+	slowPass = 100 * time.Millisecond
 )
 
 // watchProgress finds runs that stand still or are slow: a speculative task
@@ -95,6 +97,9 @@
 	}
 	p.watchedAt = now
 	p.moves = mostMoves
+	if p.isBehind() {
+		p.moves = 1
+	}
 	for _, h := range p.hostsInTurn() {
 		if !h.usable(now) {
 			continue
@@ -105,6 +110,10 @@
 	}
 }
 
+// isBehind reports whether the owner is slow for its fleet: it then leaves most of
+// what is only slow where it is, and makes few copies.
+func (p *Planner) isBehind() bool { return p.fillTook > slowPass }
+
 // hostsInTurn lists the hosts, each time from another one on, so that none is
 // always the last for which moves are left.
 func (p *Planner) hostsInTurn() []*host {
@@ -142,6 +151,11 @@
 	if ran < settleProgress || r.percent <= 0 && !stalled {
 		return
 	}
+	if p.isBehind() {
+		if p.moves--; p.moves < 0 {
+			return
+		}
+	}
 	left := time.Duration(float64(ran) * (fullPercent - r.percent) / max(1, r.percent))
 	if s.Speculative {
 		p.copyTask(now, r, left, stalled)
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -52,7 +52,7 @@
 	mostSpacing = 100 * time.Millisecond
 	// spacingShare is how many times as long as the latest pass the next one waits.
 	spacingShare = 3
-	// mostMisses is for how many steps of filling tasks a pass finds no room
+	// mostMisses is at most for how many steps of filling tasks a pass finds no room
 	// before it leaves those whose turn is later: looking for their room
 	// costs most, since every run on a host counts.
 	mostMisses = 24
@@ -73,7 +73,20 @@
 // weighs every run on every host and they work for long: while many wait, only
 // some passes do, and urgent tasks need not wait for the others.
 func (p *Planner) looksAtFilling(now time.Time) bool {
-	return p.backlog <= shortQueue || now.Sub(p.filledAt) >= mostSpacing
+	age := now.Sub(p.filledAt)
+	return age >= spacingShare*p.fillTook && (p.backlog <= shortQueue || age >= mostSpacing)
+}
+
+// fewerMisses returns for how many steps of filling tasks the next pass looks in vain,
+// after a pass that took some time: urgent tasks wait until it has ended.
+func fewerMisses(now int, took time.Duration) int {
+	switch {
+	case took > slowPass:
+		return max(1, now/2)
+	case took < slowPass/4:
+		return min(mostMisses, 2*now)
+	}
+	return now
 }
 
 // placeAll starts every task whose turn has come and for which there is room.
@@ -145,7 +158,7 @@
 		p.noteWaiting(now, t, "the service keeps its free processors for jobs that end")
 		return false
 	}
-	if !x.full[t.stepKey()] && (!t.step.Fills || x.misses < mostMisses) {
+	if !x.full[t.stepKey()] && (!t.step.Fills || x.misses < p.mostMisses) {
 		if h := p.chooseInPass(now, t, x); h != nil {
 			p.start(now, t, h)
 			x.list.started(p, now, t, h)
@@ -235,8 +248,11 @@
 	var all peers
 	bestCost := 0.0
 	for _, h := range p.hosts.All() {
+		if !h.hasFree(t) || !allowed(h) {
+			continue
+		}
 		p.weighed++
-		if !allowed(h) || !p.eligible(now, t, h) {
+		if !p.eligible(now, t, h) {
 			continue
 		}
 		if best == nil {
@@ -250,16 +266,15 @@
 	return best
 }
 
+// eligible reports whether a host may run a task and has room for it.
 func (p *Planner) eligible(now time.Time, t *task, h *host) bool {
-	if !p.allowed(now, t, h) || !p.approved(now, t, h) {
-		return false
-	}
-	s := t.step
-	if s.Fills && !p.fillsIn(now, t, h) {
-		return false
-	}
-	need := s.Reserved()
-	if t.job.queue.Priority > 0 && !s.Fills {
+	return h.hasFree(t) && p.allowed(now, t, h) && p.approved(now, t, h) && (!t.step.Fills || p.fillsIn(now, t, h))
+}
+
+// hasFree reports whether what a task reserves is free on a host.
+func (h *host) hasFree(t *task) bool {
+	need := t.step.Reserved()
+	if t.job.queue.Priority > 0 && !t.step.Fills {
 		need.MilliProcessors += h.info.Capacity.MilliProcessors * headroom / 100
 	}
 	return need.Fits(h.free())
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -56,26 +56,32 @@
 	short    bool
 	placedAt time.Time
 	// filledAt is when filling tasks were looked at last, passTook how long the latest
-	// pass took the owner.
-	filledAt  time.Time
-	passTook  time.Duration
-	moves     int
-	approvals map[stepKey]*approval
-	askedAt   time.Time
+	// pass without them took the owner and fillTook the latest with them.
+	filledAt time.Time
+	passTook time.Duration
+	fillTook time.Duration
+	// mostMisses is for how many steps of filling tasks a pass finds no room.
+	mostMisses int
+	moves      int
+	approvals  map[stepKey]*approval
+	askedAt    time.Time
 
 	press       kqlearn.Press
 	refreshedAt time.Time
 	watchedAt   time.Time
 	watches     int
 	crowdedAt   time.Time
-	weighed     int64
+	// weighed counts how often a worker was weighed for a task, of which told were
+	// logged.
+	weighed int64
+	told    int64
 
 	loads map[string]*queueLoad
 }
 
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, loads: map[string]*queueLoad{}}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, loads: map[string]*queueLoad{}, mostMisses: mostMisses}
 }
 
 // Epoch returns the owner's epoch.
@@ -287,11 +293,20 @@
 // Took notes how long the decisions of a Tick took the owner: one that is slow for
 // its fleet makes fewer passes, so that it keeps up with what it hears.
 func (p *Planner) Took(now time.Time, d time.Duration) {
-	if p.placedAt.Equal(now) {
+	switch {
+	case !p.placedAt.Equal(now):
+	case p.filledAt.Equal(now):
+		p.fillTook = d
+		p.mostMisses = fewerMisses(p.mostMisses, d)
+	default:
 		p.passTook = d
 	}
 }
 
+// Weighed returns how often a worker was weighed for a task: what the decisions cost
+// goes by it.
+func (p *Planner) Weighed() int64 { return p.weighed }
+
 // isPassDue reports whether the waiting tasks are to be looked at: something has
 // changed, or room may have come by itself.
 func (p *Planner) isPassDue(now time.Time) bool {
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -38,6 +38,9 @@
 func (p *Planner) shortlist(now time.Time, t *task, idle bool) *shortlist {
 	l := &shortlist{step: t.stepKey(), idle: idle}
 	for _, h := range p.hosts.All() {
+		if !h.hasFree(t) {
+			continue
+		}
 		p.weighed++
 		if !p.eligible(now, t, h) {
 			continue
--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -26,8 +26,10 @@
 	// Over is how long serving tasks were over their target by what fills beside
 	// them.
 	Over time.Duration
-	// Starts is how many runs were begun.
-	Starts int
+	// Starts is how many runs were begun, Weighed how often a worker was weighed for a
+	// task.
+	Starts  int
+	Weighed int64
 }
 
 // Count is how many of some jobs ended while they were worth something.
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -41,6 +41,9 @@
 	// Unlearned keeps from the owner what filling runs use, so that it learns
 	// nothing of what they press.
 	Unlearned bool
+	// Weighing is how long it takes the owner to weigh a worker for a task; it decides
+	// nothing else meanwhile. 0 takes no time.
+	Weighing time.Duration
 }
 
 // Replay is a cell under a load.
@@ -58,6 +61,8 @@
 	cost    Cost
 	version uint64
 	now     time.Time
+	// busyTill is until when the owner is at its latest decisions.
+	busyTill time.Time
 }
 
 // New returns a Replay at its beginning.
@@ -176,11 +181,18 @@
 
 // decide lets the owner plan, commit and order.
 func (p *Replay) decide() {
+	if p.now.Before(p.busyTill) {
+		return
+	}
 	p.version++
+	before := p.planner.Weighed()
 	p.deciding(func() {
 		p.planner.Tick(p.now)
 		p.planner.Committed(p.now, p.planner.Writes(writes), p.version)
 	})
+	took := time.Duration(p.planner.Weighed()-before) * p.config.Weighing
+	p.planner.Took(p.now, took)
+	p.busyTill = p.now.Add(took)
 	for _, e := range p.planner.TakeEffects() {
 		switch {
 		case e.Order != nil:
@@ -246,6 +258,7 @@
 
 // settle counts the jobs.
 func (p *Replay) settle() Result {
+	p.account.result.Weighed = p.planner.Weighed()
 	mean := p.means()
 	work := map[string][]float64{}
 	for _, j := range p.jobs {
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -165,6 +165,20 @@
 	g.Expect(ours.batch).To(BeNumerically(">=", floor))
 }
 
+// The owner has a tenth of the processor that it needs for all that it would decide:
+// what fills waits for its decisions, and quick jobs do not wait behind it.
+func TestAnOwnerThatIsBehindDelaysQuickJobsBehindBatchWork(t *testing.T) {
+	g := NewWithT(t)
+	c := kqreplay.Config{Seed: 1, Load: kqreplay.Fleet(fleet)}
+	full := kqreplay.New(c).Run()
+	span := c.Load.Span.Seconds()
+	c.Weighing = time.Duration(10 * span / float64(full.Weighed) * float64(time.Second))
+	behind := kqreplay.New(c).Run()
+	t.Logf("%d weighings, %s each: quick %.3f for %.3f, batch %.3f for %.3f", full.Weighed, c.Weighing, behind.Quick.Of(), full.Quick.Of(), behind.Batch.Of(), full.Batch.Of())
+	g.Expect(behind.Quick.Of()).To(BeNumerically(">=", target))
+	g.Expect(behind.Quick.Of()).To(BeNumerically(">", behind.Batch.Of()))
+}
+
 // Filling jobs need more than serving tasks leave them, all the time.
 func TestTheLargestFillingJobsStarve(t *testing.T) {
 	g := NewWithT(t)
