An owner that left filling tasks out of a pass comes back to them

Found by reading: a pass that leaves filling tasks out while few wait was followed by none if nothing else happened, so that a filling job could wait until the next event.

Test: kqplan "comes back to a filling task that it has left out" fails on the code before.

--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -92,8 +92,9 @@
 // placeAll starts every task whose turn has come and for which there is room.
 func (p *Planner) placeAll(now time.Time) {
 	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[stepKey]bool{}, firm: map[stepKey]bool{}, withheld: map[stepKey]bool{}, held: map[string]bool{}, filling: p.looksAtFilling(now)}
+	p.leftFilling = !x.filling
 	if x.filling {
-		p.filledAt, p.filling = now, 0
+		p.filledAt, p.backlogFilling = now, 0
 	}
 	waiting := 0
 	for _, j := range p.queued(now, x.filling) {
@@ -107,13 +108,13 @@
 				x.crowd.wait(t, n)
 			}
 			if t.step.Fills {
-				p.filling += n
+				p.backlogFilling += n
 			}
 		}
 	}
 	p.backlog = waiting
 	if !x.filling {
-		p.backlog += p.filling
+		p.backlog += p.backlogFilling
 	}
 	p.short = x.crowd.WaitingEnding > 0
 	if x.filling {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -48,9 +48,11 @@
 	place   bool
 	hold    bool
 	active  int
-	// backlog is how many tasks wait, filling how many of them fill.
-	backlog int
-	filling int
+	// backlog is how many tasks wait, backlogFilling how many of them fill.
+	backlog        int
+	backlogFilling int
+	// leftFilling is true if the latest pass left filling tasks out.
+	leftFilling bool
 	// short is true if tasks that end and reserve what they take found no room in
 	// the latest pass.
 	short    bool
@@ -311,5 +313,5 @@
 // changed, or room may have come by itself.
 func (p *Planner) isPassDue(now time.Time) bool {
 	age := now.Sub(p.placedAt)
-	return p.place && age >= p.spacing() || p.backlog > 0 && age >= mostSpacing
+	return p.place && age >= p.spacing() || p.backlog > 0 && age >= mostSpacing || p.leftFilling && p.looksAtFilling(now)
 }
