--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -52,6 +52,8 @@
 	mostSpacing = 100 * time.Millisecond
 	// spacingShare is how many times as long as the latest pass the next one waits.
 	spacingShare = 3
+	// fillingShare is the same for passes that look at filling tasks.
+	fillingShare = 4
 	// mostMisses is at most for how many steps of filling tasks a pass finds no room
 	// before it leaves those whose turn is later: looking for their room
 	// costs most, since every run on a host counts.
@@ -74,7 +76,7 @@
 // some passes do, and urgent tasks need not wait for the others.
 func (p *Planner) looksAtFilling(now time.Time) bool {
 	age := now.Sub(p.filledAt)
-	return age >= spacingShare*p.fillTook && (p.backlog <= shortQueue || age >= mostSpacing)
+	return age >= fillingShare*p.fillTook && (p.backlog <= shortQueue || age >= mostSpacing)
 }
 
 // fewerMisses returns for how many steps of filling tasks the next pass looks in vain,
