--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
@@ -59,6 +61,8 @@
 	config Config
 	rng    *rand.Rand
 	entry  *kqnode.Node
+	// mu guards jobs and order, which are read while others are handed in.
+	mu     sync.Mutex
 	jobs   map[string]kqflow.Job
 	order  []string
 	policy *kqflow.Policy
@@ -120,7 +124,7 @@
 // rules says what must hold of a task.
 func (r *Rig) rules(task string) kqtaskhost.Rules {
 	id, _ := kqflow.ParseTaskID(task)
-	j := r.jobs[id.Job]
+	j := r.submitted(id.Job)
 	out := kqtaskhost.Rules{Attempts: attempts}
 	if id.Step >= len(j.Steps) {
 		return out
@@ -141,10 +145,17 @@
 
 func (r *Rig) size(task string) (kqmodel.Resources, time.Duration) {
 	id, _ := kqflow.ParseTaskID(task)
-	s := r.jobs[id.Job].Steps[id.Step]
+	s := r.submitted(id.Job).Steps[id.Step]
 	return s.Reserved(), s.Estimate
 }
 
+// submitted returns a job that was handed in.
+func (r *Rig) submitted(id string) kqflow.Job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[id]
+}
+
 // Job draws a job.
 func (r *Rig) Job() kqflow.Job {
 	id := fmt.Sprintf("%016x", r.rng.Uint64())
@@ -169,13 +180,17 @@
 
 // Submit hands a job in until it is stored or the time for it is up.
 func (r *Rig) Submit(j kqflow.Job) bool {
+	r.mu.Lock()
 	r.jobs[j.ID] = j
+	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
 	if r.Front.Submit(ctx, j) != kqcontrol.OutcomeStored {
 		return false
 	}
+	r.mu.Lock()
 	r.order = append(r.order, j.ID)
+	r.mu.Unlock()
 	return true
 }
 
@@ -187,7 +202,11 @@
 }
 
 // Accepted returns the jobs that are durable, in order.
-func (r *Rig) Accepted() []string { return r.order }
+func (r *Rig) Accepted() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.order)
+}
 
 // State returns what callers are shown of a job.
 func (r *Rig) State(id string) kqflow.State {
