--- a/internal/flow/kqelect/elect_test.go
+++ b/internal/flow/kqelect/elect_test.go
@@ -91,7 +91,6 @@
 })
 
 var _ = Describe("sightings", func() {
-	const answer = 4 * time.Millisecond
 	begin := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return begin.Add(d) }
 
