--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -42,14 +42,18 @@
 	return &t.ending[len(t.ending)-1]
 }
 
+// signed returns a sum with something added, or taken off if the sign is below 0.
+func signed(sum, part kqmodel.Resources, sign int64) kqmodel.Resources {
+	if sign > 0 {
+		return sum.Add(part)
+	}
+	return sum.Sub(part)
+}
+
 func (t *tally) count(r *run, sign int64) {
 	s := r.task.step
 	res := s.Reserved()
-	if sign > 0 {
-		t.reserved = t.reserved.Add(res)
-	} else {
-		t.reserved = t.reserved.Sub(res)
-	}
+	t.reserved = signed(t.reserved, res, sign)
 	switch {
 	case s.Fills:
 		t.filling += sign * s.Size.MilliProcessors
@@ -67,21 +71,13 @@
 	}
 	l := t.level(r.counted)
 	l.runs += int(sign)
-	if sign > 0 {
-		l.reserved = l.reserved.Add(res)
-	} else {
-		l.reserved = l.reserved.Sub(res)
-	}
+	l.reserved = signed(l.reserved, res, sign)
 }
 
 // countStopping counts a run that is being stopped.
 func (t *tally) countStopping(r *run, sign int64) {
 	t.stopping += int(sign)
-	if sign > 0 {
-		t.leaving = t.leaving.Add(r.reserved())
-	} else {
-		t.leaving = t.leaving.Sub(r.reserved())
-	}
+	t.leaving = signed(t.leaving, r.reserved(), sign)
 }
 
 // add and drop are the only ways by which runs come to a host and leave it.
