flow losses splits what is lost by the callers' zone and by peak and trough

The figures of a whole queue hide which callers pay for a burst. Entries log their availability zone with each job that they accept or turn away.

--- a/internal/command/kqcommand/losses.go
+++ b/internal/command/kqcommand/losses.go
@@ -63,6 +63,11 @@
 		t.add(s.Queue, s.Size, s.Jobs, s.InTime, s.Served, fmt.Sprintf("%.2f", s.Share), fmt.Sprintf("%.2f", s.Against))
 	}
 	t.add()
+	t.add("QUEUE", "BY", "NAME", "FLOWS", "REJECTED", "OWED", "LOST", "WAITED")
+	for _, g := range r.Groups {
+		t.add(g.Queue, g.By, g.Name, g.Jobs, g.Rejected, fmt.Sprintf("%.1f", g.Owed), fmt.Sprintf("%.1f", g.Lost), fmt.Sprintf("%.1f s", g.Waited))
+	}
+	t.add()
 	t.add(fmt.Sprintf("serving tasks: %.0f s at work, %.0f s over their target by what fills beside them, %.0f s by their own load",
 		r.Pace.ServingMS/msPerSecond, r.Pace.OverByFillingMS/msPerSecond, r.Pace.OverByLoadMS/msPerSecond))
 	t.add(fmt.Sprintf("filling tasks: %.0f core-seconds there, %.0f of it withheld", r.Pace.FillingMS/msPerSecond, r.Pace.WithheldMS/msPerSecond))
--- a/internal/core/kqevent/field.go
+++ b/internal/core/kqevent/field.go
@@ -18,6 +18,9 @@
 // Queue is the class of work of a job.
 func Queue(name string) Field { return zap.String("queue", name) }
 
+// Zone is the availability zone of the entry that took a request.
+func Zone(name string) Field { return zap.String("zone", name) }
+
 // Millis is a duration in milliseconds; the name ends in _ms.
 func Millis(name string, d time.Duration) Field { return zap.Int64(name, d.Milliseconds()) }
 
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -22,6 +22,8 @@
 type Config struct {
 	// Store is the platform's store.
 	Store kqrows.Store
+	// Zone is the availability zone of this entry, for its log; may be empty.
+	Zone string
 	// Now is the clock, Wall the time of day.
 	Now  func() time.Time
 	Wall func() time.Time
@@ -111,21 +113,21 @@
 	f.took("submit", now.Sub(began))
 	switch o {
 	case kqcontrol.OutcomeStored:
-		f.config.Events.Emit(now, kqevent.FlowAccepted, kqevent.Job(j.ID), "queue %s after %s", j.Queue, took)
+		f.config.Events.EmitFields(now, kqevent.FlowAccepted, kqevent.Job(j.ID), []kqevent.Field{kqevent.Zone(f.config.Zone)}, "queue %s after %s", j.Queue, took)
 	case kqcontrol.OutcomeRefused:
-		f.config.Events.EmitFields(now, kqevent.FlowRefused, kqevent.Job(j.ID), sizeFields(j), "the store refuses, after %s", took)
+		f.config.Events.EmitFields(now, kqevent.FlowRefused, kqevent.Job(j.ID), f.sizeFields(j), "the store refuses, after %s", took)
 	default:
-		f.config.Events.EmitFields(now, kqevent.FlowUnresolved, kqevent.Job(j.ID), sizeFields(j), "no certain answer of the store after %s", took)
+		f.config.Events.EmitFields(now, kqevent.FlowUnresolved, kqevent.Job(j.ID), f.sizeFields(j), "no certain answer of the store after %s", took)
 	}
 	return o
 }
 
 // sizeFields tells of a job that the owner may never see how large it is.
-func sizeFields(j kqflow.Job) []kqevent.Field {
+func (f *Front) sizeFields(j kqflow.Job) []kqevent.Field {
 	if !j.HasObjective() {
-		return nil
+		return []kqevent.Field{kqevent.Zone(f.config.Zone)}
 	}
-	return []kqevent.Field{kqevent.Queue(j.Queue), kqevent.Value("work", j.Work())}
+	return []kqevent.Field{kqevent.Queue(j.Queue), kqevent.Value("work", j.Work()), kqevent.Zone(f.config.Zone)}
 }
 
 // Cancel marks a job as cancelled.
--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -77,8 +77,10 @@
 
 // Account gathers what the logs of a cell tell. The zero value is empty.
 type Account struct {
-	jobs   map[string]*job
-	away   map[string]turnedAway
+	jobs map[string]*job
+	away map[string]turnedAway
+	// zones is the availability zone of the entry that first logged a job.
+	zones  map[string]string
 	pace   kqpace.Tally
 	last   time.Time
 	unread int
@@ -88,6 +90,7 @@
 type turnedAway struct {
 	queue string
 	work  float64
+	at    time.Time
 }
 
 // take takes over a line.
@@ -95,6 +98,7 @@
 	if l.Time.After(a.last) {
 		a.last = l.Time
 	}
+	a.noteZone(l)
 	switch l.Event {
 	case kqevent.FlowTaken:
 		a.taken(l)
@@ -103,7 +107,7 @@
 			a.away = map[string]turnedAway{}
 		}
 		if l.Work > 0 {
-			a.away[l.ID] = turnedAway{queue: l.Queue, work: l.Work}
+			a.away[l.ID] = turnedAway{queue: l.Queue, work: l.Work, at: l.Time}
 		}
 	case kqevent.FlowPaced:
 		a.pace.Merge(l.Pace)
@@ -116,6 +120,17 @@
 	}
 }
 
+// noteZone keeps where a job was first handed in.
+func (a *Account) noteZone(l line) {
+	if l.Zone == "" || a.zones[l.ID] != "" {
+		return
+	}
+	if a.zones == nil {
+		a.zones = map[string]string{}
+	}
+	a.zones[l.ID] = l.Zone
+}
+
 func (a *Account) taken(l line) {
 	if a.jobs == nil {
 		a.jobs = map[string]*job{}
--- a/internal/flow/kqloss/line.go
+++ b/internal/flow/kqloss/line.go
@@ -24,6 +24,7 @@
 	How         string              `json:"how"`
 	RanMS       int64               `json:"ran_ms"`
 	Queue       string              `json:"queue"`
+	Zone        string              `json:"zone"`
 	ObjectiveMS int64               `json:"objective_ms"`
 	AgeMS       int64               `json:"age_ms"`
 	Repeat      int                 `json:"repeat"`
--- a/internal/flow/kqloss/loss_test.go
+++ b/internal/flow/kqloss/loss_test.go
@@ -181,3 +181,34 @@
 		g.Expect(row.Seconds["owner"]).To(BeNumerically("~", c.owner, 0.1))
 	}
 }
+
+// Losses of callers in one availability zone, or at the peaks of demand, are not
+// hidden in the figures of the whole queue.
+func TestLossesAreSplitByZoneAndDemand(t *testing.T) {
+	g := NewWithT(t)
+	h := newHistory()
+	h.submit("a", step())
+	h.pass(time.Second)
+	h.end(1, "a.0.0.0", 1, kqexecution.HowDone)
+	h.pass(9 * time.Second)
+	h.submit("b", step())
+	h.submit("c", step())
+	h.submit("d", step())
+	h.pass(30 * time.Second)
+	accepted := func(id, zone string) string {
+		return fmt.Sprintf("{\"time\":%q,\"event\":%d,\"id\":%q,\"zone\":%q}\n", h.now.Format(time.RFC3339Nano), kqevent.FlowAccepted, id, zone)
+	}
+	h.log.WriteString(accepted("a", "z1") + accepted("b", "z1") + accepted("c", "z2") + accepted("d", "z2"))
+	h.log.WriteString(fmt.Sprintf("{\"time\":%q,\"event\":%d,\"id\":\"e\",\"zone\":\"z2\",\"queue\":\"batch\",\"work\":3}\n", h.now.Format(time.RFC3339Nano), kqevent.FlowRefused))
+	r := h.report(g)
+	by := map[string]kqloss.Group{}
+	for _, x := range r.Groups {
+		by[x.By+" "+x.Name] = x
+	}
+	g.Expect(by["zone z1"].Jobs).To(Equal(2))
+	g.Expect(by["zone z1"].Lost).To(BeNumerically("~", by["zone z1"].Owed/2, 1e-6))
+	g.Expect([]int{by["zone z2"].Jobs, by["zone z2"].Rejected}).To(Equal([]int{3, 1}))
+	g.Expect(by["demand peak"].Jobs).To(Equal(3))
+	g.Expect(by["demand peak"].Lost).To(BeNumerically("~", by["demand peak"].Owed, 1e-6))
+	g.Expect(by["demand trough"].Lost).To(BeNumerically("~", 0, 1e-6))
+}
--- a/internal/flow/kqloss/table.go
+++ b/internal/flow/kqloss/table.go
@@ -58,6 +58,9 @@
 	Rows []Row `json:"queues"`
 	// Sizes is how well each size of job was served, in the order of Rows.
 	Sizes []Size `json:"sizes"`
+	// Groups is how well jobs were served by the availability zone of their callers
+	// and by demand, in the order of Rows.
+	Groups []Group `json:"groups"`
 	// Pace is what became of serving and filling tasks beside each other.
 	Pace kqpace.Tally `json:"pace"`
 	// Unread is how many lines could not be read.
@@ -66,19 +69,24 @@
 
 // Report adds up what was found.
 func (a *Account) Report() Report {
-	byQueue := map[string][]*job{}
-	for _, j := range a.jobs {
-		if !j.standing() && j.event != kqevent.FlowCancelled {
-			byQueue[j.queue] = append(byQueue[j.queue], j)
+	byQueue := map[string]map[string]*job{}
+	for id, j := range a.jobs {
+		if j.standing() || j.event == kqevent.FlowCancelled {
+			continue
 		}
+		if byQueue[j.queue] == nil {
+			byQueue[j.queue] = map[string]*job{}
+		}
+		byQueue[j.queue][id] = j
 	}
 	out := Report{Pace: a.pace, Unread: a.unread}
 	for _, queue := range slices.Sorted(maps.Keys(byQueue)) {
-		out.Rows = append(out.Rows, a.row(queue, byQueue[queue]))
+		out.Rows = append(out.Rows, a.row(queue, slices.Collect(maps.Values(byQueue[queue]))))
 	}
 	slices.SortStableFunc(out.Rows, func(x, y Row) int { return cmp.Compare(y.Lost, x.Lost) })
 	for _, r := range out.Rows {
-		out.Sizes = append(out.Sizes, a.sizes(r.Queue, byQueue[r.Queue])...)
+		out.Sizes = append(out.Sizes, a.sizes(r.Queue, slices.Collect(maps.Values(byQueue[r.Queue])))...)
+		out.Groups = append(out.Groups, a.groups(r.Queue, byQueue[r.Queue])...)
 	}
 	return out
 }
