Evacuated zones: nothing new starts on their workers

Each process now follows the requests in one call with the manifest. The owner places nothing there (tasks, gangs, copies, moves, preemption), drops starts that were not ordered yet, tells its agents, and reads the requests before it decides after a takeover. An agent refuses starts, also repeated ones, unless the worker lists the run, and uses the newer of its own set and its owner's. kqrows.Follower tells whether rows are all there are, so a dropped history withdraws what is gone. With evacuateMs set, an owner whose feed of requests is silent holds starts.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -58,6 +58,9 @@
 	ConfigInForce        Number = 602
 	QuotaAccepted        Number = 603
 	PolicyInForce        Number = 604
+	ZoneEvacuated        Number = 605
+	ZoneReturned         Number = 606
+	ZoneDoubtful         Number = 607
 	FlowAccepted         Number = 701
 	FlowRefused          Number = 702
 	FlowUnresolved       Number = 703
@@ -150,6 +153,9 @@
 	{ConfigInForce, "config_in_force", "A configuration sequence is in force in this process."},
 	{QuotaAccepted, "quota_accepted", "A change of a team's quota was accepted."},
 	{PolicyInForce, "policy_in_force", "A version of the operator's policy is in force in this process."},
+	{ZoneEvacuated, "zone_evacuated", "This process has learned that a zone is evacuated: nothing new starts on its workers."},
+	{ZoneReturned, "zone_returned", "This process has learned that the evacuation of a zone was withdrawn."},
+	{ZoneDoubtful, "zone_doubtful", "A warning: an evacuated zone has no worker, or no zone is left that is not evacuated; the request is obeyed."},
 	{FlowAccepted, "flow_accepted", "A job of steps is durable."},
 	{FlowRefused, "flow_refused", "A job of steps was refused and will never run."},
 	{FlowUnresolved, "flow_unresolved", "It is not known in time whether a job of steps is durable."},
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -14,6 +14,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -44,6 +45,8 @@
 	Keep time.Duration
 	// Policy returns the operator's policy as in force in this process.
 	Policy func() *kqflow.Policy
+	// Evacuation is the requests to evacuate zones.
+	Evacuation Evacuation
 	// Took is told how long commits took; may be nil.
 	Took func(kind string, d time.Duration)
 	// Settled is told once of each job how well it was served; may be nil.
@@ -94,6 +97,7 @@
 
 	mu          sync.Mutex
 	planner     *kqplan.Planner
+	zones       kqevacuate.Zones
 	sessions    map[string]*Session
 	agents      int
 	confirmedAt time.Time
@@ -199,6 +203,7 @@
 	}
 	c.submitAt = l.submissions.at
 	now := c.config.Now()
+	c.loadZones(now, l.zones)
 	c.restoreLearned(now, l.learned)
 	for _, r := range l.submissions.rows {
 		c.submitted(now, r, records)
@@ -266,7 +271,7 @@
 	now := c.config.Now()
 	defer func() { c.pulse.decided(now, c.config.Now()) }()
 	c.logPulse(now)
-	c.planner.Hold(now.Sub(c.fedAt) > feedAge)
+	c.planner.Hold(now.Sub(c.fedAt) > feedAge || c.config.Evacuation.outdated(now))
 	c.planner.Tick(now)
 	c.planner.Took(now, c.config.Now().Sub(now))
 	for c.commits < c.width() {
--- /dev/null
+++ b/internal/flow/kqcontrol/evacuation.go
@@ -0,0 +1,82 @@
+package kqcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+)
+
+// Evacuation is how a process knows which zones are evacuated; the zero value
+// knows none.
+type Evacuation struct {
+	// Zones returns the zones as this process has last heard of them; may be nil.
+	Zones func() kqevacuate.Zones
+	// Read reads all requests from the store; may be nil.
+	Read func(ctx context.Context) (kqevacuate.Notice, error)
+	// KnownAt returns when the store last confirmed Zones; may be nil.
+	KnownAt func() time.Time
+	// Bound is the time after which a request must be obeyed; 0 if there is no bound.
+	Bound time.Duration
+}
+
+// evacuationMargin is how long before Bound an owner whose feed of requests has
+// gone silent holds starts: a commit and the order take that time at most while
+// the store is slow.
+const evacuationMargin = time.Second
+
+// outdated reports whether a request may exist that must be obeyed by now and that
+// this process has not heard of.
+func (e Evacuation) outdated(now time.Time) bool {
+	return e.Bound > 0 && e.KnownAt != nil && now.Sub(e.KnownAt()) > max(e.Bound/2, e.Bound-evacuationMargin)
+}
+
+// zonesReading is one read of the requests.
+type zonesReading struct {
+	notice kqevacuate.Notice
+	err    error
+}
+
+func (r *zonesReading) run(ctx context.Context, e Evacuation) {
+	if e.Read != nil {
+		r.notice, r.err = e.Read(ctx)
+	}
+}
+
+// loadZones takes over the requests as read along with what earlier owners left.
+func (c *Controller) loadZones(now time.Time, r zonesReading) {
+	if f := c.config.Evacuation.Zones; f != nil {
+		c.zones = f()
+	}
+	c.zones, _ = c.zones.Heard(now, r.notice)
+	c.planner.SetZones(now, c.zones)
+}
+
+// SetZones takes over the zones that are evacuated, and tells the agents: one that
+// is cut off from the store hears of them only so.
+func (c *Controller) SetZones(z kqevacuate.Zones) {
+	now := c.config.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	zones, changed := c.zones.Heard(now, z.Notice())
+	if !changed {
+		return
+	}
+	c.zones = zones
+	c.planner.SetZones(now, zones)
+	for _, s := range c.sessions {
+		if s.hello.Role == kqmessage.RoleAgent {
+			s.sendZones()
+		}
+	}
+	c.wake()
+}
+
+// sendZones tells an agent which zones are evacuated, if that is known.
+func (x *Session) sendZones() {
+	if z := x.controller.zones; z.Known() {
+		n := z.Notice()
+		x.send(kqmessage.FromOwner{Zones: &n})
+	}
+}
--- a/internal/flow/kqcontrol/left.go
+++ b/internal/flow/kqcontrol/left.go
@@ -27,6 +27,7 @@
 // they can change none of it, so its tables need not be read in turn.
 type left struct {
 	progress, submissions, learned, leases reading
+	zones                                  zonesReading
 }
 
 // readLeft reads all tables at the same time: a takeover waits for one read.
@@ -40,6 +41,7 @@
 	for _, r := range []*reading{&l.progress, &l.submissions, &l.learned, &l.leases} {
 		all.Go(func() { r.run(ctx) })
 	}
+	all.Go(func() { l.zones.run(ctx, c.Evacuation) })
 	all.Wait()
 	return l
 }
@@ -52,5 +54,5 @@
 			return eris.Wrapf(r.err, "read %s", r.table)
 		}
 	}
-	return nil
+	return eris.Wrap(l.zones.err, "read the evacuated zones")
 }
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -37,6 +37,9 @@
 	c.countAgents()
 	x.send(kqmessage.FromOwner{Welcome: c.row.Epoch})
 	c.config.Events.Emit(now, kqevent.PeerLinked, kqevent.Process(h.Name), "%s with boot %s", h.Role, h.Boot)
+	if h.Role == kqmessage.RoleAgent {
+		x.sendZones()
+	}
 	if w, ok := c.planner.Known(h.Name); ok && h.Role == kqmessage.RoleAgent {
 		x.send(kqmessage.FromOwner{Known: &w})
 	}
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -96,6 +96,12 @@
 	if d.entry.stopping || d.refused != "" {
 		return s, true, true, true
 	}
+	if begun, refused := d.evacuated(); begun {
+		return s, false, false, false
+	} else if refused {
+		d.refused = kqexecution.AnswerUnhealthy
+		return s, true, true, true
+	}
 	if x.info.Draining && d.tries == 0 && !x.listed[d.order] {
 		d.refused = kqexecution.AnswerUnhealthy
 		return s, true, true, true
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -61,6 +62,7 @@
 	info     kqplan.WorkerInfo
 	sequence uint64
 	gone     map[string]bool
+	zones    kqevacuate.Zones
 	worker   kqexecution.Worker
 	held     bool
 	heldAt   time.Time
@@ -255,6 +257,9 @@
 	m = m.Readable()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if m.Zones != nil {
+		x.takeZones(*m.Zones)
+	}
 	if m.Known != nil && x.info.Worker == "" && !x.gone[m.Known.Worker] {
 		// The first hold tells whether this incarnation is still there.
 		x.adopt(*m.Known, 0)
--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -30,6 +30,8 @@
 	until  kqexecution.Clock
 	ended  []kqexecution.End
 	seen   uint64
+	// running is what holds list.
+	running []kqexecution.Run
 }
 
 func (w *worker) clock() kqexecution.Clock { return kqexecution.Clock(time.Since(w.began)) }
@@ -64,6 +66,9 @@
 	defer w.mu.Unlock()
 	w.until, w.seen = max(w.until, h.Until), max(w.seen, h.Seen)
 	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock()}
+	for _, r := range w.running {
+		out.Running = append(out.Running, kqexecution.Running{Run: r})
+	}
 	for _, e := range w.ended {
 		if e.Number > w.seen {
 			out.Ended = append(out.Ended, e)
@@ -115,7 +120,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w.began = time.Now()
 		x := kqexecutor.Start(kqexecutor.Config{Connect: w.connect, MaxLease: 7 * time.Second, Now: time.Now})
-		x.CheckIn(kqplan.WorkerInfo{Worker: "w", Capacity: kqmodel.Resources{MilliProcessors: 4000}}, 1)
+		x.CheckIn(kqplan.WorkerInfo{Worker: "w", Zone: "a", Capacity: kqmodel.Resources{MilliProcessors: 4000}}, 1)
 		o := &owner{}
 		x.Linked(1, o.send)
 		time.Sleep(time.Second)
--- a/internal/flow/kqgate/queue.go
+++ b/internal/flow/kqgate/queue.go
@@ -132,7 +132,7 @@
 }
 
 // take puts newer rows in force. Policies are replaced, never changed.
-func (b *Book) take(rows []kqrows.Row) {
+func (b *Book) take(n kqrows.News) {
 	b.mu.Lock()
 	next := &kqflow.Policy{Queues: map[string]kqflow.Queue{}}
 	if b.policy != nil {
@@ -141,7 +141,7 @@
 	} else {
 		b.versions = map[string]uint64{}
 	}
-	for _, r := range rows {
+	for _, r := range n.Rows {
 		var q kqflow.Queue
 		if r.Removed || r.Version <= b.versions[r.Name] {
 			continue
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 )
@@ -94,6 +95,8 @@
 	// Known is what the owner knows of the agent's worker, for an agent that has
 	// just started.
 	Known *kqplan.WorkerInfo `json:"known,omitempty"`
+	// Zones is which zones are evacuated, for an agent.
+	Zones *kqevacuate.Notice `json:"zones,omitempty"`
 	// Orders are for an agent.
 	Orders []*kqplan.Order `json:"orders,omitempty"`
 	// Resync is true if Orders is every order that stands.
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
@@ -177,6 +178,13 @@
 	}
 }
 
+// SetZones passes the evacuated zones to the controller, if there is one.
+func (n *Node) SetZones(z kqevacuate.Zones) {
+	if c := n.owned(); c != nil {
+		c.SetZones(z)
+	}
+}
+
 func (n *Node) loop() {
 	ctx := n.tomb.Context(context.Background())
 	for n.tomb.Alive() {
@@ -266,6 +274,10 @@
 	n.mu.Lock()
 	n.controller = c
 	n.mu.Unlock()
+	// Zones that came while the cell was taken were passed to no controller.
+	if f := n.config.Control.Evacuation.Zones; f != nil {
+		c.SetZones(f())
+	}
 }
 
 // dial connects to the owner and stays until the stream has ended; it returns
--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -156,7 +156,7 @@
 		}
 	}
 	for _, h := range p.hosts.All() {
-		if x, ok := a.tickets[h.info.Worker]; ok && now.Before(x.until) && h.usable(now) {
+		if x, ok := a.tickets[h.info.Worker]; ok && now.Before(x.until) && h.usable(now) && !p.evacuated(h) {
 			waiting -= t.fitting(h.free())
 		}
 	}
--- a/internal/flow/kqplan/demand.go
+++ b/internal/flow/kqplan/demand.go
@@ -85,7 +85,7 @@
 	q := t.job.queue
 	standing, capacity := t.step.Size.MilliProcessors, int64(0)
 	for _, h := range p.hosts.All() {
-		if h.info.Service == q.Service {
+		if h.info.Service == q.Service && !p.evacuated(h) {
 			standing += h.tally.standing
 			capacity += h.info.Capacity.MilliProcessors
 		}
--- /dev/null
+++ b/internal/flow/kqplan/evacuation_test.go
@@ -0,0 +1,172 @@
+package kqplan_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+// inZone connects a worker of a zone with a number of processors.
+func (c *cell) inZone(name, worker, zone string, processors int64) {
+	c.described(name, kqplan.WorkerInfo{Worker: worker, Zone: zone, Capacity: kqmodel.Resources{MilliProcessors: processors * 1000, MemoryBytes: 1 << 40}})
+}
+
+// described connects a worker that its agent describes.
+func (c *cell) described(name string, w kqplan.WorkerInfo) {
+	w.Service = "s"
+	c.Describe(c.now, name, w)
+	c.Observe(c.now, name, kqplan.Report{Worker: w.Worker, Whole: true})
+	c.Linked(c.now, name)
+	c.Granted(c.now, name, 7*time.Second)
+}
+
+// evacuate makes these zones the evacuated ones.
+func (c *cell) evacuate(zones ...string) {
+	c.version++
+	var changes []kqevacuate.Change
+	for _, z := range zones {
+		changes = append(changes, kqevacuate.Change{Zone: z})
+	}
+	c.zones = c.zones.Apply(c.now, c.version, true, changes)
+	c.SetZones(c.now, c.zones)
+}
+
+// workers returns where the starts among orders go.
+func workers(orders []kqplan.Order) []string {
+	out := []string{}
+	for _, o := range orders {
+		if !o.Stop {
+			out = append(out, o.Worker)
+		}
+	}
+	return out
+}
+
+var _ = Describe("a plan with an evacuated zone", func() {
+	var c *cell
+	BeforeEach(func() {
+		c = newCell(1)
+		c.inZone("h1", "w1", "a", 8)
+	})
+	AfterEach(func() { Expect(c.counter.Breaches()).To(BeEmpty()) })
+
+	It("places nothing there, whatever waits, until the request is withdrawn", func() {
+		c.evacuate("a")
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+		c.inZone("h2", "w2", "b", 2)
+		c.settle()
+		Expect(workers(c.take())).To(Equal([]string{"w2"}))
+		c.Submit(c.now, job("k", "urgent", c.now, step(4, 1)), nil, 0)
+		c.settle()
+		Expect(workers(c.take())).To(Equal([]string{"w2"}))
+		c.evacuate()
+		c.settle()
+		Expect(workers(c.take())).To(Equal([]string{"w1", "w1", "w1"}))
+	})
+
+	It("starts no member of a gang there", func() {
+		c.inZone("h2", "w2", "b", 4)
+		c.evacuate("a")
+		s := step(3, 2)
+		s.Gang = true
+		c.Submit(c.now, job("j", "urgent", c.now, s), nil, 0)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+		c.evacuate()
+		c.settle()
+		Expect(workers(c.take())).To(HaveLen(3))
+	})
+
+	// A gang that only an evacuated zone could hold must not keep others from what
+	// comes free elsewhere.
+	It("keeps no room for a gang that fits only there", func() {
+		c.inZone("h2", "w2", "b", 4)
+		c.evacuate("a")
+		s := step(3, 2)
+		s.Gang = true
+		c.Submit(c.now, job("gang", "urgent", c.now, s), nil, 0)
+		c.settle()
+		c.Submit(c.now, job("j", "batch", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		Expect(workers(c.take())).To(Equal([]string{"w2"}))
+	})
+
+	It("stops nothing there to make room", func() {
+		c.Submit(c.now, job("j", "batch", c.now, step(1, 7)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+		c.evacuate("a")
+		c.Submit(c.now, job("k", "urgent", c.now, step(1, 4)), nil, 0)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+	})
+
+	It("starts no second copy of a slow task there, and moves none there", func() {
+		c.inZone("h2", "w2", "b", 8)
+		c.evacuate("a")
+		for _, speculative := range []bool{true, false} {
+			s := step(1, 1)
+			s.Speculative = speculative
+			c.Submit(c.now, job(map[bool]string{true: "j", false: "k"}[speculative], "urgent", c.now, s), nil, 0)
+		}
+		c.settle()
+		o := c.take()
+		Expect(workers(o)).To(Equal([]string{"w2", "w2"}))
+		for range 40 {
+			c.now = c.now.Add(250 * time.Millisecond)
+			c.Granted(c.now, "h1", 7*time.Second)
+			c.Granted(c.now, "h2", 7*time.Second)
+			c.Observe(c.now, "h1", kqplan.Report{Worker: "w1", Whole: true})
+			c.Observe(c.now, "h2", kqplan.Report{Worker: "w2", Whole: true, Running: []kqexecution.Running{{Run: o[0].Run, Percent: 5}, {Run: o[1].Run, Percent: 5}}})
+			c.settle()
+		}
+		Expect(c.take()).To(BeEmpty())
+		c.evacuate()
+		c.now = c.now.Add(250 * time.Millisecond)
+		c.settle()
+		Expect(workers(c.take())).To(ContainElement("w1"))
+	})
+
+	// The store takes a while to commit a start: a request that is read meanwhile
+	// must keep the order back.
+	It("does not order a start that was being stored when the request came", func() {
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.Tick(c.now)
+		ws := c.Writes(40)
+		Expect(ws).To(HaveLen(1))
+		c.evacuate("a")
+		c.version++
+		c.Committed(c.now, ws, c.version)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+		c.inZone("h2", "w2", "b", 8)
+		c.settle()
+		o := c.take()
+		Expect(workers(o)).To(Equal([]string{"w2"}))
+		Expect(o[0].Run.Number).To(Equal(uint64(2)))
+	})
+
+	// The agent refuses a start that it got before it knew of the request. That says
+	// nothing of the worker, which must not be quarantined when the zone is back.
+	It("does not hold a refused start against the worker", func() {
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 1)), nil, 0)
+		c.settle()
+		o := c.take()
+		Expect(workers(o)).To(Equal([]string{"w1"}))
+		c.evacuate("a")
+		c.Observe(c.now, "h1", kqplan.Report{Worker: "w1", Ended: []kqexecution.End{{Run: o[0].Run, How: kqexecution.HowRefused}}})
+		c.evacuate()
+		c.now = c.now.Add(200 * time.Millisecond)
+		c.Submit(c.now, job("k", "urgent", c.now, step(3, 1)), nil, 0)
+		c.settle()
+		Expect(workers(c.take())).To(HaveLen(4))
+	})
+})
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -131,7 +131,7 @@
 // where others serve.
 func (p *Planner) lightSomewhere(s *kqflow.Step) bool {
 	for _, h := range p.hosts.All() {
-		if len(h.beside.serving) > 0 && p.pressing(s, h).heaviest < heavyPress {
+		if len(h.beside.serving) > 0 && !p.evacuated(h) && p.pressing(s, h).heaviest < heavyPress {
 			return true
 		}
 	}
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -148,7 +148,7 @@
 func (p *Planner) racks() []string {
 	free := map[string]int64{}
 	for _, h := range p.hosts.All() {
-		if h.info.Rack != "" {
+		if h.info.Rack != "" && !p.evacuated(h) {
 			free[h.info.Rack] += h.free().MilliProcessors
 		}
 	}
@@ -194,7 +194,7 @@
 // couldFit reports whether a gang had room if nothing else ran.
 func (p *Planner) couldFit(now time.Time, t *task, count int) bool {
 	for _, h := range p.hosts.All() {
-		if h.usable(now) && h.info.Service == t.job.queue.Service {
+		if h.usable(now) && h.info.Service == t.job.queue.Service && !p.evacuated(h) {
 			count -= t.fitting(h.info.Capacity)
 		}
 	}
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -344,7 +344,9 @@
 	}
 	p.config.Events.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), endFields(e),
 		"run %d on %s: %s", e.Run.Number, h.info.Worker, e.How)
-	h.health.ended(now, r, e.How)
+	if e.How != kqexecution.HowRefused || !p.evacuated(h) {
+		h.health.ended(now, r, e.How)
+	}
 	switch e.How {
 	case kqexecution.HowDone:
 		p.done(now, t)
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -287,7 +287,7 @@
 func (p *Planner) allowed(now time.Time, t *task, h *host) bool {
 	s := t.step
 	switch {
-	case !h.usable(now), h.info.Service != t.job.queue.Service:
+	case !h.usable(now), h.info.Service != t.job.queue.Service, p.evacuated(h):
 		return false
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
 		return false
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -79,6 +79,7 @@
 	told    int64
 
 	loads map[string]*queueLoad
+	evacuation
 }
 
 // New returns a Planner that knows nothing yet.
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
@@ -28,6 +29,7 @@
 	now     time.Time
 	counter *kqinvariant.Counter
 	version uint64
+	zones   kqevacuate.Zones
 	states  map[string]kqflow.State
 	orders  []kqplan.Order
 	asks    []kqplan.Effect
--- a/internal/seam/kqrows/follower.go
+++ b/internal/seam/kqrows/follower.go
@@ -23,8 +23,21 @@
 	Slack time.Duration
 	// Pause is the time between an error and the next read.
 	Pause time.Duration
-	// Take takes over rows as read or changed; there may be none.
-	Take func(rows []Row)
+	// Take takes over what was read.
+	Take func(n News)
+	// Answered is called after each answer, also one without rows; may be nil.
+	Answered func()
+}
+
+// News is rows as read or changed; there may be none.
+type News struct {
+	// Rows are the rows.
+	Rows []Row
+	// Whole is true if Rows are all the rows of the range: a row that is not among
+	// them is not there. Otherwise they are changes of the table.
+	Whole bool
+	// At is the version of the store up to which changes are known.
+	At uint64
 }
 
 // Run follows until ctx ends.
@@ -45,10 +58,19 @@
 	if err != nil {
 		return 0, false
 	}
-	f.Take(rows)
+	f.take(News{Rows: rows, Whole: true, At: at})
 	return at, true
 }
 
+func (f Follower) take(n News) {
+	if n.Whole || len(n.Rows) > 0 {
+		f.Take(n)
+	}
+	if f.Answered != nil {
+		f.Answered()
+	}
+}
+
 func (f Follower) follow(ctx context.Context, after uint64) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Slack)
 	defer cancel()
@@ -56,8 +78,6 @@
 	if err != nil {
 		return after, false
 	}
-	if len(rows) > 0 {
-		f.Take(rows)
-	}
+	f.take(News{Rows: rows, At: next})
 	return next, true
 }
--- /dev/null
+++ b/internal/seam/kqrows/follower_test.go
@@ -0,0 +1,55 @@
+package kqrows_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+)
+
+// A row that is removed while the history is dropped comes in no feed: whoever
+// follows must learn that what it reads then is all there is.
+func TestAfterADroppedHistoryAFollowerIsGivenAllRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := kqrowstore.New(1)
+		write := func(x kqrows.Tx) {
+			_, err := s.Client("").Transact(context.Background(), x)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		key := func(name string) kqrows.Key { return kqrows.Key{Table: "t", Name: name} }
+		write(kqrows.Tx{Puts: []kqrows.Put{{Key: key("a")}, {Key: key("b")}}})
+		var news []kqrows.News
+		answers := 0
+		ctx, cancel := context.WithCancel(context.Background())
+		f := kqrows.Follower{Store: s.Client("f"), Table: "t", Wait: time.Second, Slack: time.Second, Pause: 50 * time.Millisecond,
+			Take: func(n kqrows.News) { news = append(news, n) }, Answered: func() { answers++ }}
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		write(kqrows.Tx{Puts: []kqrows.Put{{Key: key("c")}}})
+		time.Sleep(3 * time.Second)
+		g.Expect(answers).To(BeNumerically(">=", 4), "an answer without rows is one too")
+		s.SetFaults("f", kqrowstore.Faults{Refuse: true})
+		time.Sleep(2 * time.Second)
+		write(kqrows.Tx{Removes: []kqrows.Key{key("a")}})
+		s.Compact()
+		s.Heal()
+		time.Sleep(3 * time.Second)
+		cancel()
+		<-done
+		g.Expect(news).To(HaveLen(3))
+		g.Expect(news[0].Whole).To(BeTrue())
+		g.Expect(news[0].Rows).To(HaveLen(2))
+		g.Expect(news[1].Whole).To(BeFalse())
+		g.Expect(news[1].Rows).To(HaveLen(1))
+		g.Expect(news[1].At).To(BeNumerically(">", news[0].At))
+		g.Expect(news[2].Whole).To(BeTrue())
+		g.Expect(news[2].Rows).To(ConsistOf(HaveField("Name", "b"), HaveField("Name", "c")))
+	})
+}
