Owner keeps its cell while the store is slow

Cause: heartbeats, up to six commits, leases and removals share one partition of the store. At 81 times the usual answer it carries three transactions a second: attempts and heartbeats ended unanswered, were sent again, and nothing confirmed the ownership, so that leases ended without a failure.

Change: kqrows.Speed observes the store's answers and calls in flight; kqrows.Timed derives limits of attempts, heartbeats, reads, feeds, staleAge and feedAge from it. While the store is slow the owner has one write to its partition in flight, with 48 records, and reads the ownership row to confirm it. A refused commit goes back to the planner. Followers use the limits too. The stand-in of the store carries out the transactions of a partition one after another.

Evidence: TestRunsAreGivenUpWhileTheStoreIsSlow (20, 50, 81, 100 times for 3, 5, 10 s, leases of 7 and 5.76 s).

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -86,6 +86,8 @@
 	StoreSilent          Number = 806
 	StoreAnswers         Number = 807
 	OwnerPulse           Number = 808
+	StoreSlow            Number = 809
+	StoreFast            Number = 810
 )
 
 // Info describes an event for operators.
@@ -178,6 +180,8 @@
 	{StoreSilent, "store_silent", "The store gives no answer; requests that need it are refused at once."},
 	{StoreAnswers, "store_answers", "The store answers again."},
 	{OwnerPulse, "owner_pulse", "How far an owner keeps up, once a second: its passes, what it hears, its commits and its processor time against the limit."},
+	{StoreSlow, "store_slow", "The store answers slowly: the owner writes one transaction at a time and confirms its ownership by reads."},
+	{StoreFast, "store_fast", "The store answers the owner as usual again."},
 }
 
 var names = func() map[Number]string {
--- a/internal/flow/kqcontrol/beat.go
+++ b/internal/flow/kqcontrol/beat.go
@@ -34,11 +34,17 @@
 	}
 }
 
-// beatDue reports whether no commit has moved the beat of late.
+// beatDue reports whether no commit has moved the beat of late, and takes the beat's
+// place among the writes.
 func (c *Controller) beatDue() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.config.Now().Sub(c.beatenAt) >= BeatInterval/2
+	now := c.config.Now()
+	if now.Sub(c.beatenAt) < BeatInterval/2 || !c.hasSlot(now) {
+		return false
+	}
+	c.writes.inFlight++
+	return true
 }
 
 // beatPut moves the beat, by which others see that the owner is alive.
@@ -56,17 +62,18 @@
 
 func (b *beat) run() error {
 	c := b.controller
-	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), beatTimeout)
+	ctx, cancel := c.config.Timed.Bound(c.tomb.Context(context.Background()), beatTimeout)
 	defer cancel()
 	sent := c.config.Now()
 	o, err := c.config.Store.Transact(ctx, kqrows.Tx{
 		Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}},
 		Puts:     []kqrows.Put{c.beatPut()}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended()
 	if err != nil {
 		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if o.Committed {
 		c.confirm(sent)
 		return nil
--- a/internal/flow/kqcontrol/commit.go
+++ b/internal/flow/kqcontrol/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -9,14 +10,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 )
 
-// width returns how many commits may be under way.
-func (c *Controller) width() int {
-	if c.commitTook >= slowCommit {
-		return 1
-	}
-	return maxCommits
-}
-
 // commit stores one batch of records.
 type commit struct {
 	controller *Controller
@@ -26,17 +19,20 @@
 func (x *commit) run() error {
 	c := x.controller
 	sent := c.config.Now()
-	o, err := kqrows.Commit(c.tomb.Context(context.Background()), c.config.Store, x.transaction())
+	o, err := c.config.Timed.Try(c.tomb.Context(context.Background()), x.transaction())
 	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.commits--
-	c.commitTook = now.Sub(sent)
-	c.pulse.committed(c.commitTook)
+	c.writes.commits--
+	c.ended()
+	c.pulse.committed(now.Sub(sent))
 	if c.config.Took != nil {
-		c.config.Took("commit", c.commitTook)
+		c.config.Took("commit", now.Sub(sent))
 	}
 	switch {
+	case errors.Is(err, kqrows.ErrRefused):
+		c.refused(now, x.writes)
+		return nil
 	case err != nil:
 		return nil
 	case !o.Committed:
@@ -45,6 +41,7 @@
 	}
 	c.confirm(sent)
 	c.beatenAt = sent
+	c.writes.pause = 0
 	c.planner.Committed(now, x.writes, o.Version)
 	c.publish(now)
 	c.wake()
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -36,6 +36,9 @@
 	Address netip.AddrPort
 	// Store is the platform's store.
 	Store kqrows.Store
+	// Timed is the store with time limits that follow its speed; nil means that the
+	// controller makes its own.
+	Timed *kqrows.Timed
 	// Lease is the longest lease that is granted.
 	Lease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
@@ -68,15 +71,18 @@
 	beatTimeout  = 1200 * time.Millisecond
 	tickInterval = 50 * time.Millisecond
 	maxCommits   = 6
-	// slowCommit is from which time of a commit on only one is under way: the
-	// store takes them one after the other, and a larger batch costs no more.
-	slowCommit  = 150 * time.Millisecond
-	maxBatch    = 40
+	maxBatch     = 40
+	// slowBatch is the same while the store is slow: each record takes two entries of
+	// a transaction, the ownership and the beat one each.
+	slowBatch   = (kqrows.MaxEntries - 4) / 2
 	followWait  = time.Second
 	followSlack = 400 * time.Millisecond
 	// feedAge is after how long without an answer of the feed nothing is started:
-	// a job may have been cancelled since.
+	// a job may have been cancelled since. An answer of a slow store is added, up to
+	// mostFeedAge: with the commit of a start a cancelled job still starts nothing
+	// 4 s later.
 	feedAge       = 2 * time.Second
+	mostFeedAge   = 2400 * time.Millisecond
 	readTimeout   = 3 * time.Second
 	sweepInterval = 2 * time.Second
 )
@@ -98,8 +104,7 @@
 	agents      int
 	confirmedAt time.Time
 	fedAt       time.Time
-	commits     int
-	commitTook  time.Duration
+	writes      writes
 	beatenAt    time.Time
 	beats       atomic.Uint64
 	sweptAt     time.Time
@@ -116,10 +121,14 @@
 // Take tries to take a cell whose row was read as old (with its version; 0 if
 // there is none) and loads its jobs. Seen are the epochs that were read so far.
 func Take(ctx context.Context, c Config, old OwnerRow, version uint64, seen kqelect.Sightings) (*Controller, error) {
+	if c.Timed == nil {
+		c.Timed = kqrows.NewTimed(c.Store, c.Now)
+	}
+	c.Store = c.Timed.Store
 	sent := c.Now()
 	row := OwnerRow{Name: c.Name, Boot: c.Boot, Address: c.Address, Epoch: old.Epoch + 1, Recorded: true}
 	key := OwnerKey(c.Cell)
-	o, err := kqrows.Try(ctx, c.Store, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: version}},
+	o, err := c.Timed.Try(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: version}},
 		Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}}})
 	if err != nil {
 		return nil, err
@@ -150,6 +159,7 @@
 
 func (c *Controller) run() error {
 	c.tomb.Go((&beater{c}).loop)
+	c.tomb.Go((&confirmer{controller: c}).loop)
 	select {
 	case <-c.tomb.Dying():
 		return nil
@@ -164,7 +174,7 @@
 func (c *Controller) Done() <-chan struct{} { return c.tomb.Dead() }
 
 // staleAge is after how long without a confirmation an owner sends the entries
-// away, so that they look for another.
+// away, so that they look for another, while the store answers as usual.
 const staleAge = 1500 * time.Millisecond
 
 // Stale reports whether the store has not confirmed the ownership of late.
@@ -174,7 +184,14 @@
 	return c.stale(now)
 }
 
-func (c *Controller) stale(now time.Time) bool { return now.Sub(c.confirmedAt) > staleAge }
+func (c *Controller) stale(now time.Time) bool {
+	return now.Sub(c.confirmedAt) > c.config.Timed.Speed.Limit(staleAge)
+}
+
+// isFed reports whether the feed has been heard of late.
+func (c *Controller) isFed(now time.Time) bool {
+	return now.Sub(c.fedAt) <= min(mostFeedAge, feedAge+c.config.Timed.Speed.Answer())
+}
 
 // sendAway ends the sessions of entries; mu is held.
 func (c *Controller) sendAway() {
@@ -266,20 +283,11 @@
 	now := c.config.Now()
 	defer func() { c.pulse.decided(now, c.config.Now()) }()
 	c.logPulse(now)
-	c.planner.Hold(now.Sub(c.fedAt) > feedAge)
+	c.planner.Hold(!c.isFed(now))
 	c.planner.Tick(now)
 	c.planner.Took(now, c.config.Now().Sub(now))
-	for c.commits < c.width() {
-		ws := c.planner.Writes(maxBatch)
-		if len(ws) == 0 {
-			break
-		}
-		c.commits++
-		c.tomb.Go((&commit{c, ws}).run)
-	}
+	c.write(now)
 	c.publish(now)
-	c.sweep(now)
-	c.keepLearned(now)
 	if c.stale(now) {
 		c.sendAway()
 	}
--- a/internal/flow/kqcontrol/feed.go
+++ b/internal/flow/kqcontrol/feed.go
@@ -18,7 +18,7 @@
 	ctx := c.tomb.Context(context.Background())
 	after := c.submitAt
 	for c.tomb.Alive() {
-		call, cancel := context.WithTimeout(ctx, followWait+followSlack)
+		call, cancel := c.config.Timed.Bound(ctx, followWait+followSlack)
 		rows, next, err := c.config.Store.Follow(call, SubmissionTable, after, followWait)
 		cancel()
 		switch {
@@ -56,7 +56,7 @@
 
 // readAnew reads the whole table after the feed's history was dropped.
 func (f *submissionFeed) readAnew(ctx context.Context, after uint64) uint64 {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
+	call, cancel := f.controller.config.Timed.Bound(ctx, readTimeout)
 	defer cancel()
 	rows, at, err := f.controller.config.Store.Read(call, SubmissionTable, "", "")
 	if err != nil {
--- a/internal/flow/kqcontrol/learned.go
+++ b/internal/flow/kqcontrol/learned.go
@@ -39,6 +39,7 @@
 		return
 	}
 	c.learned = fits
+	c.writes.inFlight++
 	c.tomb.Go((&learning{c, fits}).run)
 }
 
@@ -65,9 +66,12 @@
 
 func (l *learning) run() error {
 	c := l.controller
-	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), kqrows.TryTimeout)
+	ctx, cancel := c.config.Timed.Bound(c.tomb.Context(context.Background()), kqrows.TryTimeout)
 	defer cancel()
 	_, _ = c.config.Store.Transact(ctx, kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}},
 		Puts: []kqrows.Put{{Key: LearnedKey(c.config.Cell), Value: kqtable.Encode(l.fits)}}})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended()
 	return nil
 }
--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -93,50 +93,58 @@
 		return true
 	}
 	l.wanted[host] = true
-	if !l.writing {
-		l.writing = true
-		c.tomb.Go((&recording{c}).run)
-	}
+	c.record(c.config.Now())
 	return false
 }
 
+// record writes which hosts are about to be granted leases, if some wait for that and
+// none is being written; mu is held.
+func (c *Controller) record(now time.Time) {
+	if l := &c.leases; len(l.wanted) == 0 || l.writing || !c.hasSlot(now) {
+		return
+	}
+	c.leases.writing = true
+	c.writes.inFlight++
+	c.tomb.Go((&recording{c}).run)
+}
+
 // recording stores which hosts are about to be granted leases.
 type recording struct{ controller *Controller }
 
+// run stores the row once. The row's own version is a condition, so that no copy of an
+// earlier write is taken later.
 func (x *recording) run() error {
-	for x.write() {
-	}
-	return nil
-}
-
-// write stores the row once and reports whether more hosts wait. The row's own
-// version is a condition, so that no copy of an earlier write is taken later.
-func (x *recording) write() (more bool) {
 	c := x.controller
 	c.mu.Lock()
 	row, version := c.leases.row.with(c.row.Epoch, c.leases.wanted), c.leases.version
 	c.mu.Unlock()
 	key := LeasesKey(c.config.Cell)
-	o, err := kqrows.Commit(c.tomb.Context(context.Background()), c.config.Store, kqrows.Tx{
+	sent := c.config.Now()
+	o, err := c.config.Timed.Commit(c.tomb.Context(context.Background()), kqrows.Tx{
 		Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}, {Key: key, Version: version}},
-		Puts:     []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}}})
-	if err != nil {
-		return false
-	}
+		Puts:     []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}, c.beatPut()}})
 	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.leases.writing = false
+	c.ended()
+	if err != nil {
+		return nil
+	}
 	if !o.Committed {
 		c.rejected(now, o)
-		return false
+		return nil
 	}
+	c.confirm(sent)
+	c.beatenAt = sent
 	c.leases.version = o.Version
-	return c.recorded(now, row)
+	c.recorded(now, row)
+	return nil
 }
 
-// recorded answers the questions that waited for the row and reports whether more
+// recorded answers the questions that waited for the row, and writes it again if more
 // hosts wait; mu is held.
-func (c *Controller) recorded(now time.Time, row LeasesRow) (more bool) {
+func (c *Controller) recorded(now time.Time, row LeasesRow) {
 	l := &c.leases
 	l.row = row
 	maps.DeleteFunc(l.wanted, func(host string, _ bool) bool { return row.Hosts[host] == c.row.Epoch })
@@ -147,7 +155,6 @@
 			x.grant(now, ask)
 		}
 	}
-	l.writing = len(l.wanted) > 0
+	c.record(now)
 	c.wake()
-	return l.writing
 }
--- a/internal/flow/kqcontrol/pulse.go
+++ b/internal/flow/kqcontrol/pulse.go
@@ -23,6 +23,13 @@
 	// Commits is how many writes of records were answered, CommitMS their mean time.
 	Commits  int   `json:"commits"`
 	CommitMS int64 `json:"commit_ms"`
+	// Looks is how many reads confirmed the ownership; none while the store answers as
+	// usual.
+	Looks int `json:"looks"`
+	// ConfirmedMS is the longest that the ownership went without being confirmed.
+	ConfirmedMS int64 `json:"confirmed_ms"`
+	// StoreMS is how long an answer of the store takes at the end of the interval.
+	StoreMS int64 `json:"store_ms"`
 	// ProcessorShare is the part of a processor that the process used; 0 if not
 	// known.
 	ProcessorShare float64 `json:"processor_share"`
@@ -42,6 +49,8 @@
 	listening time.Duration
 	behind    time.Duration
 	commit    time.Duration
+	looks     int
+	confirmed time.Duration
 	// askedAt is when the oldest message came that waits for a decision.
 	askedAt time.Time
 }
@@ -78,6 +87,12 @@
 	u.commit += took
 }
 
+// looked notes that a read has confirmed the ownership.
+func (u *pulse) looked() { u.looks++ }
+
+// unconfirmed notes for how long the ownership has not been confirmed.
+func (u *pulse) unconfirmed(age time.Duration) { u.confirmed = max(u.confirmed, age) }
+
 // take returns what was gathered since the last call, if the interval has passed.
 func (u *pulse) take(now time.Time, processor func() time.Duration, limit float64) (Pulse, bool) {
 	span := now.Sub(u.since)
@@ -90,7 +105,7 @@
 	}
 	out := Pulse{Passes: u.passes, DecidingMS: u.deciding.Milliseconds(), LongestMS: u.longest.Milliseconds(), Messages: u.messages,
 		ListeningMS: u.listening.Milliseconds(), BehindMS: u.behind.Milliseconds(), Commits: u.commits,
-		CommitMS: u.commit.Milliseconds() / int64(max(1, u.commits)), ProcessorLimit: limit}
+		CommitMS: u.commit.Milliseconds() / int64(max(1, u.commits)), Looks: u.looks, ConfirmedMS: u.confirmed.Milliseconds(), ProcessorLimit: limit}
 	first := u.since.IsZero()
 	if !first {
 		out.ProcessorShare = (used - u.processor).Seconds() / span.Seconds()
@@ -101,10 +116,12 @@
 
 // logPulse logs how far this owner keeps up; mu is held.
 func (c *Controller) logPulse(now time.Time) {
+	c.pulse.unconfirmed(now.Sub(c.confirmedAt))
 	p, due := c.pulse.take(now, c.config.Processor, c.config.ProcessorLimit)
 	if !due {
 		return
 	}
+	p.StoreMS = c.config.Timed.Speed.Answer().Milliseconds()
 	c.latest = p
 	c.config.Events.EmitFields(now, kqevent.OwnerPulse, kqevent.Process(c.config.Name), []kqevent.Field{kqevent.Value("pulse", p)},
 		"%d passes, the longest %d ms; %d messages, the latest decision %d ms behind", p.Passes, p.LongestMS, p.Messages, p.BehindMS)
--- a/internal/flow/kqcontrol/sweep.go
+++ b/internal/flow/kqcontrol/sweep.go
@@ -16,6 +16,7 @@
 	c.sweptAt = now
 	ended := c.planner.Ended(now.Add(-c.config.Keep))
 	if len(ended) > 0 {
+		c.writes.inFlight++
 		c.tomb.Go((&removal{c, ended[:min(len(ended), maxBatch)]}).run)
 	}
 }
@@ -32,14 +33,15 @@
 	for _, w := range x.jobs {
 		t.Removes = append(t.Removes, ProgressKey(w.Job), SubmissionKey(w.Job))
 	}
-	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), readTimeout)
+	ctx, cancel := c.config.Timed.Bound(c.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
 	o, err := c.config.Store.Transact(ctx, t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended()
 	if err != nil || !o.Committed {
 		return nil
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for _, w := range x.jobs {
 		c.planner.Forget(w.Job)
 	}
--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -22,19 +22,27 @@
 // most one copy can find the conditions true, and the rows show whose write it
 // was. Rows that are put without being expected tell nothing.
 func Commit(ctx context.Context, s Store, t Tx) (Outcome, error) {
-	return commit(ctx, s, t, true)
+	return commit(ctx, s, t, attempts{insists: true, bound: context.WithTimeout})
 }
 
 // Try is Commit for a write that many may send at the same time: a store that
 // refuses it is not asked again, unless a copy may have taken effect.
 func Try(ctx context.Context, s Store, t Tx) (Outcome, error) {
-	return commit(ctx, s, t, false)
+	return commit(ctx, s, t, attempts{bound: context.WithTimeout})
 }
 
-func commit(ctx context.Context, s Store, t Tx, insists bool) (Outcome, error) {
+// attempts says how a transaction is sent.
+type attempts struct {
+	// insists asks a store again that refuses.
+	insists bool
+	// bound bounds one attempt.
+	bound func(ctx context.Context, usual time.Duration) (context.Context, context.CancelFunc)
+}
+
+func commit(ctx context.Context, s Store, t Tx, a attempts) (Outcome, error) {
 	unsure := false
 	for pause := retryFirst; ; pause = min(2*pause, retryMost) {
-		try, cancel := context.WithTimeout(ctx, TryTimeout)
+		try, cancel := a.bound(ctx, TryTimeout)
 		o, err := s.Transact(try, t)
 		cancel()
 		switch {
@@ -44,7 +52,7 @@
 			return o, nil
 		case errors.Is(err, ErrUnknown):
 			unsure = true
-		case !unsure && !insists:
+		case !unsure && !a.insists:
 			return Outcome{}, ErrRefused
 		}
 		kqtable.Sleep(ctx, pause)
--- a/internal/seam/kqrows/follower.go
+++ b/internal/seam/kqrows/follower.go
@@ -25,10 +25,13 @@
 	Pause time.Duration
 	// Take takes over rows as read or changed; there may be none.
 	Take func(rows []Row)
+
+	timed *Timed
 }
 
 // Run follows until ctx ends.
 func (f Follower) Run(ctx context.Context) {
+	f.timed = NewTimed(f.Store, time.Now)
 	for ctx.Err() == nil {
 		after, ok := f.read(ctx)
 		for ok && ctx.Err() == nil {
@@ -39,9 +42,9 @@
 }
 
 func (f Follower) read(ctx context.Context) (uint64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait)
+	ctx, cancel := f.timed.Bound(ctx, f.Wait)
 	defer cancel()
-	rows, at, err := f.Store.Read(ctx, f.Table, f.From, f.To)
+	rows, at, err := f.timed.Store.Read(ctx, f.Table, f.From, f.To)
 	if err != nil {
 		return 0, false
 	}
@@ -50,9 +53,9 @@
 }
 
 func (f Follower) follow(ctx context.Context, after uint64) (uint64, bool) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Slack)
+	ctx, cancel := f.timed.Bound(ctx, f.Wait+f.Slack)
 	defer cancel()
-	rows, next, err := f.Store.Follow(ctx, f.Table, after, f.Wait)
+	rows, next, err := f.timed.Store.Follow(ctx, f.Table, after, f.Wait)
 	if err != nil {
 		return after, false
 	}
--- /dev/null
+++ b/internal/seam/kqrows/speed.go
@@ -0,0 +1,156 @@
+package kqrows
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// slowAnswer is from which time of an answer on a store counts as slow: 15 times
+	// the usual 4 ms.
+	slowAnswer = 60 * time.Millisecond
+	// slowWrite is the same for a write, which may wait for those before it.
+	slowWrite = 150 * time.Millisecond
+	// mostAnswer bounds what counts as the time of an answer: a store is at most 100
+	// times as slow as usual, so that a call that took longer has waited for others.
+	mostAnswer = 500 * time.Millisecond
+	// limitAnswers is how many answers a call may take beyond its usual limit: its own
+	// one over several partitions takes two, and a write may follow another's.
+	limitAnswers = 3
+	// mostLimit bounds the limits of calls that usually end sooner.
+	mostLimit = 3 * time.Second
+)
+
+// Kind is a kind of call.
+type Kind int
+
+// Kinds of calls.
+const (
+	// KindRead is a call that does not wait for others.
+	KindRead Kind = iota
+	// KindWrite is a transaction, which waits for those before it.
+	KindWrite
+	kinds
+)
+
+// flight is a call without an answer yet.
+type flight struct {
+	kind Kind
+	sent time.Time
+}
+
+// Speed is how fast a store answers a process. It is told of each call, and lengthens
+// the process's time limits by what the store's answers take. Silence lengthens
+// nothing, so that an outage is noticed as usual.
+type Speed struct {
+	mu       sync.Mutex
+	number   uint64
+	flights  map[uint64]flight
+	answers  [kinds]time.Duration
+	answered [kinds]time.Time
+}
+
+// NewSpeed returns the Speed of a store that has not been called.
+func NewSpeed() *Speed { return &Speed{flights: map[uint64]flight{}} }
+
+// Sent notes that a call is sent and returns its number.
+func (s *Speed) Sent(now time.Time, k Kind) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.number++
+	s.flights[s.number] = flight{k, now}
+	return s.number
+}
+
+// Answered notes that the store has done what a call asked.
+func (s *Speed) Answered(now time.Time, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.flights[number]
+	delete(s.flights, number)
+	if !ok || f.sent.Before(s.answered[f.kind]) {
+		return
+	}
+	s.answers[f.kind], s.answered[f.kind] = now.Sub(f.sent), f.sent
+}
+
+// Took notes an answer whose time is known otherwise, such as that of a feed which
+// waited for changes.
+func (s *Speed) Took(now time.Time, answer time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sent := now.Add(-answer); !sent.Before(s.answered[KindRead]) {
+		s.answers[KindRead], s.answered[KindRead] = max(0, answer), sent
+	}
+}
+
+// Dropped notes that a call has ended otherwise: given up, refused or not sent.
+func (s *Speed) Dropped(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.flights, number)
+}
+
+// Answer returns how long an answer takes, by the call that was sent last of those
+// that were answered.
+func (s *Speed) Answer() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answer()
+}
+
+func (s *Speed) answer() time.Duration {
+	k := KindRead
+	if s.answered[KindWrite].After(s.answered[KindRead]) {
+		k = KindWrite
+	}
+	return min(mostAnswer, s.answers[k])
+}
+
+// Oldest returns for how long the oldest call of a kind has been in flight; 0 if there
+// is none.
+func (s *Speed) Oldest(now time.Time, k Kind) (age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.flights {
+		if f.kind == k {
+			age = max(age, now.Sub(f.sent))
+		}
+	}
+	return age
+}
+
+// Limit returns how long a call may take that usually ends within a time.
+func (s *Speed) Limit(usual time.Duration) time.Duration {
+	return max(usual, min(mostLimit, usual+limitAnswers*s.Answer()))
+}
+
+// Slow reports whether the store answers slowly, or leaves a call without an answer for
+// long.
+func (s *Speed) Slow(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answer() >= slowAnswer && s.answers[KindRead] >= slowAnswer || s.answers[KindWrite] >= slowWrite {
+		return true
+	}
+	for _, f := range s.flights {
+		if s.hinders(now, f) {
+			return true
+		}
+	}
+	return false
+}
+
+// hinders reports whether a call is in flight for so long that the store seems slow: it
+// has answered no call of the kind that was sent later, and a write may wait for others
+// unless a read that was sent well after it was answered quickly.
+func (s *Speed) hinders(now time.Time, f flight) bool {
+	if f.sent.Before(s.answered[f.kind]) {
+		return false
+	}
+	if f.kind == KindRead {
+		return now.Sub(f.sent) >= slowAnswer
+	}
+	isQuick := s.answers[KindRead] < slowAnswer && !s.answered[KindRead].Before(f.sent.Add(slowWrite/2))
+	return now.Sub(f.sent) >= slowWrite && !isQuick
+}
--- /dev/null
+++ b/internal/seam/kqrows/timed.go
@@ -0,0 +1,125 @@
+package kqrows
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// recheck is how often the limit of a call that has passed its usual one is looked at.
+const recheck = 50 * time.Millisecond
+
+// Timed is a store whose calls are told to a Speed, with time limits that follow it.
+type Timed struct {
+	// Store is the store; its calls are told to the Speed.
+	Store Store
+	// Speed is how fast the store answers this process.
+	Speed *Speed
+
+	inner Store
+	now   func() time.Time
+}
+
+// NewTimed returns a Timed over a store that has not been called.
+func NewTimed(s Store, now func() time.Time) *Timed {
+	t := &Timed{Speed: NewSpeed(), inner: s, now: now}
+	t.Store = Store{Transact: t.transact, Read: t.read, Follow: t.follow}
+	return t
+}
+
+// Slow reports whether the store is slow now.
+func (t *Timed) Slow() bool { return t.Speed.Slow(t.now()) }
+
+// Bound returns a context that ends once a call that begins now has taken longer than
+// the limit for what usually ends within a time. The limit is that of the moment, so
+// it is cut short for a call that hangs when the store answers others quickly.
+func (t *Timed) Bound(ctx context.Context, usual time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &bound{timed: t, usual: usual, began: t.now(), ctx: ctx, cancel: cancel}
+	b.wait(usual)
+	return ctx, b.end
+}
+
+// bound ends the context of one call at its limit.
+type bound struct {
+	timed  *Timed
+	usual  time.Duration
+	began  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+}
+
+func (b *bound) wait(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ctx.Err() == nil {
+		b.timer = time.AfterFunc(d, b.check)
+	}
+}
+
+// check ends the context, or looks again later.
+func (b *bound) check() {
+	left := b.timed.Speed.Limit(b.usual) - b.timed.now().Sub(b.began)
+	if left <= 0 {
+		b.cancel()
+		return
+	}
+	b.wait(min(left, recheck))
+}
+
+func (b *bound) end() {
+	b.cancel()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+}
+
+// Commit is the function Commit with attempts that end at the limit.
+func (t *Timed) Commit(ctx context.Context, x Tx) (Outcome, error) {
+	return commit(ctx, t.Store, x, attempts{insists: true, bound: t.Bound})
+}
+
+// Try is the function Try with attempts that end at the limit.
+func (t *Timed) Try(ctx context.Context, x Tx) (Outcome, error) {
+	return commit(ctx, t.Store, x, attempts{bound: t.Bound})
+}
+
+// ended tells the Speed of a call that has ended.
+func (t *Timed) ended(number uint64, err error) {
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		t.Speed.Dropped(number)
+		return
+	}
+	t.Speed.Answered(t.now(), number)
+}
+
+func (t *Timed) transact(ctx context.Context, x Tx) (Outcome, error) {
+	n := t.Speed.Sent(t.now(), KindWrite)
+	o, err := t.inner.Transact(ctx, x)
+	t.ended(n, err)
+	return o, err
+}
+
+func (t *Timed) read(ctx context.Context, table, from, to string) ([]Row, uint64, error) {
+	n := t.Speed.Sent(t.now(), KindRead)
+	rows, version, err := t.inner.Read(ctx, table, from, to)
+	t.ended(n, err)
+	return rows, version, err
+}
+
+// follow tells the Speed how long an answer without changes took beyond its wait; one
+// with changes may have come at any time.
+func (t *Timed) follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error) {
+	sent := t.now()
+	rows, next, err := t.inner.Follow(ctx, table, after, wait)
+	if now := t.now(); err == nil && len(rows) == 0 && now.Sub(sent) >= wait {
+		t.Speed.Took(now, now.Sub(sent)-wait)
+	}
+	return rows, next, err
+}
--- a/internal/standin/kqrowstore/store.go
+++ b/internal/standin/kqrowstore/store.go
@@ -23,6 +23,8 @@
 	LoseAnswers float64
 	// Late is the share of writes that are done seconds later, unanswered.
 	Late float64
+	// Slow is how many times as long as usual an answer takes; 0 and 1 mean the usual.
+	Slow int
 	// Delay is how long a call takes.
 	Delay time.Duration
 	// Serial is how long each transaction keeps the others waiting; one that would
@@ -30,6 +32,13 @@
 	Serial time.Duration
 }
 
+// Kinds of calls.
+const (
+	callTransact = "transact"
+	callRead     = "read"
+	callFollow   = "follow"
+)
+
 const (
 	ordinaryDelay = 4 * time.Millisecond
 	leastLate     = 500 * time.Millisecond
@@ -50,11 +59,21 @@
 	changed chan struct{}
 	// busyTill is until when transactions that came before are carried out.
 	busyTill time.Time
+	// spread and partitions are set if transactions wait for those of their partition.
+	spread     map[string]int
+	partitions map[string]*partition
+	calls      map[string]int
+	turnedAway int
 }
 
 // New returns an empty Store.
 func New(seed uint64) *Store {
-	return &Store{rng: rand.New(rand.NewPCG(seed, 3)), rows: map[kqrows.Key]kqrows.Row{}, faults: map[string]Faults{}, changed: make(chan struct{})}
+	return &Store{rng: rand.New(rand.NewPCG(seed, 3)), rows: map[kqrows.Key]kqrows.Row{}, faults: map[string]Faults{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// answer is how long an answer takes.
+func (f Faults) answer() time.Duration {
+	return max(ordinaryDelay*time.Duration(max(1, f.Slow)), f.Delay)
 }
 
 // SetFaults sets what is wrong for a client; the client "" is all others.
@@ -89,9 +108,11 @@
 	name  string
 }
 
-func (c client) now() Faults {
+// now returns what is wrong for the client as it makes a call.
+func (c client) now(call string) Faults {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
+	c.store.calls[call]++
 	if f, ok := c.store.faults[c.name]; ok {
 		return f
 	}
@@ -99,8 +120,8 @@
 }
 
 // enter lets a call wait and fail before it has any effect.
-func (c client) enter(ctx context.Context) (Faults, error) {
-	f := c.now()
+func (c client) enter(ctx context.Context, call string) (Faults, error) {
+	f := c.now(call)
 	if f.Silent {
 		<-ctx.Done()
 		return f, kqrows.ErrUnknown
@@ -108,14 +129,17 @@
 	if f.Refuse {
 		return f, kqrows.ErrRefused
 	}
-	t := time.NewTimer(max(ordinaryDelay, f.Delay))
-	defer t.Stop()
-	select {
-	case <-t.C:
+	if call == callTransact && c.store.inTurn() {
 		return f, nil
-	case <-ctx.Done():
-		return f, kqrows.ErrUnknown
 	}
+	return f, sleep(ctx, f.answer(), nil)
+}
+
+// inTurn reports whether the store carries transactions out by partition.
+func (s *Store) inTurn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.partitions != nil
 }
 
 // wait lets a transaction wait for those before it.
@@ -143,18 +167,25 @@
 }
 
 func (c client) transact(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
-	f, err := c.enter(ctx)
+	f, err := c.enter(ctx, callTransact)
 	if err != nil {
 		return kqrows.Outcome{}, err
 	}
+	if c.store.inTurn() {
+		return c.transactInTurn(ctx, f, t)
+	}
 	if f.Serial > 0 {
 		if err := c.wait(ctx, f.Serial); err != nil {
 			return kqrows.Outcome{}, err
 		}
 	}
-	s := c.store
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.store.outcome(f, t)
+}
+
+// outcome carries a transaction out, or loses it or its answer; mu is held.
+func (s *Store) outcome(f Faults, t kqrows.Tx) (kqrows.Outcome, error) {
 	switch x := s.rng.Float64(); {
 	case x < f.Late:
 		after := leastLate + time.Duration(s.rng.Int64N(int64(mostLate-leastLate)))
@@ -207,7 +238,7 @@
 }
 
 func (c client) read(ctx context.Context, table, from, to string) ([]kqrows.Row, uint64, error) {
-	if _, err := c.enter(ctx); err != nil {
+	if _, err := c.enter(ctx, callRead); err != nil {
 		return nil, 0, err
 	}
 	s := c.store
@@ -224,7 +255,7 @@
 }
 
 func (c client) follow(ctx context.Context, table string, after uint64, wait time.Duration) ([]kqrows.Row, uint64, error) {
-	if _, err := c.enter(ctx); err != nil {
+	if _, err := c.enter(ctx, callFollow); err != nil {
 		return nil, after, err
 	}
 	t := time.NewTimer(wait)
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
@@ -19,6 +20,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
@@ -43,6 +45,16 @@
 	Agents int
 	// Capacity is what each worker has.
 	Capacity kqmodel.Resources
+	// Lease is the longest lease that is granted; 0 means 7 s.
+	Lease time.Duration
+	// Partitions is how many partitions the table of submissions has, in a store that
+	// carries out the transactions of a partition one after another; 0 means that
+	// transactions do not wait for each other.
+	Partitions int
+	// Events receives what processes log; may be nil.
+	Events *kqevent.Log
+	// Settled is told once of each job how well it was served; may be nil.
+	Settled func(kqplan.Settlement)
 }
 
 // Rig is a cell with its callers.
@@ -72,6 +84,9 @@
 func New(c Config) *Rig {
 	r := &Rig{config: c, rng: rand.New(rand.NewPCG(c.Seed, 11)), Store: kqrowstore.New(c.Seed), Network: newNetwork(), Counter: &kqinvariant.Counter{},
 		jobs: map[string]kqflow.Job{}}
+	if c.Partitions > 0 {
+		r.Store.Partition(map[string]int{kqcontrol.SubmissionTable: c.Partitions})
+	}
 	r.Ledger = kqtaskhost.NewLedger(r.rules)
 	r.policy = &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
 		urgentQueue: {Name: urgentQueue, Service: service, Attempts: attempts, Stretch: 1.5, Target: 250 * time.Millisecond},
@@ -102,17 +117,24 @@
 	r.entry.Kill()
 }
 
+func (r *Rig) lease() time.Duration {
+	if r.config.Lease > 0 {
+		return r.config.Lease
+	}
+	return lease
+}
+
 func (r *Rig) control(name string, boot int) kqcontrol.Config {
 	return kqcontrol.Config{Cell: "cell", Name: name, Boot: fmt.Sprintf("%s/%d", name, boot), Address: netip.AddrPortFrom(netip.MustParseAddr(name), innerPort),
-		Store: r.Store.Client(name), Lease: lease, FarFactor: 1, Keep: time.Hour, Policy: func() *kqflow.Policy { return r.policy },
-		Now: time.Now, Wall: time.Now, Counter: r.Counter}
+		Store: r.Store.Client(name), Lease: r.lease(), FarFactor: 1, Keep: time.Hour, Policy: func() *kqflow.Policy { return r.policy },
+		Now: time.Now, Wall: time.Now, Events: r.config.Events, Settled: r.config.Settled, Counter: r.Counter}
 }
 
 const entryName = "10.0.1.1"
 
 func (r *Rig) startEntry() {
 	c := r.control(entryName, 1)
-	r.Front = kqfront.New(kqfront.Config{Store: c.Store, Now: time.Now, Wall: time.Now})
+	r.Front = kqfront.New(kqfront.Config{Store: c.Store, Now: time.Now, Wall: time.Now, Events: r.config.Events})
 	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleEntry, Control: c, Network: r.Network.of(entryName),
 		Linked: r.Front.Linked, Unlinked: r.Front.Unlinked, Receive: r.Front.Receive})
 	if err != nil {
