Entries and candidates wait for a slow store as long as it takes

Cause: an entry sent a submission again after 0.7 s although the first copy was only queued, which doubled the load of its partition, and called two refusals within 50 ms final. A refusal that was certain became an unknown outcome when the owner was asked next and could not answer in 0.8 s.

Change: attempts, reads and the time after which the store counts as out follow kqrows.Speed in kqfront; refusals are final after four answers; a slow store that refuses is not asked through the owner. kqnode's reads of the ownership follow it too, and a beat must stand still for three answers before a connected owner is replaced.

--- a/internal/flow/kqcontrol/relay.go
+++ b/internal/flow/kqcontrol/relay.go
@@ -20,11 +20,12 @@
 	c := r.session.controller
 	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), relayTimeout)
 	defer cancel()
+	s := Submitter{Store: c.config.Store, Timed: c.config.Timed}
 	var o Outcome
 	if r.submit.Job != nil {
-		o = StoreJob(ctx, c.config.Store, *r.submit.Job, Always)
+		o = s.Job(ctx, *r.submit.Job, Always)
 	} else {
-		o = StoreCancel(ctx, c.config.Store, r.submit.Cancel, Always)
+		o = s.Cancel(ctx, r.submit.Cancel, Always)
 	}
 	r.session.send(kqmessage.FromOwner{Submitted: &kqmessage.Submitted{Number: r.submit.Number, Outcome: string(o)}})
 	return nil
--- a/internal/flow/kqcontrol/submission.go
+++ b/internal/flow/kqcontrol/submission.go
@@ -28,45 +28,68 @@
 const (
 	tryTimeout = 700 * time.Millisecond
 	tryPause   = 40 * time.Millisecond
-	maxRefused = 2
+	// maxRefused is how many refusals are final. A slow store is asked for
+	// refusedAnswers answers at least: it refuses while a second of transactions
+	// waits, which it has carried out by then.
+	maxRefused     = 2
+	refusedAnswers = 4
 )
 
-// StoreJob stores a job under its ID unless it is there. It tries on while the
-// outcome is unknown, until ctx ends or waits says no, and gives up early when
-// the store refuses.
+// Submitter stores what callers hand in.
+type Submitter struct {
+	// Store is the store.
+	Store kqrows.Store
+	// Timed gives the time limits.
+	Timed *kqrows.Timed
+}
+
+// StoreJob is Submitter.Job with time limits of its own.
 func StoreJob(ctx context.Context, store kqrows.Store, j kqflow.Job, waits func() bool) Outcome {
+	return newSubmitter(store).Job(ctx, j, waits)
+}
+
+// StoreCancel is Submitter.Cancel with time limits of its own.
+func StoreCancel(ctx context.Context, store kqrows.Store, id string, waits func() bool) Outcome {
+	return newSubmitter(store).Cancel(ctx, id, waits)
+}
+
+func newSubmitter(store kqrows.Store) Submitter {
+	t := kqrows.NewTimed(store, time.Now)
+	return Submitter{Store: t.Store, Timed: t}
+}
+
+// Job stores a job under its ID unless it is there. It tries on while the outcome is
+// unknown, until ctx ends or waits says no, and gives up early when the store refuses.
+func (s Submitter) Job(ctx context.Context, j kqflow.Job, waits func() bool) Outcome {
 	key := SubmissionKey(j.ID)
 	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: key}}, Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(kqflow.Submission{Job: j})}}}
-	unsure, refused := false, 0
-	for try := 1; ctx.Err() == nil && (try == 1 || waits()); try++ {
-		call, cancel := context.WithTimeout(ctx, time.Duration(try)*tryTimeout)
-		_, err := store.Transact(call, t)
-		cancel()
-		if err == nil {
+	return s.repeat(ctx, waits, func(ctx context.Context) (Outcome, error) {
+		_, err := s.Store.Transact(ctx, t)
+		switch {
+		case err == nil:
 			// A row that is there already is this job, by an earlier copy.
-			return OutcomeStored
-		}
-		if errors.Is(err, kqrows.ErrUnknown) {
-			unsure = true
-		} else if refused++; refused >= maxRefused && !unsure {
-			return OutcomeRefused
+			return OutcomeStored, nil
+		case errors.Is(err, kqrows.ErrUnknown):
+			return OutcomeUnknown, err
 		}
-		kqtable.Sleep(ctx, tryPause)
-	}
-	if unsure {
-		return OutcomeUnknown
-	}
-	return OutcomeRefused
+		return OutcomeRefused, kqrows.ErrRefused
+	})
 }
 
-// StoreCancel marks a stored job as cancelled. It tries on while the outcome is
-// unknown, until ctx ends or waits says no, and gives up early when the store
-// refuses.
-func StoreCancel(ctx context.Context, store kqrows.Store, id string, waits func() bool) Outcome {
+// Cancel marks a stored job as cancelled. It tries on while the outcome is unknown,
+// until ctx ends or waits says no, and gives up early when the store refuses.
+func (s Submitter) Cancel(ctx context.Context, id string, waits func() bool) Outcome {
+	return s.repeat(ctx, waits, func(ctx context.Context) (Outcome, error) { return tryCancel(ctx, s.Store, id) })
+}
+
+// repeat tries until the outcome is certain. A try gives OutcomeRefused if it has
+// changed nothing, with ErrRefused if the store refused.
+func (s Submitter) repeat(ctx context.Context, waits func() bool, once func(ctx context.Context) (Outcome, error)) Outcome {
 	unsure, refused := false, 0
+	began := s.Timed.Now()
 	for try := 1; ctx.Err() == nil && (try == 1 || waits()); try++ {
-		call, cancel := context.WithTimeout(ctx, time.Duration(try)*tryTimeout)
-		o, err := tryCancel(call, store, id)
+		call, cancel := s.Timed.Bound(ctx, time.Duration(try)*tryTimeout)
+		o, err := once(call)
 		cancel()
 		switch {
 		case o == OutcomeStored || o == OutcomeAbsent:
@@ -76,10 +99,11 @@
 		case errors.Is(err, kqrows.ErrRefused):
 			refused++
 		}
-		if refused >= maxRefused && !unsure {
+		answer := s.Timed.Speed.Answer()
+		if refused >= maxRefused && !unsure && s.Timed.Now().Sub(began) >= refusedAnswers*answer {
 			return OutcomeRefused
 		}
-		kqtable.Sleep(ctx, tryPause)
+		kqtable.Sleep(ctx, max(tryPause, answer))
 	}
 	if unsure {
 		return OutcomeUnknown
--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -117,11 +117,16 @@
 	return ActionDial
 }
 
-// stillBound is for how long a beat must have stood still while it was watched.
-const stillBound = 400 * time.Millisecond
+const (
+	// stillBound is for how long a beat must have stood still while it was watched.
+	stillBound = 400 * time.Millisecond
+	// stillAnswers is the same in answers of the store: an owner has one write under
+	// way while the store is slow, and the next one waits for its answer.
+	stillAnswers = 3
+)
 
 // Unconfirmed reports whether to replace an owner that is connected: by its own
 // word the store has not confirmed it since a time, and the beat stands still.
 func (o *Observer) Unconfirmed(now, confirmed time.Time) bool {
-	return o.config.Candidate && now.Sub(confirmed) >= o.bound(SilenceBound) && now.Sub(o.movedAt) >= stillBound
+	return o.config.Candidate && now.Sub(confirmed) >= o.bound(SilenceBound) && now.Sub(o.movedAt) >= max(stillBound, stillAnswers*o.took)
 }
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -48,6 +48,8 @@
 	number  uint64
 	waiting map[uint64]chan kqcontrol.Outcome
 	health  health
+	// timed is the store with time limits that follow its speed.
+	timed *kqrows.Timed
 	// watched is the store, with each outcome noted in health.
 	watched kqrows.Store
 }
@@ -55,6 +57,8 @@
 // New returns a Front without an owner.
 func New(c Config) *Front {
 	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}}
+	f.timed = kqrows.NewTimed(c.Store, c.Now)
+	f.health.speed = f.timed.Speed
 	f.watched = f.observed()
 	return f
 }
@@ -113,9 +117,9 @@
 	case kqcontrol.OutcomeStored:
 		f.config.Events.Emit(now, kqevent.FlowAccepted, kqevent.Job(j.ID), "queue %s after %s", j.Queue, took)
 	case kqcontrol.OutcomeRefused:
-		f.config.Events.EmitFields(now, kqevent.FlowRefused, kqevent.Job(j.ID), sizeFields(j), "the store refuses, after %s", took)
+		f.config.Events.EmitFields(now, kqevent.FlowRefused, kqevent.Job(j.ID), sizeFields(j), "the store refuses, after %s; an answer takes %s", took, f.timed.Speed.Answer().Round(time.Millisecond))
 	default:
-		f.config.Events.EmitFields(now, kqevent.FlowUnresolved, kqevent.Job(j.ID), sizeFields(j), "no certain answer of the store after %s", took)
+		f.config.Events.EmitFields(now, kqevent.FlowUnresolved, kqevent.Job(j.ID), sizeFields(j), "no certain answer of the store after %s; an answer takes %s", took, f.timed.Speed.Answer().Round(time.Millisecond))
 	}
 	return o
 }
@@ -147,17 +151,23 @@
 // through the owner, which may reach the store.
 func (f *Front) store(ctx context.Context, s kqmessage.Submit) kqcontrol.Outcome {
 	waits := func() bool { return !f.health.out(f.config.Now()) }
-	o := kqcontrol.OutcomeRefused
+	o, asked := kqcontrol.OutcomeRefused, waits()
+	submitter := kqcontrol.Submitter{Store: f.watched, Timed: f.timed}
 	switch {
-	case !waits():
+	case !asked:
 	case s.Job != nil:
-		o = kqcontrol.StoreJob(ctx, f.watched, *s.Job, waits)
+		o = submitter.Job(ctx, *s.Job, waits)
 	default:
-		o = kqcontrol.StoreCancel(ctx, f.watched, s.Cancel, waits)
+		o = submitter.Cancel(ctx, s.Cancel, waits)
 	}
 	if o == kqcontrol.OutcomeStored || o == kqcontrol.OutcomeAbsent || ctx.Err() != nil {
 		return o
 	}
+	if asked && o == kqcontrol.OutcomeRefused && f.timed.Slow() {
+		// The store answers this process, and would refuse the owner too, which could not
+		// tell that within relayTimeout: nothing would be certain any more.
+		return o
+	}
 	return f.relay(ctx, s, o)
 }
 
@@ -217,7 +227,7 @@
 	if f.health.out(f.config.Now()) {
 		return "", false, ErrUnavailable
 	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := f.timed.Bound(ctx, readTimeout)
 	defer cancel()
 	rows, _, err := f.watched.Read(ctx, kqcontrol.SubmissionTable, id, kqcontrol.After(id))
 	if err != nil {
--- a/internal/flow/kqfront/health.go
+++ b/internal/flow/kqfront/health.go
@@ -13,7 +13,7 @@
 
 const (
 	// outAfter is after how long without any answer, while some call waits for
-	// one, the store counts as out.
+	// one, the store counts as out, if it answers as usual otherwise.
 	outAfter = 1100 * time.Millisecond
 	// outFailures is how many calls in a row that broke off do the same.
 	outFailures   = 4
@@ -24,6 +24,9 @@
 // health is what an entry believes of the store: while it is out, requests are
 // refused at once, and only probes are sent.
 type health struct {
+	// speed lengthens the time after which the store counts as out.
+	speed *kqrows.Speed
+
 	mu          sync.Mutex
 	answeredAt  time.Time
 	waitingFrom time.Time
@@ -41,8 +44,11 @@
 func (h *health) outFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.waitingFrom.IsZero() {
+		return 0
+	}
 	silent := now.Sub(h.waitingFrom)
-	if h.waitingFrom.IsZero() || h.failures < outFailures && silent < outAfter {
+	if h.failures < outFailures && silent < h.speed.Limit(outAfter) {
 		return 0
 	}
 	return max(1, silent)
@@ -128,9 +134,9 @@
 
 func (x *probe) run() {
 	f := x.prober.front
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := f.timed.Bound(context.Background(), probeTimeout)
 	defer cancel()
-	if _, _, err := f.config.Store.Read(ctx, kqcontrol.SubmissionTable, probeName, kqcontrol.After(probeName)); !isAnswer(err) {
+	if _, _, err := f.timed.Store.Read(ctx, kqcontrol.SubmissionTable, probeName, kqcontrol.After(probeName)); !isAnswer(err) {
 		return
 	}
 	x.prober.once.Do(func() {
@@ -152,7 +158,7 @@
 			go newProber(f).run()
 		}
 	}
-	s := f.config.Store
+	s := f.timed.Store
 	return kqrows.Store{
 		Transact: func(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
 			sent := f.config.Now()
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 )
 
 // Config sets up a Node.
@@ -92,6 +93,9 @@
 	if c.Network == nil {
 		c.Network = &tcp
 	}
+	if c.Control.Timed == nil {
+		c.Control.Timed = kqrows.NewTimed(c.Control.Store, c.Control.Now)
+	}
 	n := &Node{config: c, observer: kqelect.New(kqelect.Config{Name: c.Control.Name, Boot: c.Control.Boot, Candidate: c.Role == kqmessage.RoleAgent})}
 	if c.Role == kqmessage.RoleAgent {
 		l, err := c.Network.Listen(c.Listen)
@@ -220,10 +224,10 @@
 // look reads the ownership and the beat.
 func (n *Node) look(ctx context.Context) bool {
 	c := n.config.Control
-	call, cancel := context.WithTimeout(ctx, readTimeout)
+	call, cancel := c.Timed.Bound(ctx, readTimeout)
 	defer cancel()
 	asked := c.Now()
-	rows, _, err := c.Store.Read(call, kqcontrol.CellTable, c.Cell+".", c.Cell+"/")
+	rows, _, err := c.Timed.Store.Read(call, kqcontrol.CellTable, c.Cell+".", c.Cell+"/")
 	if err != nil {
 		return false
 	}
--- a/internal/seam/kqrows/timed.go
+++ b/internal/seam/kqrows/timed.go
@@ -28,6 +28,9 @@
 	return t
 }
 
+// Now returns the time on the clock of the limits.
+func (t *Timed) Now() time.Time { return t.now() }
+
 // Slow reports whether the store is slow now.
 func (t *Timed) Slow() bool { return t.Speed.Slow(t.now()) }
 
