--- a/internal/flow/kqevacuate/zones.go
+++ b/internal/flow/kqevacuate/zones.go
@@ -6,8 +6,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 )
 
 // Change is a request that was made or withdrawn.
@@ -113,15 +111,3 @@
 	}
 	return begun, ended
 }
-
-// Log emits an event for each zone that a process has learned to be evacuated or to
-// be no longer.
-func Log(events *kqevent.Log, now time.Time, process string, old, z Zones) {
-	begun, ended := z.Difference(old)
-	for _, name := range begun {
-		events.Emit(now, kqevent.ZoneEvacuated, kqevent.Process(process), "zone %s, version %d of the store", name, z.at)
-	}
-	for _, name := range ended {
-		events.Emit(now, kqevent.ZoneReturned, kqevent.Process(process), "zone %s, version %d of the store", name, z.at)
-	}
-}
--- /dev/null
+++ b/internal/flow/kqgate/zonebook.go
@@ -0,0 +1,93 @@
+package kqgate
+
+import (
+	"context"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+)
+
+// EvacuationTable holds a row for each zone that is evacuated; its name is the
+// zone's.
+const EvacuationTable = "evacuations"
+
+// ZoneBookConfig sets up a ZoneBook.
+type ZoneBookConfig struct {
+	// Process names the process in events.
+	Process string
+	// Store keeps the requests.
+	Store kqrows.Store
+	// Now is the clock.
+	Now func() time.Time
+	// Events remembers what changed; may be nil.
+	Events *kqevent.Log
+	// Changed is called with the zones each time they may have changed; may be nil.
+	Changed func(kqevacuate.Zones)
+}
+
+// ZoneBook is the evacuated zones, as one process reads them from the product's own
+// table.
+type ZoneBook struct {
+	config ZoneBookConfig
+	tomb   tomb.Tomb
+	feed   *kqevacuate.Feed
+}
+
+// NewZoneBook returns a ZoneBook that follows the store until it is closed.
+func NewZoneBook(c ZoneBookConfig) *ZoneBook {
+	b := &ZoneBook{config: c, feed: kqevacuate.NewFeed(c.Process, c.Events)}
+	b.tomb.Go(b.loop)
+	return b
+}
+
+// Close ends the following.
+func (b *ZoneBook) Close() {
+	b.tomb.Kill(nil)
+	_ = b.tomb.Wait()
+}
+
+// Zones returns the zones as last read.
+func (b *ZoneBook) Zones() kqevacuate.Zones { return b.feed.Zones() }
+
+// Evacuation tells an owner which zones are evacuated; bound is the time after which
+// a request must be obeyed, 0 if there is none.
+func (b *ZoneBook) Evacuation(bound time.Duration) kqcontrol.Evacuation {
+	return kqcontrol.Evacuation{Zones: b.Zones, Read: b.read, KnownAt: b.feed.KnownAt, Bound: bound}
+}
+
+func (b *ZoneBook) loop() error {
+	kqrows.Follower{Store: b.config.Store, Table: EvacuationTable, Wait: followWait, Slack: followSlack, Pause: followPause,
+		Take: b.take, Answered: b.answered}.Run(b.tomb.Context(context.Background()))
+	return nil
+}
+
+func (b *ZoneBook) take(n kqrows.News) {
+	z, ok := b.feed.Take(b.config.Now(), n.At, n.Whole, changes(n.Rows))
+	if ok && b.config.Changed != nil {
+		b.config.Changed(z)
+	}
+}
+
+func (b *ZoneBook) answered() { b.feed.Answered(b.config.Now()) }
+
+// read reads all requests.
+func (b *ZoneBook) read(ctx context.Context) (kqevacuate.Notice, error) {
+	rows, at, err := b.config.Store.Read(ctx, EvacuationTable, "", "")
+	if err != nil {
+		return kqevacuate.Notice{}, err
+	}
+	return kqevacuate.Zones{}.Apply(b.config.Now(), at, true, changes(rows)).Notice(), nil
+}
+
+func changes(rows []kqrows.Row) []kqevacuate.Change {
+	var out []kqevacuate.Change
+	for _, r := range rows {
+		out = append(out, kqevacuate.Change{Zone: r.Name, Withdrawn: r.Removed})
+	}
+	return out
+}
--- a/internal/standin/kqtaskhost/host.go
+++ b/internal/standin/kqtaskhost/host.go
@@ -49,6 +49,9 @@
 	Size Size
 	// Ledger checks what runs.
 	Ledger *Ledger
+	// Sent is told of each start that is sent to the machine, whatever becomes of it;
+	// may be nil.
+	Sent func(r kqexecution.Run)
 }
 
 // Host is a machine on which one incarnation of a worker runs at a time.
@@ -234,6 +237,9 @@
 }
 
 func (c connection) start(ctx context.Context, s kqexecution.Start) (kqexecution.Answer, kqexecution.Clock, error) {
+	if sent := c.host.config.Sent; sent != nil {
+		sent(s.Run)
+	}
 	return c.call(ctx, func(w *worker) kqexecution.Answer {
 		now := time.Now()
 		switch {
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -17,8 +17,10 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
@@ -43,6 +45,12 @@
 	Agents int
 	// Capacity is what each worker has.
 	Capacity kqmodel.Resources
+	// Zones are the availability zones, to which agents belong in turn; none means one
+	// without a name.
+	Zones []string
+	// EvacuateWithin is the time after which nothing starts in an evacuated zone; 0 if
+	// there is no bound.
+	EvacuateWithin time.Duration
 }
 
 // Rig is a cell with its callers.
@@ -66,6 +74,7 @@
 	jobs   map[string]kqflow.Job
 	order  []string
 	policy *kqflow.Policy
+	requests
 }
 
 // New returns a Rig whose processes start at once.
@@ -85,15 +94,32 @@
 
 func (r *Rig) startAgent(i int) *kqmachine.Machine {
 	name := fmt.Sprintf("10.0.0.%d", i+1)
-	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger})
-	m := kqmachine.New(kqmachine.Config{Name: name, Host: host, Service: service, Capacity: r.config.Capacity, CheckInEvery: checkInEvery,
-		Network: r.Network.of(name), Control: func(boot int) kqcontrol.Config { return r.control(name, boot) }})
+	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger,
+		Sent: func(k kqexecution.Run) { r.sent(i, k) }})
+	var m *kqmachine.Machine
+	var book *kqgate.ZoneBook
+	m = kqmachine.New(kqmachine.Config{Name: name, Host: host, Service: service, Zone: r.Zone(i), Capacity: r.config.Capacity, CheckInEvery: checkInEvery,
+		Network: r.Network.of(name), Control: func(boot int) kqcontrol.Config {
+			book = kqgate.NewZoneBook(kqgate.ZoneBookConfig{Process: name, Store: r.Store.Client(name), Now: time.Now, Changed: m.SetZones})
+			c := r.control(name, boot)
+			c.Evacuation = book.Evacuation(r.config.EvacuateWithin)
+			return c
+		},
+		Stopping: func() { book.Close() }})
 	if err := m.Start(); err != nil {
 		panic(err)
 	}
 	return m
 }
 
+// Zone returns the availability zone of an agent.
+func (r *Rig) Zone(agent int) string {
+	if len(r.config.Zones) == 0 {
+		return ""
+	}
+	return r.config.Zones[agent%len(r.config.Zones)]
+}
+
 // Stop ends every process.
 func (r *Rig) Stop() {
 	for _, a := range r.Agents {
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
@@ -27,6 +28,8 @@
 	// Service names the pool that the worker belongs to, Capacity is what it has.
 	Service  string
 	Capacity kqmodel.Resources
+	// Zone is the worker's availability zone.
+	Zone string
 	// CheckInEvery is how often the worker checks in with the agent.
 	CheckInEvery time.Duration
 	// Network is how the agent reaches others; nil means TCP.
@@ -46,7 +49,7 @@
 	boots    int
 	up       bool
 	node     atomic.Pointer[kqnode.Node]
-	executor *kqexecutor.Executor
+	executor atomic.Pointer[kqexecutor.Executor]
 	beats    *checkIns
 }
 
@@ -57,17 +60,21 @@
 func (m *Machine) Start() error {
 	m.boots++
 	c := m.config.Control(m.boots)
-	m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: c.Lease, Now: c.Now, Events: c.Events, Counter: c.Counter})
+	x := kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: c.Lease, Now: c.Now, Events: c.Events, Counter: c.Counter})
+	m.executor.Store(x)
+	if f := c.Evacuation.Zones; f != nil {
+		x.SetZones(f())
+	}
 	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleAgent, Listen: c.Address, Control: c, Network: m.config.Network,
-		Linked: m.executor.Linked, Unlinked: m.executor.Unlinked, Receive: m.executor.Receive})
+		Linked: x.Linked, Unlinked: x.Unlinked, Receive: x.Receive})
 	if err != nil {
-		m.executor.Stop()
+		x.Stop()
 		m.stopping()
 		return err
 	}
 	m.node.Store(n)
 	m.up = true
-	m.beats = &checkIns{machine: m, executor: m.executor}
+	m.beats = &checkIns{machine: m, executor: x}
 	m.beats.tomb.Go(m.beats.loop)
 	return nil
 }
@@ -80,6 +87,17 @@
 	}
 }
 
+// SetZones hands the evacuated zones to the agent; an owner that starts later reads
+// them itself.
+func (m *Machine) SetZones(z kqevacuate.Zones) {
+	if n := m.node.Load(); n != nil {
+		n.SetZones(z)
+	}
+	if x := m.executor.Load(); x != nil {
+		x.SetZones(z)
+	}
+}
+
 // Kill ends the process at once.
 func (m *Machine) Kill() { m.end((*kqnode.Node).Kill) }
 
@@ -94,7 +112,7 @@
 	m.beats.tomb.Kill(nil)
 	m.stopping()
 	node(m.node.Load())
-	m.executor.Stop()
+	m.executor.Load().Stop()
 }
 
 func (m *Machine) stopping() {
@@ -122,7 +140,7 @@
 func (c *checkIns) loop() error {
 	m := c.machine
 	for sequence := uint64(1); ; sequence++ {
-		c.executor.CheckIn(kqplan.WorkerInfo{Worker: m.Host.Worker(), Service: m.config.Service, Capacity: m.config.Capacity}, sequence)
+		c.executor.CheckIn(kqplan.WorkerInfo{Worker: m.Host.Worker(), Service: m.config.Service, Zone: m.config.Zone, Capacity: m.config.Capacity}, sequence)
 		select {
 		case <-c.tomb.Dying():
 			return nil
