--- a/internal/flow/kqcontrol/evacuation.go
+++ b/internal/flow/kqcontrol/evacuation.go
@@ -15,21 +15,24 @@
 	Zones func() kqevacuate.Zones
 	// Read reads all requests from the store; may be nil.
 	Read func(ctx context.Context) (kqevacuate.Notice, error)
-	// KnownAt returns when the store last confirmed Zones; may be nil.
+	// KnownAt returns as of when Zones are known to be right; may be nil.
 	KnownAt func() time.Time
 	// Bound is the time after which a request must be obeyed; 0 if there is no bound.
 	Bound time.Duration
 }
 
-// evacuationMargin is how long before Bound an owner whose feed of requests has
-// gone silent holds starts: a commit and the order take that time at most while
-// the store is slow.
-const evacuationMargin = time.Second
-
 // outdated reports whether a request may exist that must be obeyed by now and that
 // this process has not heard of.
 func (e Evacuation) outdated(now time.Time) bool {
-	return e.Bound > 0 && e.KnownAt != nil && now.Sub(e.KnownAt()) > max(e.Bound/2, e.Bound-evacuationMargin)
+	return e.KnownAt != nil && kqevacuate.Outdated(now, e.KnownAt(), e.Bound)
+}
+
+// age returns how old Zones may be; 0 if that is not known.
+func (e Evacuation) age(now time.Time) time.Duration {
+	if e.KnownAt == nil {
+		return 0
+	}
+	return now.Sub(e.KnownAt())
 }
 
 // zonesReading is one read of the requests.
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -148,7 +148,7 @@
 	} else {
 		left = 0
 	}
-	x.send(kqmessage.FromOwner{Grant: &kqmessage.Grant{Ask: ask, Left: left, StoreAge: age, Peers: c.agents}})
+	x.send(kqmessage.FromOwner{Grant: &kqmessage.Grant{Ask: ask, Left: left, StoreAge: age, ZonesAge: c.config.Evacuation.age(now), Peers: c.agents}})
 }
 
 const pendingInterval = 300 * time.Millisecond
--- a/internal/flow/kqevacuate/feed.go
+++ b/internal/flow/kqevacuate/feed.go
@@ -49,10 +49,12 @@
 	return z, true
 }
 
-// Answered notes that the store has answered, so that Zones are up to date.
-func (f *Feed) Answered(now time.Time) { f.knownAt.Store(&now) }
+// Answered notes that the store has answered what it was asked at a time: Zones are
+// what was so then or later.
+func (f *Feed) Answered(asked time.Time) { f.knownAt.Store(&asked) }
 
-// KnownAt returns when the store last answered; zero if it never has.
+// KnownAt returns as of when Zones are known to be right; zero if they never were
+// read.
 func (f *Feed) KnownAt() time.Time {
 	if at := f.knownAt.Load(); at != nil {
 		return *at
--- a/internal/flow/kqevacuate/zones.go
+++ b/internal/flow/kqevacuate/zones.go
@@ -111,3 +111,14 @@
 	}
 	return begun, ended
 }
+
+// boundMargin is how long before the bound starts are held: a start is sent within
+// that time after it was decided on.
+const boundMargin = time.Second
+
+// Outdated reports whether zones that are known to be right as of a time are too old
+// to start by: a request may exist that must be obeyed within bound of its making. A
+// bound of 0 is none.
+func Outdated(now, knownAt time.Time, bound time.Duration) bool {
+	return bound > 0 && now.Sub(knownAt) > max(bound/2, bound-boundMargin)
+}
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -101,6 +101,8 @@
 	} else if refused {
 		d.refused = kqexecution.AnswerUnhealthy
 		return s, true, true, true
+	} else if x.zonesOutdated() {
+		return s, false, true, false
 	}
 	if x.info.Draining && d.tries == 0 && !x.listed[d.order] {
 		d.refused = kqexecution.AnswerUnhealthy
--- a/internal/flow/kqexecutor/evacuation.go
+++ b/internal/flow/kqexecutor/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 )
 
 // SetZones takes over the evacuated zones as this process has read them.
@@ -17,6 +18,33 @@
 	x.zones, _ = x.zones.Heard(x.config.Now(), n)
 }
 
+// confirmZones takes over from an answer of the owner as of when its word on zones is
+// right, counted from the question since the answer may have waited; mu is held.
+// Questions before it are not answered any more.
+func (x *Executor) confirmZones(g kqmessage.Grant) {
+	if asked, ok := x.askedAt[g.Ask]; ok && asked.Add(-g.ZonesAge).After(x.toldAt) {
+		x.toldAt = asked.Add(-g.ZonesAge)
+	}
+	for n := range x.askedAt {
+		if n <= g.Ask {
+			delete(x.askedAt, n)
+		}
+	}
+}
+
+// zonesOutdated reports whether neither the store nor the owner has said of late which
+// zones are evacuated, as after a suspension: then nothing is started; mu is held.
+func (x *Executor) zonesOutdated() bool {
+	if x.config.ZonesKnownAt == nil {
+		return false
+	}
+	knownAt := x.config.ZonesKnownAt()
+	if x.toldAt.After(knownAt) {
+		knownAt = x.toldAt
+	}
+	return kqevacuate.Outdated(x.config.Now(), knownAt, x.config.EvacuateWithin)
+}
+
 // evacuated reports whether the start is not to be sent since the worker's zone is
 // evacuated: begun if the worker lists the run, which then goes on without another
 // start, refused if it does not; mu is held.
--- a/internal/flow/kqexecutor/evacuation_test.go
+++ b/internal/flow/kqexecutor/evacuation_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
@@ -101,3 +103,37 @@
 		g.Expect(w.begun()).To(Equal(1))
 	})
 }
+
+// A process that was suspended, or that neither the store nor an owner answers, may
+// not know of a request that must be obeyed by now.
+func TestNoStartIsSentByZonesThatAreTooOld(t *testing.T) {
+	w := &worker{silent: true}
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w.began = time.Now()
+		knownAt := time.Now()
+		x := kqexecutor.Start(kqexecutor.Config{Connect: w.connect, MaxLease: 7 * time.Second, Now: time.Now,
+			ZonesKnownAt: func() time.Time { return knownAt }, EvacuateWithin: 5 * time.Second})
+		x.CheckIn(kqplan.WorkerInfo{Worker: "w", Zone: "a", Capacity: kqmodel.Resources{MilliProcessors: 4000}}, 1)
+		o := &owner{}
+		x.Linked(1, o.send)
+		time.Sleep(time.Second)
+		x.Receive(kqmessage.FromOwner{Resync: true, Orders: []*kqplan.Order{order()}})
+		time.Sleep(4 * time.Second)
+		before := w.begun()
+		time.Sleep(time.Second)
+		g.Expect(before).To(BeNumerically(">", 2))
+		g.Expect(w.begun()).To(Equal(before))
+		x.Receive(kqmessage.FromOwner{Grant: &kqmessage.Grant{Ask: o.lastAsk(), ZonesAge: 100 * time.Millisecond}})
+		time.Sleep(time.Second)
+		after := w.begun()
+		time.Sleep(5 * time.Second)
+		g.Expect(after).To(BeNumerically(">", before), "the owner knows the zones")
+		knownAt = time.Now()
+		before = w.begun()
+		time.Sleep(time.Second)
+		g.Expect(w.begun()).To(BeNumerically(">", before), "the store has answered")
+		x.Stop()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -29,6 +29,11 @@
 	Policy kqapproval.Service
 	// MaxLease is the longest lease that the worker takes.
 	MaxLease time.Duration
+	// ZonesKnownAt returns as of when the zones that SetZones was given are right; may
+	// be nil. EvacuateWithin is the time after which a request to evacuate a zone must
+	// be obeyed; 0 if there is no bound.
+	ZonesKnownAt   func() time.Time
+	EvacuateWithin time.Duration
 	// Now is the clock.
 	Now func() time.Time
 	// Events remembers what was decided; may be nil.
@@ -63,6 +68,10 @@
 	sequence uint64
 	gone     map[string]bool
 	zones    kqevacuate.Zones
+	// toldAt is as of when the owner's word on zones is right, askedAt when each
+	// question for a lease was asked.
+	toldAt   time.Time
+	askedAt  map[uint64]time.Time
 	worker   kqexecution.Worker
 	held     bool
 	heldAt   time.Time
@@ -110,7 +119,7 @@
 // Start begins to drive.
 func Start(c Config) *Executor {
 	x := &Executor{config: c, kick: make(chan struct{}, 1), gone: map[string]bool{}, runs: map[kqexecution.Run]*entry{},
-		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, pacer: kqpace.New()}
+		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, askedAt: map[uint64]time.Time{}, pacer: kqpace.New()}
 	x.tomb.Go(x.run)
 	return x
 }
@@ -241,6 +250,7 @@
 	defer x.mu.Unlock()
 	x.epoch = max(x.epoch, epoch)
 	x.send, x.registered, x.held, x.synced = send, false, false, false
+	x.askedAt = map[uint64]time.Time{}
 	x.askClocks = map[uint64]kqexecution.Clock{}
 	x.wake()
 }
@@ -313,6 +323,7 @@
 // granted extends the lease, counted on the worker's clock from when the agent
 // asked.
 func (x *Executor) granted(g kqmessage.Grant) {
+	x.confirmZones(g)
 	asked, ok := x.askClocks[g.Ask]
 	delete(x.askClocks, g.Ask)
 	if !ok || g.Left <= 0 {
@@ -350,6 +361,7 @@
 	}
 	x.asks++
 	x.askClocks[x.asks] = x.estimate(x.config.Now())
+	x.askedAt[x.asks] = x.config.Now()
 	x.send(kqmessage.ToOwner{Ask: x.asks})
 }
 
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -169,6 +169,7 @@
 	x.send(kqmessage.ToOwner{Worker: &w, Report: &r, Registered: true})
 	x.asks++
 	x.askClocks[x.asks] = x.clock
+	x.askedAt[x.asks] = now
 	x.send(kqmessage.ToOwner{Ask: x.asks})
 }
 
--- a/internal/flow/kqgate/zonebook.go
+++ b/internal/flow/kqgate/zonebook.go
@@ -16,6 +16,10 @@
 // zone's.
 const EvacuationTable = "evacuations"
 
+// zoneWait is how long one call waits for changes of requests. Zones are known to be
+// right as of the call before the latest answer, which must stay below the bound.
+const zoneWait = time.Second
+
 // ZoneBookConfig sets up a ZoneBook.
 type ZoneBookConfig struct {
 	// Process names the process in events.
@@ -61,8 +65,8 @@
 }
 
 func (b *ZoneBook) loop() error {
-	kqrows.Follower{Store: b.config.Store, Table: EvacuationTable, Wait: followWait, Slack: followSlack, Pause: followPause,
-		Take: b.take, Answered: b.answered}.Run(b.tomb.Context(context.Background()))
+	kqrows.Follower{Store: b.config.Store, Table: EvacuationTable, Wait: zoneWait, Slack: followSlack, Pause: followPause,
+		Take: b.take, Answered: b.feed.Answered, Now: b.config.Now}.Run(b.tomb.Context(context.Background()))
 	return nil
 }
 
@@ -73,8 +77,6 @@
 	}
 }
 
-func (b *ZoneBook) answered() { b.feed.Answered(b.config.Now()) }
-
 // read reads all requests.
 func (b *ZoneBook) read(ctx context.Context) (kqevacuate.Notice, error) {
 	rows, at, err := b.config.Store.Read(ctx, EvacuationTable, "", "")
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -78,6 +78,8 @@
 	Left time.Duration `json:"left"`
 	// StoreAge is how long ago the store confirmed the ownership.
 	StoreAge time.Duration `json:"store_age"`
+	// ZonesAge is how old what the owner knows of evacuated zones may be.
+	ZonesAge time.Duration `json:"zones_age,omitempty"`
 	// Peers is how many agents are connected.
 	Peers int `json:"peers,omitempty"`
 }
--- a/internal/seam/kqrows/follower.go
+++ b/internal/seam/kqrows/follower.go
@@ -25,8 +25,11 @@
 	Pause time.Duration
 	// Take takes over what was read.
 	Take func(n News)
-	// Answered is called after each answer, also one without rows; may be nil.
-	Answered func()
+	// Answered is called after each answer, also one without rows, with when the store
+	// was asked: an answer tells what was so then or later. May be nil; Now is the clock
+	// and needed with it.
+	Answered func(asked time.Time)
+	Now      func() time.Time
 }
 
 // News is rows as read or changed; there may be none.
@@ -54,30 +57,39 @@
 func (f Follower) read(ctx context.Context) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait)
 	defer cancel()
+	asked := f.now()
 	rows, at, err := f.Store.Read(ctx, f.Table, f.From, f.To)
 	if err != nil {
 		return 0, false
 	}
-	f.take(News{Rows: rows, Whole: true, At: at})
+	f.take(asked, News{Rows: rows, Whole: true, At: at})
 	return at, true
 }
 
-func (f Follower) take(n News) {
+func (f Follower) now() (t time.Time) {
+	if f.Now != nil {
+		t = f.Now()
+	}
+	return t
+}
+
+func (f Follower) take(asked time.Time, n News) {
 	if n.Whole || len(n.Rows) > 0 {
 		f.Take(n)
 	}
 	if f.Answered != nil {
-		f.Answered()
+		f.Answered(asked)
 	}
 }
 
 func (f Follower) follow(ctx context.Context, after uint64) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Slack)
 	defer cancel()
+	asked := f.now()
 	rows, next, err := f.Store.Follow(ctx, f.Table, after, f.Wait)
 	if err != nil {
 		return after, false
 	}
-	f.take(News{Rows: rows, At: next})
+	f.take(asked, News{Rows: rows, At: next})
 	return next, true
 }
--- a/internal/seam/kqrows/follower_test.go
+++ b/internal/seam/kqrows/follower_test.go
@@ -28,7 +28,7 @@
 		answers := 0
 		ctx, cancel := context.WithCancel(context.Background())
 		f := kqrows.Follower{Store: s.Client("f"), Table: "t", Wait: time.Second, Slack: time.Second, Pause: 50 * time.Millisecond,
-			Take: func(n kqrows.News) { news = append(news, n) }, Answered: func() { answers++ }}
+			Take: func(n kqrows.News) { news = append(news, n) }, Answered: func(time.Time) { answers++ }, Now: time.Now}
 		done := make(chan struct{})
 		go func() { defer close(done); f.Run(ctx) }()
 		time.Sleep(100 * time.Millisecond)
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -60,7 +60,8 @@
 func (m *Machine) Start() error {
 	m.boots++
 	c := m.config.Control(m.boots)
-	x := kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: c.Lease, Now: c.Now, Events: c.Events, Counter: c.Counter})
+	x := kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: c.Lease,
+		ZonesKnownAt: c.Evacuation.KnownAt, EvacuateWithin: c.Evacuation.Bound, Now: c.Now, Events: c.Events, Counter: c.Counter})
 	m.executor.Store(x)
 	if f := c.Evacuation.Zones; f != nil {
 		x.SetZones(f())
