What is in an evacuated zone for long moves out, a run at a time

After ten seconds tasks with checkpoints and over 10 s of work left move, as do whole gangs, and standing tasks one by one while fewer than may_miss of their step are away for any cause. Only where another zone has a place and keeps room for quick jobs. A request for a zone without workers, or for all zones, is obeyed and warned of once (zone_doubtful).

--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -195,7 +195,7 @@
 
 // wait notes that a task finds no room, and makes room for an urgent one.
 func (p *Planner) wait(now time.Time, t *task, x *pass) {
-	p.noteWaiting(now, t, "no worker has room")
+	p.noteWaiting(now, t, p.noRoom())
 	if !x.firm[t.stepKey()] && t.job.phase(now) == phaseInTime {
 		x.firm[t.stepKey()] = !p.preempt(now, t, x.coming)
 	}
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -285,6 +285,7 @@
 	p.expire(now)
 	p.dueOccurrences(now)
 	p.watchProgress(now)
+	p.leaveZones(now)
 	p.refreshPress(now)
 	p.seekApprovals(now)
 	if p.isPassDue(now) {
