Cold workers get part of their room until they are warm

Workers of a zone that comes back at once are empty and slow, so all that waits would go there. Check-ins' coldRemainingMs reaches the planner: a cold worker costs more for what is short, gets half of its room at first and the whole as it gets warm, and teaches nothing of its speed. Only where the settings have coldTolerance, and where the service has a warm worker.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -45,6 +45,8 @@
 	Keep time.Duration
 	// Policy returns the operator's policy as in force in this process.
 	Policy func() *kqflow.Policy
+	// Gradual is true if workers that say that they are cold get part of their room.
+	Gradual bool
 	// Evacuation is the requests to evacuate zones.
 	Evacuation Evacuation
 	// Took is told how long commits took; may be nil.
@@ -142,7 +144,7 @@
 	}
 	x.restoreLeases(left.leases.rows, old, seen)
 	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, LeftAt: func(host string) time.Time { return x.leftAt(host, sent) },
-		Lease: c.Lease, FarFactor: c.FarFactor, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
+		Lease: c.Lease, FarFactor: c.FarFactor, Gradual: c.Gradual, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
 	x.load(left)
 	c.Events.Emit(c.Now(), kqevent.OwnerTaken, kqevent.Process(c.Name), "%s with epoch %d after %s (epoch %d): %d jobs not ended, %s after the write",
 		c.Cell, row.Epoch, old.Name, old.Epoch, x.planner.Active(), c.Now().Sub(sent).Round(time.Millisecond))
--- a/internal/flow/kqexecutor/evacuation.go
+++ b/internal/flow/kqexecutor/evacuation.go
@@ -1,9 +1,12 @@
 package kqexecutor
 
 import (
+	"time"
+
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 )
 
 // SetZones takes over the evacuated zones as this process has read them.
@@ -61,3 +64,18 @@
 		d.order.Number, d.name, x.info.Zone, d.tries)
 	return false, true
 }
+
+// coldChange is the least change of when a worker is warm that is worth telling.
+const coldChange = time.Second
+
+// takeCold takes over for how long a worker is slow, and reports whether the owner is to
+// be told: check-ins that count down say nothing new; mu is held.
+func (x *Executor) takeCold(w kqplan.WorkerInfo) bool {
+	now := x.config.Now()
+	till := now.Add(w.Cold)
+	if d := till.Sub(x.coldTill); w.Cold <= 0 && !x.coldTill.After(now) || d < coldChange && d > -coldChange {
+		return false
+	}
+	x.coldTill = till
+	return true
+}
--- a/internal/flow/kqexecutor/evacuation_test.go
+++ b/internal/flow/kqexecutor/evacuation_test.go
@@ -137,3 +137,27 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A worker says at each check-in how long it is still cold: its owner is told when that
+// begins, not each time.
+func TestAnOwnerIsToldOnceThatAWorkerIsCold(t *testing.T) {
+	w := &worker{}
+	play(t, w, func(g *WithT, x *kqexecutor.Executor, o *owner) {
+		said := func() (out []time.Duration) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			for _, m := range o.said {
+				if m.Worker != nil && m.Report == nil {
+					out = append(out, m.Worker.Cold)
+				}
+			}
+			return out
+		}
+		for n := range 6 {
+			time.Sleep(1500 * time.Millisecond)
+			cold := max(0, 6*time.Second-time.Duration(n)*1500*time.Millisecond)
+			x.CheckIn(kqplan.WorkerInfo{Worker: "w", Zone: "a", Capacity: kqmodel.Resources{MilliProcessors: 4000}, Cold: cold}, uint64(2+n))
+		}
+		g.Expect(said()).To(Equal([]time.Duration{6 * time.Second}))
+	})
+}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -68,6 +68,8 @@
 	sequence uint64
 	gone     map[string]bool
 	zones    kqevacuate.Zones
+	// coldTill is until when the worker is slow, as the owner was told.
+	coldTill time.Time
 	// toldAt is as of when the owner's word on zones is right, askedAt when each
 	// question for a lease was asked.
 	toldAt   time.Time
@@ -179,7 +181,7 @@
 // describe tells the owner of a change; mu is held.
 func (x *Executor) describe(w kqplan.WorkerInfo) {
 	w.Unwell = x.info.Unwell
-	changed := w.Draining != x.info.Draining || w.Capacity != x.info.Capacity || w.Unwell != x.info.Unwell
+	changed := w.Draining != x.info.Draining || w.Capacity != x.info.Capacity || w.Unwell != x.info.Unwell || x.takeCold(w)
 	x.info = w
 	if changed && x.registered {
 		x.send(kqmessage.ToOwner{Worker: &w})
@@ -192,6 +194,7 @@
 		x.gone[x.info.Worker] = true
 	}
 	w.Unwell = false
+	x.coldTill = x.config.Now().Add(w.Cold)
 	x.info, x.sequence = w, sequence
 	x.worker = x.config.Connect(w.Worker)
 	x.held, x.registered, x.synced = false, false, false
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -31,7 +31,7 @@
 		}
 	case kqexecution.HowDone:
 		x.streak, x.probeAt = 0, time.Time{}
-		if r != nil && r.task.checkpoint == "" && !r.task.step.Fills {
+		if r != nil && r.task.checkpoint == "" && !r.task.step.Fills && !r.startedAt.Before(r.host.coldTill) {
 			x.learn(now.Sub(r.startedAt), r.task.step.Estimate)
 		}
 	case kqexecution.HowRefused:
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -33,6 +33,9 @@
 	Remaining time.Duration `json:"remaining,omitempty"`
 	// Unwell is true if the worker does not answer its agent.
 	Unwell bool `json:"unwell,omitempty"`
+	// Cold is how much longer the worker is slow after its start, counted from when its
+	// agent says so.
+	Cold time.Duration `json:"cold,omitempty"`
 }
 
 // Report is what an agent says of the runs on its worker.
@@ -73,17 +76,19 @@
 	linked      bool
 	info        WorkerInfo
 	grantedTill time.Time
-	heardAt     time.Time
-	runs        kqordered.Map[kqexecution.Run, *run]
-	strays      map[kqexecution.Run]time.Time
-	ends        []*heldEnd
-	taken       uint64
-	noted       uint64
-	health      health
-	paces       map[string]int
-	tally       tally
-	beside      beside
-	asks        int
+	// coldTill is until when the worker is slow after its start.
+	coldTill time.Time
+	heardAt  time.Time
+	runs     kqordered.Map[kqexecution.Run, *run]
+	strays   map[kqexecution.Run]time.Time
+	ends     []*heldEnd
+	taken    uint64
+	noted    uint64
+	health   health
+	paces    map[string]int
+	tally    tally
+	beside   beside
+	asks     int
 }
 
 func (p *Planner) host(name string) *host {
@@ -141,6 +146,9 @@
 		p.press.Forget(name)
 		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.Worker), "host %s, %s, draining %t", name, w.Capacity, w.Draining)
 	}
+	if p.config.Gradual {
+		h.coldTill = now.Add(w.Cold)
+	}
 	drained := w.Draining && !h.info.Draining
 	h.info = w
 	for _, r := range h.list() {
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -261,7 +261,7 @@
 		if best == nil {
 			all = p.peersFor(t.step)
 		}
-		c := p.cost(t, h, all)
+		c := p.cost(t, h, all) + coldCost(now, t, h)
 		if best == nil || c < bestCost || c == bestCost && h.name < best.name {
 			best, bestCost = h, c
 		}
@@ -293,6 +293,8 @@
 		return false
 	case s.PerWorker > 0 && h.sameStep(t) >= s.PerWorker:
 		return false
+	case !p.takesCold(now, t, h):
+		return false
 	case h.health.quarantined() && !(h.mayProbe(now) && t.job.queue.Attempts-len(t.failed) > 1):
 		return false
 	}
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -29,6 +29,8 @@
 	Lease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
+	// Gradual is true if workers that say that they are cold get part of their room.
+	Gradual bool
 	// Settled is told once of each job how well it was served; may be nil.
 	Settled func(Settlement)
 	// Events remembers what was decided; may be nil.
@@ -80,6 +82,7 @@
 
 	loads map[string]*queueLoad
 	evacuation
+	warmth warmth
 }
 
 // New returns a Planner that knows nothing yet.
@@ -283,6 +286,7 @@
 // Tick carries out what is due.
 func (p *Planner) Tick(now time.Time) {
 	p.expire(now)
+	p.noteWarm(now)
 	p.dueOccurrences(now)
 	p.watchProgress(now)
 	p.leaveZones(now)
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -48,7 +48,7 @@
 		if len(l.hosts) == 0 {
 			l.peers = p.peersFor(t.step)
 		}
-		l.hosts = append(l.hosts, candidate{h, p.stepCost(t.step, h, l.peers)})
+		l.hosts = append(l.hosts, candidate{h, p.stepCost(t.step, h, l.peers) + coldCost(now, t, h)})
 	}
 	return l
 }
@@ -78,7 +78,7 @@
 		}
 		p.weighed++
 		if p.eligible(now, t, h) {
-			l.hosts[i].cost = p.stepCost(t.step, h, l.peers)
+			l.hosts[i].cost = p.stepCost(t.step, h, l.peers) + coldCost(now, t, h)
 		} else {
 			l.hosts = append(l.hosts[:i], l.hosts[i+1:]...)
 		}
