--- a/internal/flow/kqevacuate/zones.go
+++ b/internal/flow/kqevacuate/zones.go
@@ -6,8 +6,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 )
 
 // Change is a request that was made or withdrawn.
@@ -114,14 +112,13 @@
 	return begun, ended
 }
 
-// Log emits an event for each zone that a process has learned to be evacuated or to
-// be no longer.
-func Log(events *kqevent.Log, now time.Time, process string, old, z Zones) {
-	begun, ended := z.Difference(old)
-	for _, name := range begun {
-		events.Emit(now, kqevent.ZoneEvacuated, kqevent.Process(process), "zone %s, version %d of the store", name, z.at)
-	}
-	for _, name := range ended {
-		events.Emit(now, kqevent.ZoneReturned, kqevent.Process(process), "zone %s, version %d of the store", name, z.at)
-	}
+// boundMargin is how long before the bound starts are held: a start is sent within
+// that time after it was decided on.
+const boundMargin = time.Second
+
+// Outdated reports whether zones that are known to be right as of a time are too old
+// to start by: a request may exist that must be obeyed within bound of its making. A
+// bound of 0 is none.
+func Outdated(now, knownAt time.Time, bound time.Duration) bool {
+	return bound > 0 && now.Sub(knownAt) > max(bound/2, bound-boundMargin)
 }
