Admission control: entries reject jobs that cannot be worth anything

Cause: every job that could be stored was accepted, whatever waited. Change: package kqadmission decides from a digest that the owner sums up with its passes; platform entries answer 429 with Retry-After, the product's API answers 112 not_run_rejected; KUMQUATSWITCH_ADMISSION=false switches it off.

--- a/internal/command/kqcommand/platform.go
+++ b/internal/command/kqcommand/platform.go
@@ -16,13 +16,20 @@
 // says the rest.
 func (a *app) platformCommands() *cobra.Command {
 	root := &cobra.Command{Use: "platform", Short: "Run on the users' platform, with its settings file"}
-	root.AddCommand(&cobra.Command{Use: "entry", Args: cobra.NoArgs, Short: "Run an entry: the jobs API for callers",
-		RunE: run(platform.RunEntry)},
-		&cobra.Command{Use: "agent", Args: cobra.NoArgs, Short: "Run the agent beside a worker",
-			RunE: run(platform.RunAgent)})
+	root.AddCommand(a.platformEntry(), &cobra.Command{Use: "agent", Args: cobra.NoArgs, Short: "Run the agent beside a worker",
+		RunE: run(platform.RunAgent)})
 	return root
 }
 
+func (a *app) platformEntry() *cobra.Command {
+	var e platform.Entry
+	c := newCommand(&cobra.Command{Use: "entry", Args: cobra.NoArgs, Short: "Run an entry: the jobs API for callers"})
+	a.commands = append(a.commands, c)
+	c.settings.Bool(&e.Admission, "admission", true, "rejects jobs of queues with an objective that certainly cannot be worth anything any more; false accepts every job that can be stored")
+	c.cobra.RunE = func(cmd *cobra.Command, args []string) error { return run(e.Run)(cmd, args) }
+	return c.cobra
+}
+
 // run returns a command's work: a process that logs to standard output.
 func run(role func(context.Context, platform.Logging) error) func(*cobra.Command, []string) error {
 	return func(c *cobra.Command, _ []string) error {
--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -78,6 +78,8 @@
 	FlowPaced            Number = 719
 	FlowTooLate          Number = 720
 	FlowCrowded          Number = 721
+	FlowRejected         Number = 731
+	FlowReturned         Number = 732
 	PeerLinked           Number = 801
 	PeerLost             Number = 802
 	RowUnreadable        Number = 803
@@ -170,6 +172,8 @@
 	{FlowPaced, "flow_paced", "What serves on a worker, what presses it and at which shares that works, over the last interval."},
 	{FlowTooLate, "flow_too_late", "A job of steps that has not ended has passed the last time at which it is worth anything."},
 	{FlowCrowded, "flow_crowded", "Tasks wait for room: what holds the processors of the cell and what waits for them."},
+	{FlowRejected, "flow_rejected", "An entry has rejected a job of steps, which will not run, since it cannot be worth anything any more."},
+	{FlowReturned, "flow_returned", "A job of steps that was rejected has come back and is planned by its first attempt."},
 	{PeerLinked, "peer_linked", "A process of the system has connected."},
 	{PeerLost, "peer_lost", "The connection with a process of the system has ended."},
 	{RowUnreadable, "row_unreadable", "A stored row cannot be read and is left alone."},
@@ -191,7 +195,7 @@
 // decisions are the events that each decide on one request, one of its tasks or
 // one of their runs.
 var decisions = map[Number]bool{
-	FlowAccepted: true, FlowRefused: true, FlowUnresolved: true, FlowTaken: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true, FlowTooLate: true,
+	FlowAccepted: true, FlowRefused: true, FlowRejected: true, FlowReturned: true, FlowUnresolved: true, FlowTaken: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true, FlowTooLate: true,
 	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true,
 }
 
--- a/internal/core/kqresult/code.go
+++ b/internal/core/kqresult/code.go
@@ -27,6 +27,7 @@
 	NotRunStaleAgent    Code = 109
 	NotRunUnknownClass  Code = 110
 	NotRunBusy          Code = 111
+	NotRunRejected      Code = 112
 	OutcomeUnknown      Code = 201
 	AnswerIncomplete    Code = 202
 	KeyInUse            Code = 203
@@ -77,6 +78,7 @@
 	{NotRunStaleAgent, "not_run_stale_agent", http.StatusServiceUnavailable, "The agent has restarted since the route was chosen; the call did not run.", "Call again at once."},
 	{NotRunUnknownClass, "not_run_unknown_class", http.StatusNotFound, "No such latency-critical class is in force; the call did not run.", "Check the class name."},
 	{NotRunBusy, "not_run_busy", http.StatusServiceUnavailable, "Every slot of the endpoint is busy and the call may go elsewhere; the call did not run.", "Call again after retry-after."},
+	{NotRunRejected, "not_run_rejected", http.StatusTooManyRequests, "So much work comes before the flow that it could not end while it is worth anything; it will not run.", "Submit it again after retry-after, or drop it."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The call was dispatched and its answer is lost; it may have run.", "Ask the service for the outcome before calling again."},
 	{AnswerIncomplete, "answer_incomplete", http.StatusBadGateway, "The answer broke off after its head was sent; it ran.", "Discard the partial answer; ask the service for the outcome."},
 	{KeyInUse, "key_in_use", http.StatusConflict, "The idempotency key belongs to a call whose answer is not at hand; it may have run.", "Ask the service for the outcome, or call again with the same key."},
--- /dev/null
+++ b/internal/flow/kqadmission/ledger_test.go
@@ -0,0 +1,43 @@
+package kqadmission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
+)
+
+// A job that comes back counts from its first attempt, however often it was rejected since.
+func TestAReturnedJobCountsFromItsLastRejection(t *testing.T) {
+	g := NewWithT(t)
+	l := kqadmission.NewLedger()
+	l.Reject(now, "a", now.Add(-time.Second))
+	l.Reject(now.Add(2*time.Second), "a", now.Add(2*time.Second))
+	g.Expect(l.Returning(now.Add(3 * time.Second))).To(Equal(1))
+	first, ok := l.Return(now.Add(3*time.Second), "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(first).To(Equal(now.Add(-time.Second)))
+	_, ok = l.Return(now.Add(3*time.Second), "a")
+	g.Expect(ok).To(BeFalse())
+	g.Expect(l.Returning(now)).To(BeZero())
+}
+
+// What is remembered must not grow with the length or the depth of an overload.
+func TestALedgerGrowsWithoutBound(t *testing.T) {
+	g := NewWithT(t)
+	l := kqadmission.NewLedger()
+	for n := range 10_000 {
+		l.Reject(now, fmt.Sprint(n), now)
+		l.Unresolve(now, fmt.Sprint(n))
+	}
+	g.Expect(l.Returning(now)).To(Equal(4096))
+	g.Expect(l.AllUnresolved(now)).To(HaveLen(4096))
+	g.Expect(l.Full()).To(BeTrue())
+	g.Expect(l.Unresolved(now, "9999")).To(BeTrue())
+	g.Expect(l.Unresolved(now.Add(kqadmission.KeepUnresolved+1), "9999")).To(BeFalse())
+	g.Expect(l.Returning(now.Add(kqadmission.KeepRejected + 1))).To(BeZero())
+	g.Expect(l.AllUnresolved(now.Add(kqadmission.KeepUnresolved + 1))).To(BeEmpty())
+}
--- /dev/null
+++ b/internal/flow/kqadmission/share.go
@@ -0,0 +1,128 @@
+package kqadmission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// presentTime and usualTime are over about how long what is asked for now, and what usually is, are averaged. Callers come
+	// in waves of about 15 s, so the usual is longer than one.
+	presentTime = 3 * time.Second
+	usualTime   = 30 * time.Second
+	// leastSeen bounds from below over what time the first work is taken to have come.
+	leastSeen = 2 * time.Second
+	// shareMargin is by how much more than its share a flow may ask for before it counts as over it.
+	shareMargin = 1.1
+	// leastUse is the mean, in processors, below which a flow is forgotten.
+	leastUse = 1e-4
+)
+
+// Flow is the jobs of one queue, size and zone.
+type Flow struct {
+	// Queue names the queue.
+	Queue string
+	Part
+}
+
+// use is what a flow asks for, in processor-seconds weighted by age.
+type use struct {
+	present, usual float64
+	at, since      time.Time
+}
+
+func (u *use) add(now time.Time, work float64) {
+	if u.since.IsZero() {
+		u.since, u.at = now, now
+	}
+	u.present = u.present*decay(now.Sub(u.at), presentTime) + work
+	u.usual = u.usual*decay(now.Sub(u.at), usualTime) + work
+	u.at = now
+}
+
+func decay(age, over time.Duration) float64 { return math.Exp(-max(0, age.Seconds()) / over.Seconds()) }
+
+// means returns the mean number of processors that is asked for now, and that usually is.
+func (u *use) means(now time.Time) (present, usual float64) {
+	seen := max(leastSeen, now.Sub(u.since))
+	mean := func(sum float64, over time.Duration) float64 {
+		return sum * decay(now.Sub(u.at), over) / (over.Seconds() * (1 - decay(seen, over)))
+	}
+	return mean(u.present, presentTime), mean(u.usual, usualTime)
+}
+
+// Shares follows what flows ask for. It is not safe for concurrent use.
+type Shares struct {
+	flows map[Flow]*use
+}
+
+// NewShares returns Shares that have seen nothing.
+func NewShares() *Shares { return &Shares{flows: map[Flow]*use{}} }
+
+// Ask notes that a job of a flow asks for work, in processor-seconds.
+func (s *Shares) Ask(now time.Time, f Flow, work float64) {
+	u := s.flows[f]
+	if u == nil {
+		u = &use{}
+		s.flows[f] = u
+	}
+	u.add(now, work)
+}
+
+// demand is what a flow asks for now and usually, in processors, and the share that it has.
+type demand struct {
+	flow                  Flow
+	priority              int
+	present, usual, share float64
+}
+
+// Over returns the flows of the queues with the given priorities that ask for more than their share of some processors. More
+// urgent queues have their usual use first; what nobody usually uses is shared in proportion to use.
+func (s *Shares) Over(now time.Time, priorities map[string]int, processors float64) []Flow {
+	var ds []demand
+	for f, u := range s.flows {
+		p, ok := priorities[f.Queue]
+		if !ok {
+			continue
+		}
+		present, usual := u.means(now)
+		if usual < leastUse {
+			delete(s.flows, f)
+			continue
+		}
+		ds = append(ds, demand{flow: f, priority: p, present: present, usual: usual})
+	}
+	slices.SortFunc(ds, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), strings.Compare(a.flow.Queue, b.flow.Queue), cmp.Compare(a.flow.Band, b.flow.Band), strings.Compare(a.flow.Zone, b.flow.Zone))
+	})
+	divide(ds, processors)
+	var out []Flow
+	for _, d := range ds {
+		if d.present > shareMargin*d.share {
+			out = append(out, d.flow)
+		}
+	}
+	return out
+}
+
+// divide gives each demand its share; they are in order of priority.
+func divide(ds []demand, processors float64) {
+	left, all := processors, 0.0
+	for from := 0; from < len(ds); {
+		till, sum := from, 0.0
+		for ; till < len(ds) && ds[till].priority == ds[from].priority; till++ {
+			sum += ds[till].usual
+		}
+		part := min(1, left/max(sum, leastUse))
+		for i := from; i < till; i++ {
+			ds[i].share = part * ds[i].usual
+		}
+		left, all, from = left-part*sum, all+sum, till
+	}
+	for i := range ds {
+		ds[i].share += max(0, left) * ds[i].usual / max(all, leastUse)
+	}
+}
--- /dev/null
+++ b/internal/flow/kqcontrol/admission.go
@@ -0,0 +1,59 @@
+package kqcontrol
+
+import (
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+)
+
+// admit takes over an entry that has connected; it returns the jobs that the entry may not reject. mu is held.
+func (c *Controller) admit(now time.Time) []string {
+	c.countDigests()
+	return c.planner.AllUnresolved(now)
+}
+
+// entryLost notes that the stream of an entry has ended. Its attempts without an answer may be forgotten, so nothing is
+// rejected for a while; mu is held.
+func (c *Controller) entryLost(now time.Time, x *Session) {
+	if x.hello.Role == kqmessage.RoleEntry {
+		c.planner.HoldRejections(now)
+	}
+}
+
+// countDigests has what waits summed up while an entry wants that; mu is held.
+func (c *Controller) countDigests() {
+	for _, s := range c.sessions {
+		if s.hello.Role == kqmessage.RoleEntry && s.hello.Digests {
+			c.planner.Summarise(true)
+			return
+		}
+	}
+	c.planner.Summarise(false)
+}
+
+// takeAdmission takes what an entry tells of jobs that it has rejected or does not know the outcome of; mu is held.
+func (x *Session) takeAdmission(now time.Time, m kqmessage.ToOwner) {
+	c := x.controller
+	if m.Rejected != nil {
+		c.planner.Rejected(now, *m.Rejected)
+	}
+	if len(m.Unresolved) == 0 {
+		return
+	}
+	c.planner.Unresolved(now, m.Unresolved)
+	for _, s := range c.sessions {
+		if s != x && s.hello.Role == kqmessage.RoleEntry && s.hello.Digests {
+			s.send(kqmessage.FromOwner{Unresolved: m.Unresolved})
+		}
+	}
+}
+
+// sendStates sends what entries are told, without a digest to one that wants none.
+func (x *Session) sendStates(m kqmessage.FromOwner) {
+	if !x.hello.Digests {
+		m.Digest = nil
+	}
+	if m.States != nil || m.Pending != nil || m.Digest != nil {
+		x.send(m)
+	}
+}
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -42,7 +42,7 @@
 	}
 	if h.Role == kqmessage.RoleEntry {
 		x.registered = true
-		x.send(kqmessage.FromOwner{States: c.planner.States(), Whole: true, Pending: c.planner.Pending()})
+		x.send(kqmessage.FromOwner{States: c.planner.States(), Whole: true, Pending: c.planner.Pending(), Unresolved: c.admit(now)})
 	}
 	return x
 }
@@ -52,6 +52,7 @@
 	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.entryLost(now, x)
 	if c.sessions[x.hello.Name] != x {
 		return
 	}
@@ -125,6 +126,7 @@
 	if m.Approved != nil {
 		c.planner.Approved(now, name, *m.Approved)
 	}
+	x.takeAdmission(now, m)
 	if m.Submit != nil {
 		c.tomb.Go((&relay{session: x, submit: *m.Submit}).run)
 	}
@@ -189,7 +191,7 @@
 
 // publishStates tells the entries what to show.
 func (c *Controller) publishStates(now time.Time, states map[string]kqflow.State) {
-	m := kqmessage.FromOwner{States: states}
+	m := kqmessage.FromOwner{States: states, Digest: c.planner.Digest(now)}
 	if now.Sub(c.pendingAt) >= pendingInterval {
 		c.pendingAt = now
 		if p := c.planner.Pending(); !maps.Equal(p, c.pending) {
@@ -201,12 +203,12 @@
 			}
 		}
 	}
-	if m.States == nil && m.Pending == nil {
+	if m.States == nil && m.Pending == nil && m.Digest == nil {
 		return
 	}
 	for _, s := range c.sessions {
 		if s.hello.Role == kqmessage.RoleEntry {
-			s.send(m)
+			s.sendStates(m)
 		}
 	}
 }
--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -76,6 +76,8 @@
 	Every time.Duration `json:"every,omitempty"`
 	// SubmittedAt is when the job was accepted.
 	SubmittedAt time.Time `json:"submitted_at"`
+	// Zone is the availability zone of the entry that accepted the job, if it decides on admission.
+	Zone string `json:"zone,omitempty"`
 }
 
 // Bounds of a job.
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
@@ -29,6 +30,8 @@
 	Events *kqevent.Log
 	// Took is told how long requests took; may be nil.
 	Took func(kind string, d time.Duration)
+	// Admission switches rejections on; nil accepts all that can be stored.
+	Admission *Admission
 }
 
 const (
@@ -48,13 +51,15 @@
 	number  uint64
 	waiting map[uint64]chan kqcontrol.Outcome
 	health  health
+	// admission is what decisions on new jobs rest on.
+	admission admission
 	// watched is the store, with each outcome noted in health.
 	watched kqrows.Store
 }
 
 // New returns a Front without an owner.
 func New(c Config) *Front {
-	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}}
+	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}, admission: newAdmission()}
 	f.watched = f.observed()
 	return f
 }
@@ -64,6 +69,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.send = send
+	f.admission.linked(f.config.Now(), send)
 }
 
 // Unlinked notes that the stream has ended.
@@ -71,6 +77,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.linked, f.send = false, nil
+	f.admission.received = kqadmission.Received{}
 	for n, c := range f.waiting {
 		close(c)
 		delete(f.waiting, n)
@@ -93,6 +100,7 @@
 	} else if m.Whole {
 		f.pending = map[string]int{}
 	}
+	f.admission.receive(f.config.Now(), m)
 	if m.Submitted != nil {
 		if c := f.waiting[m.Submitted.Number]; c != nil {
 			delete(f.waiting, m.Submitted.Number)
@@ -105,7 +113,12 @@
 func (f *Front) Submit(ctx context.Context, j kqflow.Job) kqcontrol.Outcome {
 	began := f.config.Now()
 	j.SubmittedAt = f.config.Wall().Round(0)
+	if f.config.Admission != nil {
+		j.Zone = f.config.Admission.Zone
+	}
+	a := f.attempt(j.ID)
 	o := f.store(ctx, kqmessage.Submit{Job: &j})
+	a.end(o, ctx.Err() != nil)
 	now := f.config.Now()
 	took := now.Sub(began).Round(time.Millisecond)
 	f.took("submit", now.Sub(began))
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -15,6 +15,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
@@ -126,6 +127,9 @@
 	if _, ok := p.Queues[f.Queue]; !ok {
 		return nil, kqresult.Errorf(kqresult.BadRequest, "queue: no queue %q is in force", f.Queue)
 	}
+	if d := g.config.Front.Admit(j); d.Verdict == kqadmission.Reject {
+		return nil, kqresult.Errorf(kqresult.NotRunRejected, "flow %s: %s", f.ID, d).After(d.RetryAfter)
+	}
 	if err := g.outcome(g.config.Front.Submit(ctx, j), "flow "+f.ID); err != nil {
 		return nil, err
 	}
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 )
@@ -29,6 +30,8 @@
 	Boot string `json:"boot"`
 	// Epoch is the epoch of the owner that is meant.
 	Epoch uint64 `json:"epoch"`
+	// Digests is true if an entry wants to be told of the work that waits.
+	Digests bool `json:"digests,omitempty"`
 }
 
 // ToOwner is a message to the owner; one field is set.
@@ -49,6 +52,10 @@
 	Submit *Submit `json:"submit,omitempty"`
 	// Approved answers an Ask.
 	Approved *kqplan.Approved `json:"approved,omitempty"`
+	// Rejected is a job that an entry has rejected.
+	Rejected *kqadmission.Rejected `json:"rejected,omitempty"`
+	// Unresolved lists jobs that may be stored by attempts without a certain answer.
+	Unresolved []string `json:"unresolved,omitempty"`
 }
 
 // Submit is a job or a cancellation that an entry cannot store by itself.
@@ -110,6 +117,10 @@
 	Pending map[string]int `json:"pending,omitempty"`
 	// Submitted answers a request of an entry.
 	Submitted *Submitted `json:"submitted,omitempty"`
+	// Digest is what waits, for an entry.
+	Digest *kqadmission.Digest `json:"digest,omitempty"`
+	// Unresolved lists jobs that no entry may reject since they may be stored.
+	Unresolved []string `json:"unresolved,omitempty"`
 }
 
 // Readable returns the message without what is missing in its lists: a peer of another
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -39,6 +39,8 @@
 	Unlinked func()
 	// Receive takes each message of the owner.
 	Receive func(m kqmessage.FromOwner)
+	// Digests is true if an entry wants to be told of the work that waits.
+	Digests bool
 }
 
 const (
@@ -281,7 +283,7 @@
 	}
 	l := &link{node: n, welcome: make(chan uint64, 1)}
 	s := kqstream.New(conn, kqstream.Config{Receive: l.receive, Closed: func(*kqstream.Stream, error) {}})
-	s.Send(kqmessage.ToOwner{Hello: &kqmessage.Hello{Role: n.config.Role, Name: n.config.Control.Name, Boot: n.config.Control.Boot, Epoch: owner.Epoch}})
+	s.Send(kqmessage.ToOwner{Hello: &kqmessage.Hello{Role: n.config.Role, Name: n.config.Control.Name, Boot: n.config.Control.Boot, Epoch: owner.Epoch, Digests: n.config.Digests}})
 	defer s.Close()
 	return l.follow(ctx, s)
 }
--- a/internal/flow/kqplan/demand.go
+++ b/internal/flow/kqplan/demand.go
@@ -55,6 +55,9 @@
 type queueLoad struct {
 	scale  kqsize.Scale
 	demand rate
+	// usual and large are the mean sizes of the smallest first tasks of jobs that are not of the largest band, and of those
+	// that are, in thousandths of a processor.
+	usual, large int64
 }
 
 // loadOf returns what was seen of a queue.
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -79,11 +79,13 @@
 	told    int64
 
 	loads map[string]*queueLoad
+	// admission is what entries need to know to accept or reject jobs.
+	admission admission
 }
 
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, loads: map[string]*queueLoad{}, mostMisses: mostMisses}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, loads: map[string]*queueLoad{}, mostMisses: mostMisses, admission: newAdmission(c.TakenAt)}
 }
 
 // Epoch returns the owner's epoch.
@@ -165,6 +167,9 @@
 		return
 	}
 	s.Job.SubmittedAt = plausible(now, s.Job.SubmittedAt, record == nil)
+	if record == nil {
+		p.arrive(now, &s.Job)
+	}
 	j := newJob(s.Job, p.queueOf(s.Job.Queue, record))
 	p.jobs.Put(s.Job.ID, j)
 	if record != nil {
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -20,7 +20,7 @@
 )
 
 // lateFactor is how many objectives after its submission a job is worth nothing.
-const lateFactor = 3
+const lateFactor = kqflow.LateFactor
 
 func (j *job) phase(now time.Time) phase {
 	switch {
--- a/internal/flow/kqsize/size.go
+++ b/internal/flow/kqsize/size.go
@@ -77,6 +77,11 @@
 	s.bounds = BoundsOf(s.latest)
 }
 
+// Bounds returns the bounds of the bands; known is false while every job is called small.
+func (s *Scale) Bounds() (b Bounds, known bool) {
+	return s.bounds, len(s.latest) >= leastSeen
+}
+
 // Band returns the band of a job.
 func (s *Scale) Band(work float64) Band {
 	if len(s.latest) < leastSeen {
