Replays of bursts, waves and lost workers against admission control

Cause: the usual demand that gives each class its share was raised by a burst of another, and few large jobs that came together counted as a burst. Change: what counts as usual grows slowly, and a flow is over its share only beyond two standard deviations of chance. kqreplay gets callers that come back, a second class that reserves, bursts of one or all queues and waves.

--- a/internal/flow/kqadmission/digest.go
+++ b/internal/flow/kqadmission/digest.go
@@ -116,7 +116,7 @@
 	InTime time.Duration `json:"in_time,omitempty"`
 	// Work is processor-seconds by the estimates.
 	Work float64 `json:"work"`
-	// Longest is the longest estimate of a task.
+	// Longest is the longest chain of estimates that a job of the work has left.
 	Longest time.Duration `json:"longest"`
 }
 
--- a/internal/flow/kqadmission/share.go
+++ b/internal/flow/kqadmission/share.go
@@ -13,10 +13,18 @@
 	// in waves of about 15 s, so the usual is longer than one.
 	presentTime = 3 * time.Second
 	usualTime   = 30 * time.Second
+	// learnTime is for how long all that a new flow asks for is usual.
+	learnTime = 15 * time.Second
+	// mostUsual bounds what counts as usual by what was: a burst of 8 s raises it by at most a seventh, so that it takes no
+	// share from others.
+	mostUsual = 1.5
 	// leastSeen bounds from below over what time the first work is taken to have come.
 	leastSeen = 2 * time.Second
 	// shareMargin is by how much more than its share a flow may ask for before it counts as over it.
 	shareMargin = 1.1
+	// deviations is by how many standard deviations of what chance brings it must be above that too: few large jobs that come
+	// together are no burst.
+	deviations = 2
 	// leastUse is the mean, in processors, below which a flow is forgotten.
 	leastUse = 1e-4
 )
@@ -28,32 +36,56 @@
 	Part
 }
 
-// use is what a flow asks for, in processor-seconds weighted by age.
+// use is what a flow asks for.
 type use struct {
+	// present is processor-seconds weighted by age, usual the mean in processors.
 	present, usual float64
 	at, since      time.Time
+	// squares is the squares of the processor-seconds of each job, weighted by the square of its age's weight.
+	squares float64
+	// sum is all processor-seconds while the flow is new.
+	sum float64
 }
 
 func (u *use) add(now time.Time, work float64) {
 	if u.since.IsZero() {
 		u.since, u.at = now, now
 	}
-	u.present = u.present*decay(now.Sub(u.at), presentTime) + work
-	u.usual = u.usual*decay(now.Sub(u.at), usualTime) + work
-	u.at = now
+	u.advance(now)
+	u.present += work
+	u.squares += work * work
+	u.sum += work
 }
 
-func decay(age, over time.Duration) float64 { return math.Exp(-max(0, age.Seconds()) / over.Seconds()) }
+// advance lets the means go on to the present.
+func (u *use) advance(now time.Time) {
+	before := u.mean(u.at)
+	if now.Sub(u.since) < learnTime {
+		u.usual = u.sum / max(leastSeen, now.Sub(u.since)).Seconds()
+	} else {
+		u.usual += (min(before, mostUsual*u.usual) - u.usual) * (1 - decay(now.Sub(u.at), usualTime))
+	}
+	u.present *= decay(now.Sub(u.at), presentTime)
+	u.squares *= decay(2*now.Sub(u.at), presentTime)
+	u.at = now
+}
 
-// means returns the mean number of processors that is asked for now, and that usually is.
-func (u *use) means(now time.Time) (present, usual float64) {
+// mean returns the mean number of processors that is asked for now.
+func (u *use) mean(now time.Time) float64 {
 	seen := max(leastSeen, now.Sub(u.since))
-	mean := func(sum float64, over time.Duration) float64 {
-		return sum * decay(now.Sub(u.at), over) / (over.Seconds() * (1 - decay(seen, over)))
+	return u.present / (presentTime.Seconds() * (1 - decay(seen, presentTime)))
+}
+
+// certain returns what is asked for now beyond what chance explains.
+func (u *use) certain(now time.Time) float64 {
+	if u.present <= 0 {
+		return 0
 	}
-	return mean(u.present, presentTime), mean(u.usual, usualTime)
+	return u.mean(now) * max(0, 1-deviations*math.Sqrt(u.squares)/u.present)
 }
 
+func decay(age, over time.Duration) float64 { return math.Exp(-max(0, age.Seconds()) / over.Seconds()) }
+
 // Shares follows what flows ask for. It is not safe for concurrent use.
 type Shares struct {
 	flows map[Flow]*use
@@ -88,12 +120,12 @@
 		if !ok {
 			continue
 		}
-		present, usual := u.means(now)
-		if usual < leastUse {
+		u.advance(now)
+		if u.usual < leastUse {
 			delete(s.flows, f)
 			continue
 		}
-		ds = append(ds, demand{flow: f, priority: p, present: present, usual: usual})
+		ds = append(ds, demand{flow: f, priority: p, present: u.certain(now), usual: u.usual})
 	}
 	slices.SortFunc(ds, func(a, b demand) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), strings.Compare(a.flow.Queue, b.flow.Queue), cmp.Compare(a.flow.Band, b.flow.Band), strings.Compare(a.flow.Zone, b.flow.Zone))
--- a/internal/flow/kqplan/admission.go
+++ b/internal/flow/kqplan/admission.go
@@ -88,7 +88,8 @@
 		return nil
 	}
 	if p.backlog == 0 && (a.digest == nil || a.digest.Waits()) {
-		p.summarise(now, p.newSummary(now))
+		p.short = false
+		p.summarise(now)
 	}
 	if a.digest == nil || now.Sub(a.builtAt) > kqadmission.RepeatInterval || !a.digest.Waits() && a.told {
 		return nil
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -41,8 +41,6 @@
 	list *shortlist
 	// held is the services in which a gang waits for what comes free.
 	held map[string]bool
-	// summary gathers what waits for the entries; nil if none is due.
-	summary *summary
 }
 
 const (
@@ -95,7 +93,7 @@
 
 // placeAll starts every task whose turn has come and for which there is room.
 func (p *Planner) placeAll(now time.Time) {
-	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[stepKey]bool{}, firm: map[stepKey]bool{}, withheld: map[stepKey]bool{}, held: map[string]bool{}, filling: p.looksAtFilling(now), summary: p.newSummary(now)}
+	x := &pass{coming: map[*host]kqmodel.Resources{}, full: map[stepKey]bool{}, firm: map[stepKey]bool{}, withheld: map[stepKey]bool{}, held: map[string]bool{}, filling: p.looksAtFilling(now)}
 	p.leftFilling = !x.filling
 	if x.filling {
 		p.filledAt, p.backlogFilling = now, 0
@@ -110,7 +108,6 @@
 			if n > 0 {
 				waiting += n
 				x.crowd.wait(t, n)
-				x.summary.wait(now, t, n)
 			}
 			if t.step.Fills {
 				p.backlogFilling += n
@@ -122,7 +119,7 @@
 		p.backlog += p.backlogFilling
 	}
 	p.short = x.crowd.WaitingEnding > 0
-	p.summarise(now, x.summary)
+	p.summarise(now)
 	if x.filling {
 		p.noteCrowd(now, x.crowd)
 	}
--- a/internal/flow/kqplan/summary.go
+++ b/internal/flow/kqplan/summary.go
@@ -25,67 +25,83 @@
 	inTime time.Duration
 }
 
-// summary gathers what a pass finds waiting. A nil summary gathers nothing.
+// summary gathers the work that jobs have left and that no worker runs.
 type summary struct {
 	// capacity is what the workers of each service have.
 	capacity map[string]kqmodel.Resources
 	waiting  map[waitKey]kqadmission.Waiting
 }
 
-// newSummary returns a summary for a pass, or nil if none is due.
+// serves reports whether a worker takes new work, now or as soon as its agent is heard again. One whose lease has ended
+// counts no more.
+func (h *host) serves(now time.Time) bool {
+	return h.info.Worker != "" && !h.info.Draining && (h.linked || now.Before(h.grantedTill))
+}
+
+// newSummary returns what waits. While the latest pass found room for all that reserves what it takes, nothing does.
 func (p *Planner) newSummary(now time.Time) *summary {
-	if !p.admission.on || now.Sub(p.admission.builtAt) < kqadmission.DigestInterval {
-		return nil
-	}
 	s := &summary{capacity: map[string]kqmodel.Resources{}, waiting: map[waitKey]kqadmission.Waiting{}}
+	if !p.short {
+		return s
+	}
 	for _, h := range p.hosts.All() {
-		if h.serves() {
+		if h.serves(now) {
 			s.capacity[h.info.Service] = s.capacity[h.info.Service].Add(h.info.Capacity)
 		}
 	}
+	for _, j := range p.jobs.All() {
+		if !j.state.Final() && !j.fills && j.spec.HasObjective() && !j.queue.Approval.Needed {
+			s.add(now, j)
+		}
+	}
 	return s
 }
 
-// serves reports whether a worker takes new work, now or as soon as its agent is heard again.
-func (h *host) serves() bool { return h.info.Worker != "" && !h.info.Draining }
-
-// wait counts tasks that find no room and come before others wherever those would fit.
-func (s *summary) wait(now time.Time, t *task, count int) {
-	if s == nil || !s.blocks(t) {
-		return
-	}
-	phase := t.job.phase(now)
+// add counts the tasks of a job that come before others wherever those would fit. Later steps count too: jobs that have begun
+// go before new ones, and what the tasks of one job wait for each other is within its chain.
+func (s *summary) add(now time.Time, j *job) {
+	phase := j.phase(now)
 	if phase == phaseWorthless {
 		return
 	}
-	k := waitKey{levelKey: levelKey{t.job.queue.Service, t.job.queue.Priority}, size: kqadmission.SizeBound(t.step.Size.MilliProcessors), inTime: -1}
+	k := waitKey{levelKey: levelKey{j.queue.Service, j.queue.Priority}, inTime: -1}
 	if phase == phaseInTime {
-		k.inTime = kqadmission.TimeBound(t.job.deadline.Sub(now))
+		k.inTime = kqadmission.TimeBound(j.deadline.Sub(now))
+	}
+	chain := time.Duration(0)
+	for _, t := range j.tasks {
+		if t.done || len(t.runs) > 0 || !s.blocks(t) {
+			continue
+		}
+		if chain == 0 {
+			chain = j.load().chain
+		}
+		k.size = kqadmission.SizeBound(t.step.Size.MilliProcessors)
+		w := s.waiting[k]
+		w.Work += float64(t.step.Size.MilliProcessors) / milli * t.step.Estimate.Seconds()
+		w.Longest = max(w.Longest, chain)
+		s.waiting[k] = w
 	}
-	w := s.waiting[k]
-	rest := t.rest()
-	w.Work += float64(count) * float64(t.step.Size.MilliProcessors) / milli * rest.Seconds()
-	w.Longest = max(w.Longest, rest)
-	s.waiting[k] = w
 }
 
 // blocks reports whether a task that waits takes any processors that come free: one that needs something else may leave them
 // to a job behind it.
 func (s *summary) blocks(t *task) bool {
 	x := t.step
-	if x.Fills || x.Standing || x.Gang || x.Label != "" || x.PerWorker > 0 || x.Size.Accelerators > 0 || t.job.queue.Approval.Needed || !t.job.spec.HasObjective() {
+	if x.Fills || x.Standing || x.Gang || x.Label != "" || x.PerWorker > 0 || x.Size.Accelerators > 0 {
 		return false
 	}
 	c := s.capacity[t.job.queue.Service]
 	return float64(x.Size.MemoryBytes)*float64(c.MilliProcessors) <= float64(x.Size.MilliProcessors)*float64(c.MemoryBytes)
 }
 
-// summarise makes the digest from what a pass found waiting and what the workers run.
-func (p *Planner) summarise(now time.Time, s *summary) {
-	if s == nil {
+// summarise makes the digest after a pass, if one is due.
+func (p *Planner) summarise(now time.Time) {
+	a := &p.admission
+	if !a.on || now.Sub(a.builtAt) < kqadmission.DigestInterval {
 		return
 	}
-	a := &p.admission
+	s := p.newSummary(now)
 	d := &kqadmission.Digest{Held: p.hold || now.Before(a.heldTill) || a.ledger.Full(), Queues: make(map[string]kqadmission.Class, len(p.queues)), Returning: a.ledger.Returning(now)}
 	index := map[levelKey]int{}
 	for _, k := range p.levels() {
@@ -118,7 +134,7 @@
 	l := kqadmission.Level{Service: k.service, Priority: k.priority, Waiting: s.before(k)}
 	ends := map[time.Duration]int64{}
 	for _, h := range p.hosts.All() {
-		if h.info.Service != k.service || !h.serves() {
+		if h.info.Service != k.service || !h.serves(now) {
 			continue
 		}
 		l.Processors += max(0, h.info.Capacity.MilliProcessors-h.tally.standing)
--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -19,10 +19,10 @@
 
 // Result is what a replay earned.
 type Result struct {
-	// Quick, Batch and Watch are the shares of each queue.
-	Quick, Batch, Watch Share
-	// QuickSizes and BatchSizes are how the jobs of each size were served.
-	QuickSizes, BatchSizes Sizes
+	// Quick, Report, Batch and Watch are the shares of each queue.
+	Quick, Report, Batch, Watch Share
+	// QuickSizes, ReportSizes and BatchSizes are how the jobs of each size were served.
+	QuickSizes, ReportSizes, BatchSizes Sizes
 	// Over is how long serving tasks were over their target by what fills beside
 	// them.
 	Over time.Duration
@@ -30,6 +30,8 @@
 	// task.
 	Starts  int
 	Weighed int64
+	// Callers is what the entries answered.
+	Callers Callers
 }
 
 // Count is how many of some jobs ended while they were worth something.
@@ -54,7 +56,7 @@
 
 // Whole returns the part of all worth that was earned.
 func (r Result) Whole() float64 {
-	return (r.Quick.Earned + r.Batch.Earned + r.Watch.Earned) / (r.Quick.Owed + r.Batch.Owed + r.Watch.Owed)
+	return (r.Quick.Earned + r.Report.Earned + r.Batch.Earned + r.Watch.Earned) / (r.Quick.Owed + r.Report.Owed + r.Batch.Owed + r.Watch.Owed)
 }
 
 // account counts what a replay earns.
@@ -84,7 +86,10 @@
 // job counts a job by its true objective; took is negative if it has not ended.
 func (a *account) job(j kqflow.Job, chain, took time.Duration, meanWork float64) {
 	shape, share, sizes, q := a.load.Quick, &a.result.Quick, &a.result.QuickSizes, policy().Queues[j.Queue]
-	if j.Queue == QueueBatch {
+	switch j.Queue {
+	case QueueReport:
+		shape, share, sizes = a.load.Report, &a.result.Report, &a.result.ReportSizes
+	case QueueBatch:
 		shape, share, sizes = a.load.Batch, &a.result.Batch, &a.result.BatchSizes
 	}
 	worth := worth(shape, j, meanWork)
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -6,6 +6,7 @@
 package kqreplay
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -18,8 +19,10 @@
 // Names of the queues of a replay.
 const (
 	QueueQuick = "quick"
-	QueueBatch = "batch"
-	QueueWatch = "watch"
+	// QueueReport is of jobs that end and reserve, less urgent than the quick ones.
+	QueueReport = "report"
+	QueueBatch  = "batch"
+	QueueWatch  = "watch"
 
 	service = "service"
 )
@@ -46,8 +49,12 @@
 	Worth float64
 }
 
-// Burst multiplies the rate of batch jobs for a while.
+// Burst multiplies the rate of batch jobs, or of one queue or all, for a while.
 type Burst struct {
+	// Queue names the queue; empty means batch jobs.
+	Queue string
+	// All is true if the rates of all queues are multiplied.
+	All bool
 	// From is when it begins, For how long it lasts.
 	From, For time.Duration
 	// Factor is by how much the rate is multiplied.
@@ -77,8 +84,11 @@
 	Cores   float64
 	// Span is for how long jobs come.
 	Span time.Duration
-	// Quick, Batch and Watch are the jobs; Watch jobs stay once they have come.
-	Quick, Batch, Watch Shape
+	// Quick, Report, Batch and Watch are the jobs; Watch jobs stay once they have come.
+	Quick, Report, Batch, Watch Shape
+	// Wave is the relative swing of all rates, WaveTime its period.
+	Wave     float64
+	WaveTime time.Duration
 	// WatchJobs is how many watch jobs there are from the start.
 	WatchJobs int
 	// ServingLoad is the mean load of serving tasks, Swing its relative swing and
@@ -213,7 +223,7 @@
 	if at > s.load.Span {
 		return nil
 	}
-	for _, queue := range []string{QueueQuick, QueueBatch, QueueWatch} {
+	for _, queue := range []string{QueueQuick, QueueReport, QueueBatch, QueueWatch} {
 		shape := s.load.shape(queue)
 		for shape.PerSecond > 0 && s.next[queue] <= at {
 			out = append(out, s.job(queue, shape))
@@ -225,16 +235,20 @@
 
 // shape returns the jobs of a queue.
 func (l Load) shape(queue string) Shape {
-	return map[string]Shape{QueueQuick: l.Quick, QueueBatch: l.Batch, QueueWatch: l.Watch}[queue]
+	return map[string]Shape{QueueQuick: l.Quick, QueueReport: l.Report, QueueBatch: l.Batch, QueueWatch: l.Watch}[queue]
 }
 
 func (s *source) factor(queue string, at time.Duration) float64 {
+	wave := 1.0
+	if s.load.WaveTime > 0 {
+		wave += s.load.Wave * math.Sin(2*math.Pi*at.Seconds()/s.load.WaveTime.Seconds())
+	}
 	for _, b := range s.load.Bursts {
-		if queue == QueueBatch && at >= b.From && at < b.From+b.For {
-			return b.Factor
+		if (b.All || queue == cmp.Or(b.Queue, QueueBatch)) && at >= b.From && at < b.From+b.For {
+			return wave * b.Factor
 		}
 	}
-	return 1
+	return wave
 }
 
 func (s *source) job(queue string, shape Shape) kqflow.Job {
@@ -287,7 +301,34 @@
 // policy is what the operator has set.
 func policy() *kqflow.Policy {
 	return &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{
-		QueueQuick: {Name: QueueQuick, Service: service, Priority: 0, Attempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond},
-		QueueBatch: {Name: QueueBatch, Service: service, Priority: 2, Attempts: 3, Stretch: 2, Target: time.Second},
-		QueueWatch: {Name: QueueWatch, Service: service, Priority: 0, Attempts: 3, Stretch: 2.2, Target: 2500 * time.Millisecond}}}
+		QueueQuick:  {Name: QueueQuick, Service: service, Priority: 0, Attempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond},
+		QueueReport: {Name: QueueReport, Service: service, Priority: 1, Attempts: 3, Stretch: 1.5, Target: 250 * time.Millisecond},
+		QueueBatch:  {Name: QueueBatch, Service: service, Priority: 2, Attempts: 3, Stretch: 2, Target: time.Second},
+		QueueWatch:  {Name: QueueWatch, Service: service, Priority: 0, Attempts: 3, Stretch: 2.2, Target: 2500 * time.Millisecond}}}
+}
+
+// Bursting is a load of two classes that reserve nine tenths of the processors, one more urgent than the other; for 8 s
+// both ask for a multiple.
+func Bursting(factor float64) Load {
+	return Load{Workers: 10, Cores: 16, Span: 36 * time.Second,
+		Quick:  Shape{PerSecond: 10, Steps: 1.6, Width: 6, Cores: 1, WidthSpread: 0.6, CoresSpread: 0.3, Length: 800 * time.Millisecond, Spread: 0.5, Uneven: 0.2, EstimateError: 0.2, Worth: 0.35},
+		Report: Shape{PerSecond: 6, Steps: 1.6, Width: 4, Cores: 1.5, WidthSpread: 0.6, CoresSpread: 0.3, Length: time.Second, Spread: 0.5, Uneven: 0.2, EstimateError: 0.2, Worth: 0.5},
+		Watch:  Shape{Images: 1}, ServingLoad: 0.45, Swing: 0.5, SwingTime: 14 * time.Second, TargetFactor: 5,
+		Bursts: []Burst{{All: true, From: 20 * time.Second, For: 8 * time.Second, Factor: factor}}}
+}
+
+// Waving is the bursting load with waves in place of the burst.
+func Waving() Load {
+	l := Bursting(1)
+	l.Wave, l.WaveTime = 0.55, 15*time.Second
+	return l
+}
+
+// Halved is the bursting load on a cell that loses more than half of its workers before the burst.
+func Halved() Load {
+	l := Bursting(3)
+	for w := range 6 {
+		l.Losses = append(l.Losses, Loss{Worker: w, From: 16 * time.Second, For: 16 * time.Second})
+	}
+	return l
 }
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -44,6 +44,10 @@
 	// Weighing is how long it takes the owner to weigh a worker for a task; it decides
 	// nothing else meanwhile. 0 takes no time.
 	Weighing time.Duration
+	// Admission lets entries reject jobs by the owner's digests.
+	Admission bool
+	// Lenient keeps the entries from rejecting what they would.
+	Lenient bool
 }
 
 // Replay is a cell under a load.
@@ -63,14 +67,17 @@
 	now     time.Time
 	// busyTill is until when the owner is at its latest decisions.
 	busyTill time.Time
+	// callers hand jobs in, and again if they are rejected.
+	callers *callers
 }
 
 // New returns a Replay at its beginning.
 func New(c Config) *Replay {
 	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
-		account: &account{load: c.Load}, now: epoch}
+		account: &account{load: c.Load}, now: epoch, callers: newCallers()}
 	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1})
 	p.planner.SetPolicy(policy())
+	p.planner.Summarise(c.Admission)
 	for n := range c.Load.Workers {
 		w := newWorker(fmt.Sprintf("host-%02d", n))
 		p.workers = append(p.workers, w)
@@ -99,6 +106,7 @@
 		for _, j := range p.source.due(p.now.Sub(epoch)) {
 			p.submit(j)
 		}
+		p.callers.again(p)
 		for _, w := range p.workers {
 			p.advance(w, n)
 		}
@@ -109,7 +117,7 @@
 
 func (p *Replay) submit(j kqflow.Job) {
 	p.note(&j)
-	p.planner.Submit(p.now, kqflow.Submission{Job: j}, nil, 0)
+	p.callers.offer(p, j)
 }
 
 // note keeps a job that comes now.
@@ -189,6 +197,7 @@
 	p.deciding(func() {
 		p.planner.Tick(p.now)
 		p.planner.Committed(p.now, p.planner.Writes(writes), p.version)
+		p.callers.hear(p.now, p.planner.Digest(p.now))
 	})
 	took := time.Duration(p.planner.Weighed()-before) * p.config.Weighing
 	p.planner.Took(p.now, took)
@@ -268,6 +277,8 @@
 	for queue, w := range work {
 		p.account.bounds[queue] = kqsize.BoundsOf(w)
 	}
+	p.account.result.Callers = p.callers.account
+	p.account.result.Callers.Pending = len(p.callers.retries)
 	for _, j := range p.jobs {
 		took := time.Duration(-1)
 		if e, ok := p.ended[j.ID]; ok {
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -34,6 +34,7 @@
 	whole, quick, batch, watch float64
 	over                       time.Duration
 	quickSizes, batchSizes     sizes
+	reportSizes                sizes
 }
 
 // sizes is the mean part of the jobs of a queue that was served, of all and of
@@ -87,6 +88,7 @@
 		m.over += r.Over / time.Duration(*seeds)
 		m.quickSizes.add(r.QuickSizes, 1/n)
 		m.batchSizes.add(r.BatchSizes, 1/n)
+		m.reportSizes.add(r.ReportSizes, 1/n)
 	}
 	t.Logf("%-12s whole %.4f quick %.3f batch %.3f watch %.3f over %s, served quick %.3f, batch %.3f", name, m.whole, m.quick, m.batch, m.watch,
 		m.over.Round(100*time.Millisecond), m.quickSizes, m.batchSizes)
