--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
@@ -22,7 +23,7 @@
 type Config struct {
 	// Store is the platform's store.
 	Store kqrows.Store
-	// Zone is the availability zone of this entry, for its log; may be empty.
+	// Zone is the availability zone of this entry; may be empty.
 	Zone string
 	// Now is the clock, Wall the time of day.
 	Now  func() time.Time
@@ -31,6 +32,8 @@
 	Events *kqevent.Log
 	// Took is told how long requests took; may be nil.
 	Took func(kind string, d time.Duration)
+	// Admission switches rejections on; nil accepts all that can be stored.
+	Admission *Admission
 }
 
 const (
@@ -52,13 +55,15 @@
 	health  health
 	// timed is the store with time limits that follow its speed.
 	timed *kqrows.Timed
+	// admission is what decisions on new jobs rest on.
+	admission admission
 	// watched is the store, with each outcome noted in health.
 	watched kqrows.Store
 }
 
 // New returns a Front without an owner.
 func New(c Config) *Front {
-	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}}
+	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}, admission: newAdmission()}
 	f.timed = kqrows.NewTimed(c.Store, c.Now)
 	f.health.speed = f.timed.Speed
 	f.watched = f.observed()
@@ -70,6 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.send = send
+	f.admission.linked(f.config.Now(), send)
 }
 
 // Unlinked notes that the stream has ended.
@@ -77,6 +83,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.linked, f.send = false, nil
+	f.admission.received = kqadmission.Received{}
 	for n, c := range f.waiting {
 		close(c)
 		delete(f.waiting, n)
@@ -99,6 +106,7 @@
 	} else if m.Whole {
 		f.pending = map[string]int{}
 	}
+	f.admission.receive(f.config.Now(), m)
 	if m.Submitted != nil {
 		if c := f.waiting[m.Submitted.Number]; c != nil {
 			delete(f.waiting, m.Submitted.Number)
@@ -111,7 +119,12 @@
 func (f *Front) Submit(ctx context.Context, j kqflow.Job) kqcontrol.Outcome {
 	began := f.config.Now()
 	j.SubmittedAt = f.config.Wall().Round(0)
+	if f.config.Admission != nil {
+		j.Zone = f.config.Zone
+	}
+	a := f.attempt(j.ID)
 	o := f.store(ctx, kqmessage.Submit{Job: &j})
+	a.end(o, ctx.Err() != nil)
 	now := f.config.Now()
 	took := now.Sub(began).Round(time.Millisecond)
 	f.took("submit", now.Sub(began))
--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -102,7 +102,7 @@
 	switch l.Event {
 	case kqevent.FlowTaken:
 		a.taken(l)
-	case kqevent.FlowRefused, kqevent.FlowUnresolved:
+	case kqevent.FlowRefused, kqevent.FlowRejected, kqevent.FlowUnresolved:
 		if a.away == nil {
 			a.away = map[string]turnedAway{}
 		}
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -119,6 +119,7 @@
 		p.backlog += p.backlogFilling
 	}
 	p.short = x.crowd.WaitingEnding > 0
+	p.summarise(now)
 	if x.filling {
 		p.noteCrowd(now, x.crowd)
 	}
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -83,11 +83,13 @@
 	loads map[string]*queueLoad
 	evacuation
 	warmth warmth
+	// admission is what entries need to know to accept or reject jobs.
+	admission admission
 }
 
 // New returns a Planner that knows nothing yet.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, loads: map[string]*queueLoad{}, mostMisses: mostMisses}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, loads: map[string]*queueLoad{}, mostMisses: mostMisses, admission: newAdmission(c.TakenAt)}
 }
 
 // Epoch returns the owner's epoch.
@@ -169,6 +171,9 @@
 		return
 	}
 	s.Job.SubmittedAt = plausible(now, s.Job.SubmittedAt, record == nil)
+	if record == nil {
+		p.arrive(now, &s.Job)
+	}
 	j := newJob(s.Job, p.queueOf(s.Job.Queue, record))
 	p.jobs.Put(s.Job.ID, j)
 	if record != nil {
