Candidates look at the store while they wait for their turn

Cause: an owner that dies while the store is slow is followed by one of its agents, spread over two answers for each. They slept for up to 19 s without a look, so that they found the new owner after their leases had ended. An owner that cannot be connected to was waited for during six answers.

Change: a candidate looks each 0.4 s while it waits; turns are spread over one answer for each agent; an owner that refuses connections is replaced after four answers, since its beat moves each second or third while it has one write under way.

With leases of 5.76 s and the store 100 times as slow an owner's death still costs the others' leases when the turns fall late.

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -21,6 +21,10 @@
 	// storeFactor is how many of the store's answers an owner may take between two
 	// beats: it waits for other writes before its own.
 	storeFactor = 6
+	// refusedFactor is the same for an owner that cannot be connected to. Its beat moves
+	// each second or third answer, since it has one write under way while the store is
+	// slow; with six answers the leases of 6 s ended before a successor granted others.
+	refusedFactor = 4
 	// mostSpread bounds for how long the candidates to follow an owner are spread.
 	mostSpread  = time.Minute
 	leastSpread = 40 * time.Millisecond
@@ -72,23 +76,25 @@
 		// An owner that has just taken the cell may have been dialled too early.
 		o.refused = false
 	}
-	if w != o.owner || o.movedAt.IsZero() || now.Sub(o.readAt) > o.bound(SilenceBound) {
+	if w != o.owner || o.movedAt.IsZero() || now.Sub(o.readAt) > o.bound(SilenceBound, storeFactor) {
 		o.movedAt = now
 	}
 	o.owner, o.readAt = w, now
 }
 
 // bound returns after how long without a beat the owner is taken for gone, given the
-// time for a store that answers at once: while the store is slow the owner's beats
-// are, and a successor's would be no faster.
-func (o *Observer) bound(usual time.Duration) time.Duration { return max(usual, storeFactor*o.took) }
+// time for a store that answers at once, and a number of answers for one that does not:
+// while the store is slow the owner's beats are, and a successor's would be no faster.
+func (o *Observer) bound(usual time.Duration, answers int) time.Duration {
+	return max(usual, time.Duration(answers)*o.took)
+}
 
 // Spread returns over what time the candidates to follow an owner are spread, by how
-// many processes the cell has: about one comes in the time of two answers of the
-// store. The store carries the writes of a cell out one after another, so that all at
+// many processes the cell has: about one comes in the time of an answer of the store,
+// and finds by then that another has come before. The store carries the writes of a cell out one after another, so that all at
 // once they would keep out the beats of the owner that follows.
 func (o *Observer) Spread(peers int) time.Duration {
-	return min(mostSpread, max(leastSpread, 2*time.Duration(peers)*o.took))
+	return min(mostSpread, max(leastSpread, time.Duration(peers)*o.took))
 }
 
 // Refused notes that the owner's address does not lead to the owner.
@@ -109,7 +115,7 @@
 		return ActionDial
 	case o.owner.Name == "" || o.owner.Name == o.config.Name:
 		return ActionTake
-	case silent >= o.bound(SilenceBound), o.refused && silent >= o.bound(RefusedBound):
+	case silent >= o.bound(SilenceBound, storeFactor), o.refused && silent >= o.bound(RefusedBound, refusedFactor):
 		return ActionTake
 	case o.refused:
 		return ActionWait
@@ -128,5 +134,5 @@
 // Unconfirmed reports whether to replace an owner that is connected: by its own
 // word the store has not confirmed it since a time, and the beat stands still.
 func (o *Observer) Unconfirmed(now, confirmed time.Time) bool {
-	return o.config.Candidate && now.Sub(confirmed) >= o.bound(SilenceBound) && now.Sub(o.movedAt) >= max(stillBound, stillAnswers*o.took)
+	return o.config.Candidate && now.Sub(confirmed) >= o.bound(SilenceBound, storeFactor) && now.Sub(o.movedAt) >= max(stillBound, stillAnswers*o.took)
 }
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -50,6 +50,9 @@
 	takeTimeout    = 6 * time.Second
 	suspectAge     = 700 * time.Millisecond
 	watchInterval  = 250 * time.Millisecond
+	// turnLook is the time between two looks at the store while a process waits for
+	// its turn to take the cell.
+	turnLook = 400 * time.Millisecond
 )
 
 // Network is how a process reaches others.
@@ -190,8 +193,7 @@
 		}
 		switch n.observer.Next(n.config.Control.Now()) {
 		case kqelect.ActionTake:
-			n.pause(n.turn())
-			if n.look(ctx) && n.observer.Next(n.config.Control.Now()) == kqelect.ActionTake {
+			if n.awaitTurn(ctx, func() bool { return n.observer.Next(n.config.Control.Now()) == kqelect.ActionTake }) {
 				n.take(ctx)
 			}
 		case kqelect.ActionDial:
@@ -212,6 +214,24 @@
 	return time.Duration(rand.Int64N(int64(n.observer.Spread(n.peers))))
 }
 
+// awaitTurn waits for this process's turn to take the cell and reports whether it
+// still wants to. It looks meanwhile: turns are long while the store is slow, and who
+// is not connected to the owner that has taken the cell loses its lease.
+func (n *Node) awaitTurn(ctx context.Context, wants func() bool) bool {
+	end := n.config.Control.Now().Add(n.turn())
+	for n.tomb.Alive() {
+		left := end.Sub(n.config.Control.Now())
+		if left <= 0 {
+			return n.look(ctx) && wants()
+		}
+		n.pause(min(left, turnLook))
+		if left > turnLook && n.look(ctx) && !wants() {
+			return false
+		}
+	}
+	return false
+}
+
 func (n *Node) pause(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -369,7 +389,7 @@
 			return true
 		case <-tick.C:
 		}
-		if n.config.Role == kqmessage.RoleAgent && !n.Owning() && l.replace(ctx) {
+		if n.config.Role == kqmessage.RoleAgent && !n.Owning() && l.replace(ctx, s) {
 			return true
 		}
 	}
@@ -377,26 +397,43 @@
 
 // replace watches an owner that the store does not confirm any more: it returns
 // true if this process leaves it, for its successor or to become that.
-func (l *link) replace(ctx context.Context) bool {
+func (l *link) replace(ctx context.Context, s *kqstream.Stream) bool {
 	n := l.node
-	for turn := range 2 {
-		_, confirmed := n.state()
-		if n.config.Control.Now().Sub(confirmed) < suspectAge || !n.look(ctx) {
-			return false
-		}
-		owner, confirmed := n.state()
-		if owner.Epoch > l.epoch {
-			return true
-		}
-		if !n.observer.Unconfirmed(n.config.Control.Now(), confirmed) {
-			return false
-		}
-		if turn == 0 {
-			n.pause(n.turn())
-		}
+	if _, confirmed := n.state(); n.config.Control.Now().Sub(confirmed) < suspectAge || !n.look(ctx) {
+		return false
+	}
+	if l.isReplaced() {
+		return true
+	}
+	if !l.isUnconfirmed() {
+		return false
+	}
+	if n.awaitTurn(ctx, func() bool { return l.isUnconfirmed() && !l.isReplaced() && !isDone(s) }) {
+		n.take(ctx)
+		return true
+	}
+	return l.isReplaced()
+}
+
+// isReplaced reports whether another owner was read than the one of the stream.
+func (l *link) isReplaced() bool {
+	owner, _ := l.node.state()
+	return owner.Epoch > l.epoch
+}
+
+// isUnconfirmed reports whether the owner of the stream may be replaced.
+func (l *link) isUnconfirmed() bool {
+	_, confirmed := l.node.state()
+	return l.node.observer.Unconfirmed(l.node.config.Control.Now(), confirmed)
+}
+
+func isDone(s *kqstream.Stream) bool {
+	select {
+	case <-s.Done():
+		return true
+	default:
+		return false
 	}
-	n.take(ctx)
-	return true
 }
 
 // acceptor takes streams of agents and entries.
--- a/internal/standin/kqrowstore/partition.go
+++ b/internal/standin/kqrowstore/partition.go
@@ -114,10 +114,12 @@
 		return kqrows.Outcome{}, sleep(ctx, f.answer(), kqrows.ErrRefused)
 	}
 	var err error
-	go p.carryOut(func() kqrows.Outcome {
-		var o kqrows.Outcome
-		o, err = s.outcome(f, t)
-		return o
+	s.inTurns.Go(func() {
+		p.carryOut(func() kqrows.Outcome {
+			var o kqrows.Outcome
+			o, err = s.outcome(f, t)
+			return o
+		})
 	})
 	select {
 	case <-p.done:
@@ -127,6 +129,9 @@
 	}
 }
 
+// Settle returns once everything that waits in a partition has been carried out.
+func (s *Store) Settle() { s.inTurns.Wait() }
+
 // sleep returns an error after a time, or ErrUnknown if ctx ends before.
 func sleep(ctx context.Context, d time.Duration, err error) error {
 	t := time.NewTimer(d)
--- a/internal/standin/kqrowstore/store.go
+++ b/internal/standin/kqrowstore/store.go
@@ -19,6 +19,9 @@
 	Refuse bool
 	// Silent makes the store never answer.
 	Silent bool
+	// Hang is the share of calls that are neither carried out nor answered, as on a
+	// connection that has gone silent.
+	Hang float64
 	// LoseAnswers is the share of writes that are done and not answered.
 	LoseAnswers float64
 	// Late is the share of writes that are done seconds later, unanswered.
@@ -64,6 +67,8 @@
 	partitions map[string]*partition
 	calls      map[string]int
 	turnedAway int
+	// inTurns are the transactions that wait in partitions.
+	inTurns sync.WaitGroup
 }
 
 // New returns an empty Store.
@@ -122,7 +127,7 @@
 // enter lets a call wait and fail before it has any effect.
 func (c client) enter(ctx context.Context, call string) (Faults, error) {
 	f := c.now(call)
-	if f.Silent {
+	if f.Silent || f.Hang > 0 && c.store.draw() < f.Hang {
 		<-ctx.Done()
 		return f, kqrows.ErrUnknown
 	}
@@ -135,6 +140,12 @@
 	return f, sleep(ctx, f.answer(), nil)
 }
 
+func (s *Store) draw() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64()
+}
+
 // inTurn reports whether the store carries transactions out by partition.
 func (s *Store) inTurn() bool {
 	s.mu.Lock()
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -115,6 +115,7 @@
 		a.Kill()
 	}
 	r.entry.Kill()
+	r.Store.Settle()
 }
 
 func (r *Rig) lease() time.Duration {
--- a/internal/trial/kqflowrig/slow_test.go
+++ b/internal/trial/kqflowrig/slow_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
@@ -25,6 +27,7 @@
 	slowRate       = 17.0
 	slowStanding   = 20
 	slowPartitions = 8
+	keptEvents     = 1 << 16
 	quickEstimate  = 800 * time.Millisecond
 )
 
@@ -40,7 +43,7 @@
 }
 
 func newSlow(seed uint64, lease time.Duration) *slow {
-	x := &slow{events: kqevent.New(kqevent.Config{}), rng: rand.New(rand.NewPCG(seed, 23))}
+	x := &slow{events: kqevent.New(kqevent.Config{Keep: keptEvents}), rng: rand.New(rand.NewPCG(seed, 23))}
 	x.rig = kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: slowAgents, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}, Lease: lease,
 		Partitions: slowPartitions, Events: x.events, Settled: func(s kqplan.Settlement) { x.ends[s.Outcome].Add(1) }})
 	time.Sleep(3 * time.Second)
@@ -73,8 +76,29 @@
 	}
 }
 
-// lost is how many runs were given up.
-func (x *slow) lost() uint64 { return x.events.Counts()["flow_run_lost"] }
+// lost is how many runs were given up or ended with their lease, but for those on a
+// worker.
+func (x *slow) lost(except string) int {
+	return x.count(except, func(e kqevent.Event) bool { return e.Number == kqevent.FlowRunLost }) + x.lapsed(except)
+}
+
+// lapsed is how many runs ended with their lease, but for those on a worker.
+func (x *slow) lapsed(except string) int {
+	return x.count(except, func(e kqevent.Event) bool {
+		return e.Number == kqevent.FlowRunEnded && strings.HasSuffix(e.Text, string(kqexecution.HowLapsed))
+	})
+}
+
+func (x *slow) count(except string, counts func(kqevent.Event) bool) (n int) {
+	for job := 1; job <= x.jobs; job++ {
+		for _, e := range x.events.AboutJob(fmt.Sprintf("%016x", job)) {
+			if counts(e) && !strings.Contains(e.Text, "on "+except+":") {
+				n++
+			}
+		}
+	}
+	return n
+}
 
 func (x *slow) owner() *kqmachine.Machine {
 	for _, a := range x.rig.Agents {
@@ -93,7 +117,7 @@
 func (x *slow) String() string {
 	_, full := x.rig.Store.Calls()
 	return fmt.Sprintf("%d of %d jobs stored, %d in time, %d late, %d too late; %d runs given up, %d owners, %d transactions turned away", x.stored.Load(), x.handedIn.Load(),
-		x.ends[kqplan.OutcomeInTime].Load(), x.ends[kqplan.OutcomeLate].Load(), x.ends[kqplan.OutcomeTooLate].Load(), x.lost(), x.rig.Epoch(), full)
+		x.ends[kqplan.OutcomeInTime].Load(), x.ends[kqplan.OutcomeLate].Load(), x.ends[kqplan.OutcomeTooLate].Load(), x.lost(""), x.rig.Epoch(), full)
 }
 
 // open returns the stored jobs that have not ended, but for those that stay.
@@ -132,7 +156,7 @@
 	time.Sleep(8 * time.Second)
 	open, bad := x.open(), x.rig.Ledger.Breaches()
 	t.Log(x)
-	if x.lost() > 0 || x.rig.Epoch() != 1 || x.rig.Owners() != 1 || open > 0 || len(bad) > 0 {
+	if x.lost("") > 0 || x.rig.Epoch() != 1 || x.rig.Owners() != 1 || open > 0 || len(bad) > 0 {
 		t.Errorf("%d stored jobs have not ended, breaches: %v", open, bad)
 	}
 	if n := x.handedIn.Load() - slowStanding; x.served() < n*9/10 {
