Submissions are spread over 16 parts

Cause: at 100 times the usual answer a part carries 2.5 transactions a second, eight carry 20; the deployments hand in 17 jobs a second on average and 25 at the peaks of a wave.

Change: 16 parts.

--- a/internal/trial/kqflowrig/slow_test.go
+++ b/internal/trial/kqflowrig/slow_test.go
@@ -26,7 +26,7 @@
 	slowAgents     = 30
 	slowRate       = 17.0
 	slowStanding   = 20
-	slowPartitions = 8
+	slowPartitions = 16
 	keptEvents     = 1 << 16
 	quickEstimate  = 800 * time.Millisecond
 )
