--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -141,6 +141,7 @@
 		a.Kill()
 	}
 	r.entry.Kill()
+	r.Store.Settle()
 }
 
 func (r *Rig) lease() time.Duration {
