--- a/internal/command/kqcommand/flow.go
+++ b/internal/command/kqcommand/flow.go
@@ -24,6 +24,7 @@
 		parent("flow", "Jobs of steps", a.flowSubmit(), a.flowRequest("get", "Read the state of a flow", http.MethodGet),
 			a.flowRequest("cancel", "Cancel a flow; may be sent again", http.MethodDelete), a.flowExplain(), a.flowLosses(), a.flowDemo()),
 		parent("queue", "Classes of work for jobs of steps", a.queueApply(), a.queueList()),
+		a.zoneCommands(),
 	}
 }
 
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -100,6 +100,7 @@
 	mu          sync.Mutex
 	planner     *kqplan.Planner
 	zones       kqevacuate.Zones
+	left        []kqevacuate.Left
 	sessions    map[string]*Session
 	agents      int
 	confirmedAt time.Time
--- a/internal/flow/kqcontrol/evacuation.go
+++ b/internal/flow/kqcontrol/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
@@ -83,3 +84,20 @@
 		x.send(kqmessage.FromOwner{Zones: &n})
 	}
 }
+
+// zoneReport returns what is left in evacuated zones if that has changed; mu is held.
+func (c *Controller) zoneReport(now time.Time) *kqevacuate.Report {
+	left := c.planner.ZoneReport(now)
+	if slices.Equal(left, c.left) {
+		return nil
+	}
+	c.left = left
+	return &kqevacuate.Report{Zones: left}
+}
+
+// Left returns what was last told of evacuated zones.
+func (c *Controller) Left() []kqevacuate.Left {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -195,6 +195,7 @@
 	m := kqmessage.FromOwner{States: states}
 	if now.Sub(c.pendingAt) >= pendingInterval {
 		c.pendingAt = now
+		m.Left = c.zoneReport(now)
 		if p := c.planner.Pending(); !maps.Equal(p, c.pending) {
 			c.pending = p
 			m.Pending = p
@@ -204,7 +205,7 @@
 			}
 		}
 	}
-	if m.States == nil && m.Pending == nil {
+	if m.States == nil && m.Pending == nil && m.Left == nil {
 		return
 	}
 	for _, s := range c.sessions {
--- a/internal/flow/kqevacuate/left.go
+++ b/internal/flow/kqevacuate/left.go
@@ -16,3 +16,9 @@
 	// Stopping is the tasks that are being stopped.
 	Stopping int `json:"stopping"`
 }
+
+// Report is what is still in every evacuated zone.
+type Report struct {
+	// Zones is in order of the names; there may be none.
+	Zones []Left `json:"zones"`
+}
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
@@ -44,6 +46,7 @@
 	linked  bool
 	states  map[string]kqflow.State
 	pending map[string]int
+	left    []kqevacuate.Left
 	send    func(kqmessage.ToOwner)
 	number  uint64
 	waiting map[uint64]chan kqcontrol.Outcome
@@ -70,7 +73,7 @@
 func (f *Front) Unlinked() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.linked, f.send = false, nil
+	f.linked, f.send, f.left = false, nil, nil
 	for n, c := range f.waiting {
 		close(c)
 		delete(f.waiting, n)
@@ -93,6 +96,9 @@
 	} else if m.Whole {
 		f.pending = map[string]int{}
 	}
+	if m.Left != nil {
+		f.left = m.Left.Zones
+	}
 	if m.Submitted != nil {
 		if c := f.waiting[m.Submitted.Number]; c != nil {
 			delete(f.waiting, m.Submitted.Number)
@@ -256,3 +262,10 @@
 	defer f.mu.Unlock()
 	return f.pending[queue]
 }
+
+// Left returns what the owner says is still in evacuated zones; nil if it has not said.
+func (f *Front) Left() []kqevacuate.Left {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.left)
+}
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -1,5 +1,5 @@
-// Package kqgate is the HTTP API of jobs of steps, which callers know as flows,
-// and of their queues, which operators set.
+// Package kqgate is the HTTP API of jobs of steps, which callers know as flows, and
+// of their queues and the evacuation of zones, which operators set.
 package kqgate
 
 import (
@@ -27,8 +27,10 @@
 	Front *kqfront.Front
 	// Book knows the queues in force.
 	Book *Book
-	// Store keeps the queues.
+	// Store keeps the queues and the requests to evacuate zones.
 	Store kqrows.Store
+	// Now is the time of day; nil means that of this machine.
+	Now func() time.Time
 	// Events is what the process remembers; may be nil.
 	Events *kqevent.Log
 }
@@ -44,7 +46,12 @@
 }
 
 // New returns a Gate.
-func New(c Config) *Gate { return &Gate{config: c} }
+func New(c Config) *Gate {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return &Gate{config: c}
+}
 
 // Handler serves the API.
 func (g *Gate) Handler() http.Handler {
@@ -55,6 +62,9 @@
 	r.POST("/v1/flows", answered(g.postFlow))
 	r.GET("/v1/flows/:id", answered(g.getFlow))
 	r.DELETE("/v1/flows/:id", answered(g.deleteFlow))
+	r.GET(ZonesRoute, answered(g.listZones))
+	r.PUT(EvacuationRoute, answered(g.evacuateZone))
+	r.DELETE(EvacuationRoute, answered(g.returnZone))
 	r.GET(ExplainRoute, answered(g.explain))
 	return r
 }
--- /dev/null
+++ b/internal/flow/kqgate/zone_test.go
@@ -0,0 +1,92 @@
+package kqgate_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+)
+
+func (x *gate) zones(g *WithT) (out []string) {
+	s, b := x.send("GET", "/v1/zones", "")
+	g.Expect(s).To(Equal(http.StatusOK), b)
+	var vs []kqgate.ZoneView
+	g.Expect(json.Unmarshal([]byte(b), &vs)).To(Succeed())
+	for _, v := range vs {
+		out = append(out, v.Zone)
+	}
+	return out
+}
+
+// follow returns the zones as a process reads them.
+func (x *gate) follow(t *testing.T) func() []string {
+	b := kqgate.NewZoneBook(kqgate.ZoneBookConfig{Process: "agent", Store: x.store.Client("agent"), Now: time.Now, Changed: func(kqevacuate.Zones) {}})
+	t.Cleanup(b.Close)
+	return func() []string { return b.Zones().Names() }
+}
+
+func TestAZoneIsEvacuatedAndReturned(t *testing.T) {
+	g := NewWithT(t)
+	x := start(t)
+	known := x.follow(t)
+	for range 2 {
+		s, b := x.send("PUT", "/v1/zones/ausspan/evacuation", "")
+		g.Expect(s).To(Equal(http.StatusOK), b)
+		g.Expect(b).To(ContainSubstring(`"evacuated":true`))
+		g.Expect(b).To(ContainSubstring(`"since"`))
+	}
+	g.Expect(x.zones(g)).To(Equal([]string{"ausspan"}))
+	g.Eventually(known, time.Second).Should(Equal([]string{"ausspan"}))
+	for range 2 {
+		s, b := x.send("DELETE", "/v1/zones/ausspan/evacuation", "")
+		g.Expect(s).To(Equal(http.StatusOK), b)
+		g.Expect(b).To(ContainSubstring(`"evacuated":false`))
+	}
+	g.Expect(x.zones(g)).To(BeEmpty())
+	g.Eventually(known, time.Second).Should(BeEmpty())
+	s, b := x.send("PUT", "/v1/zones/a%20b/evacuation", "")
+	g.Expect(s).To(Equal(http.StatusBadRequest), b)
+	g.Expect(b).To(ContainSubstring("is no name"))
+	x.store.SetFaults("entry", kqrowstore.Faults{Refuse: true})
+	s, _ = x.send("PUT", "/v1/zones/ausspan/evacuation", "")
+	g.Expect(s).To(Equal(http.StatusServiceUnavailable))
+}
+
+// The store may carry a write out seconds after it was sent, when the zone has been
+// returned: it must not be evacuated again by that.
+func TestALateCopyOfAnEvacuationChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	x := start(t)
+	x.send("PUT", "/v1/zones/a/evacuation", "")
+	rows, _, err := x.store.Client("").Read(context.Background(), kqgate.EvacuationTable, "", "")
+	g.Expect(err).NotTo(HaveOccurred())
+	x.send("DELETE", "/v1/zones/a/evacuation", "")
+	key := kqrows.Key{Table: kqgate.EvacuationTable, Name: "a"}
+	o, err := x.store.Client("").Transact(context.Background(), kqrows.Tx{Expected: []kqrows.Expect{{Key: key}}, Puts: []kqrows.Put{{Key: key, Value: rows[0].Value}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.Committed).To(BeFalse())
+	g.Expect(x.zones(g)).To(BeEmpty())
+}
+
+// A row that cannot be read holds for the zone that its key names.
+func TestAnUnreadableRequestHolds(t *testing.T) {
+	g := NewWithT(t)
+	x := start(t)
+	known := x.follow(t)
+	key := kqrows.Key{Table: kqgate.EvacuationTable, Name: "a"}
+	_, err := x.store.Client("").Transact(context.Background(), kqrows.Tx{Puts: []kqrows.Put{{Key: key, Value: []byte("{")}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(known, time.Second).Should(Equal([]string{"a"}))
+	g.Expect(x.zones(g)).To(Equal([]string{"a"}))
+	s, b := x.send("DELETE", "/v1/zones/a/evacuation", "")
+	g.Expect(s).To(Equal(http.StatusOK), b)
+	g.Eventually(known, time.Second).Should(BeEmpty())
+}
--- a/internal/flow/kqgate/zonebook.go
+++ b/internal/flow/kqgate/zonebook.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -89,7 +90,14 @@
 func changes(rows []kqrows.Row) []kqevacuate.Change {
 	var out []kqevacuate.Change
 	for _, r := range rows {
-		out = append(out, kqevacuate.Change{Zone: r.Name, Withdrawn: r.Removed})
+		out = append(out, kqevacuate.Change{Zone: r.Name, Withdrawn: withdrawn(r)})
 	}
 	return out
 }
+
+// withdrawn reports whether a row's request is withdrawn. One that cannot be read holds
+// for the zone that its key names.
+func withdrawn(r kqrows.Row) bool {
+	var z zoneRow
+	return r.Removed || json.Unmarshal(r.Value, &z) == nil && z.Withdrawn
+}
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -113,6 +113,8 @@
 	Whole bool `json:"whole,omitempty"`
 	// Pending is how many jobs of each queue have not begun, for an entry.
 	Pending map[string]int `json:"pending,omitempty"`
+	// Left is what is still in evacuated zones, for an entry.
+	Left *kqevacuate.Report `json:"left,omitempty"`
 	// Submitted answers a request of an entry.
 	Submitted *Submitted `json:"submitted,omitempty"`
 }
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -185,6 +185,14 @@
 	}
 }
 
+// Left returns what is still in evacuated zones; nil if this process owns no cell.
+func (n *Node) Left() []kqevacuate.Left {
+	if c := n.owned(); c != nil {
+		return c.Left()
+	}
+	return nil
+}
+
 func (n *Node) loop() {
 	ctx := n.tomb.Context(context.Background())
 	for n.tomb.Alive() {
--- a/internal/trial/kqflowdemo/cell.go
+++ b/internal/trial/kqflowdemo/cell.go
@@ -35,7 +35,9 @@
 	lookUpTime   = time.Second
 	standingTime = 24 * time.Hour
 	keepStates   = time.Hour
-	entryName    = "entry"
+	// evacuateWithin is the time after which nothing starts in an evacuated zone.
+	evacuateWithin = 5 * time.Second
+	entryName      = "entry"
 )
 
 var loopback = netip.MustParseAddr("127.0.0.1")
@@ -77,7 +79,7 @@
 	x := &Cell{config: c, Store: kqrowstore.New(c.Seed), Counter: &kqinvariant.Counter{}}
 	x.Ledger = kqtaskhost.NewLedger(x.rules)
 	for i := range c.Workers {
-		m, err := x.newMember(fmt.Sprintf("worker-%d", i+1), c.Seed+uint64(i))
+		m, err := x.newMember(i, c.Seed+uint64(i))
 		if err != nil {
 			x.Close()
 			return nil, err
@@ -188,20 +190,25 @@
 }
 
 // newMember starts an agent with the worker beside it.
-func (x *Cell) newMember(name string, seed uint64) (*kqmachine.Machine, error) {
+func (x *Cell) newMember(number int, seed uint64) (*kqmachine.Machine, error) {
+	name := fmt.Sprintf("worker-%d", number+1)
 	at, err := freePort()
 	if err != nil {
 		return nil, err
 	}
 	var m *kqmachine.Machine
 	var book *kqgate.Book
-	m = kqmachine.New(kqmachine.Config{Name: name, Service: x.config.Service, Capacity: x.config.Capacity, CheckInEvery: checkInEvery,
+	var zones *kqgate.ZoneBook
+	m = kqmachine.New(kqmachine.Config{Name: name, Service: x.config.Service, Zone: zoneOf(number), Capacity: x.config.Capacity, CheckInEvery: checkInEvery,
 		Host: kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, Size: x.size, Ledger: x.Ledger}),
 		Control: func(boot int) kqcontrol.Config {
 			book = kqgate.NewBook(kqgate.BookConfig{Store: x.Store.Client(name), Now: time.Now, Events: x.config.Events, Changed: m.SetPolicy})
-			return x.control(name, boot, at, book)
+			zones = kqgate.NewZoneBook(kqgate.ZoneBookConfig{Process: name, Store: x.Store.Client(name), Now: time.Now, Events: x.config.Events, Changed: m.SetZones})
+			c := x.control(name, boot, at, book)
+			c.Evacuation = zones.Evacuation(evacuateWithin)
+			return c
 		},
-		Stopping: func() { book.Close() }})
+		Stopping: func() { book.Close(); zones.Close() }})
 	return m, m.Start()
 }
 
@@ -214,3 +221,8 @@
 	defer l.Close()
 	return netip.ParseAddrPort(l.Addr().String())
 }
+
+// demoZones are the availability zones of the demo, to which workers belong in turn.
+var demoZones = []string{"zone-a", "zone-b", "zone-c"}
+
+func zoneOf(worker int) string { return demoZones[worker%len(demoZones)] }
