--- a/internal/standin/kqtaskhost/host.go
+++ b/internal/standin/kqtaskhost/host.go
@@ -49,6 +49,9 @@
 	Size Size
 	// Ledger checks what runs.
 	Ledger *Ledger
+	// Ready returns how long a standing task takes until it serves, which its progress
+	// shows; 0 for a task that ends. May be nil.
+	Ready func(task string) time.Duration
 	// Sent is told of each start that is sent to the machine, whatever becomes of it;
 	// may be nil.
 	Sent func(r kqexecution.Run)
@@ -111,6 +114,14 @@
 	h.worker = &worker{host: h, id: fmt.Sprintf("%s.%d", name, h.life), began: time.Now(), running: map[kqexecution.Run]*run{}, highest: map[string]uint64{}}
 }
 
+// readyAfter returns how long a standing task takes until it serves; 0 for others.
+func (h *Host) readyAfter(task string) time.Duration {
+	if h.config.Ready == nil {
+		return 0
+	}
+	return h.config.Ready(task)
+}
+
 // Worker returns the name of the present incarnation.
 func (h *Host) Worker() string {
 	h.mu.Lock()
@@ -325,7 +336,11 @@
 		if r.hang {
 			percent = 1
 		}
-		out.Running = append(out.Running, kqexecution.Running{Run: k, Percent: min(99, percent)})
+		percent = min(99, percent)
+		if ready := w.host.readyAfter(k.Task); ready > 0 {
+			percent = min(100, 100*float64(now.Sub(r.began))/float64(ready))
+		}
+		out.Running = append(out.Running, kqexecution.Running{Run: k, Percent: percent})
 	}
 	return kqexecution.AnswerDone
 }
--- a/internal/trial/kqflowdemo/cell.go
+++ b/internal/trial/kqflowdemo/cell.go
@@ -34,7 +34,9 @@
 	checkInEvery = time.Second
 	lookUpTime   = time.Second
 	standingTime = 24 * time.Hour
-	keepStates   = time.Hour
+	// standingReady is how long a standing task takes until it serves.
+	standingReady = 300 * time.Millisecond
+	keepStates    = time.Hour
 	// evacuateWithin is the time after which nothing starts in an evacuated zone.
 	evacuateWithin = 5 * time.Second
 	entryName      = "entry"
@@ -170,6 +172,14 @@
 	return step.Reserved(), step.Estimate
 }
 
+// ready says how long a standing task takes until it serves.
+func (x *Cell) ready(task string) time.Duration {
+	if id, s, ok := x.step(task); ok && s.Job.Steps[id.Step].Standing {
+		return standingReady
+	}
+	return 0
+}
+
 // rules says what must hold of a task.
 func (x *Cell) rules(task string) kqtaskhost.Rules {
 	id, s, ok := x.step(task)
@@ -200,7 +210,7 @@
 	var book *kqgate.Book
 	var zones *kqgate.ZoneBook
 	m = kqmachine.New(kqmachine.Config{Name: name, Service: x.config.Service, Zone: zoneOf(number), Capacity: x.config.Capacity, CheckInEvery: checkInEvery,
-		Host: kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, Size: x.size, Ledger: x.Ledger}),
+		Host: kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, Size: x.size, Ledger: x.Ledger, Ready: x.ready}),
 		Control: func(boot int) kqcontrol.Config {
 			book = kqgate.NewBook(kqgate.BookConfig{Store: x.Store.Client(name), Now: time.Now, Events: x.config.Events, Changed: m.SetPolicy})
 			zones = kqgate.NewZoneBook(kqgate.ZoneBookConfig{Process: name, Store: x.Store.Client(name), Now: time.Now, Events: x.config.Events, Changed: m.SetZones})
--- a/internal/trial/kqflowrig/evacuation_test.go
+++ b/internal/trial/kqflowrig/evacuation_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
@@ -21,6 +23,12 @@
 	run
 	zones []string
 	done  chan struct{}
+	// bad is what a scene has found wrong.
+	bad []string
+}
+
+func (x *evacuated) wrong(format string, args ...any) {
+	x.bad = append(x.bad, fmt.Sprintf(format, args...))
 }
 
 func newEvacuated(seed uint64, load time.Duration) *evacuated {
@@ -39,7 +47,7 @@
 	<-x.done
 	x.rig.Store.Heal()
 	x.rig.Network.Heal()
-	bad := append(x.verdict(), x.rig.LateStarts()...)
+	bad := slices.Concat(x.bad, x.rig.LateStarts(), x.verdict())
 	if len(x.rig.Accepted()) < 20 || x.rig.Ledger.Starts() < 50 {
 		bad = append(bad, fmt.Sprintf("only %d jobs and %d starts", len(x.rig.Accepted()), x.rig.Ledger.Starts()))
 	}
@@ -184,3 +192,56 @@
 	{"orders late", workerFault(kqtaskhost.Faults{Late: 0.5})},
 	{"worker unreachable", workerFault(kqtaskhost.Faults{Down: true})},
 }
+
+// A long evacuation under load: standing tasks leave the zone one by one, are away no
+// more than they may be, and those that may not be away stay.
+func TestStandingTasksLeaveAnEvacuatedZoneOneByOne(t *testing.T) {
+	playEvacuation(t, 3, 75*time.Second, func(x *evacuated) {
+		const moving, fixed = "00000000000000bb", "00000000000000cc"
+		for id, mayMiss := range map[string]int{moving: 1, fixed: 0} {
+			x.rig.Serve(kqflow.Job{ID: id, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{{Count: 6, Standing: true, MayMiss: mayMiss, PerWorker: 2, Estimate: time.Hour,
+				Size: kqmodel.Resources{MilliProcessors: 500, MemoryBytes: 1 << 30}}}})
+		}
+		time.Sleep(5 * time.Second)
+		defer x.rig.Cancel(moving)
+		defer x.rig.Cancel(fixed)
+		zone := x.zones[0]
+		for _, z := range x.zones {
+			if x.standing(moving, z) > x.standing(moving, zone) {
+				zone = z
+			}
+		}
+		there := x.standing(fixed, zone)
+		x.rig.Evacuate(zone)
+		evacuatedAt := time.Now()
+		for time.Since(evacuatedAt) < 45*time.Second {
+			time.Sleep(20 * time.Millisecond)
+			if n := x.rig.Ledger.AtWork(moving); n < 5 {
+				x.wrong("%d of 6 standing tasks at work %s after the evacuation", n, time.Since(evacuatedAt))
+			}
+			if n := x.rig.Ledger.AtWork(fixed); n < 6 {
+				x.wrong("%d of 6 standing tasks at work of which none may be away", n)
+			}
+		}
+		if n := x.standing(moving, zone); n > 0 {
+			x.wrong("%d standing tasks are still in the zone", n)
+		}
+		if n := x.standing(fixed, zone); n != there {
+			x.wrong("%d of %d standing tasks that may not be away are in the zone", n, there)
+		}
+		x.rig.Return(zone)
+	})
+}
+
+// standing counts the tasks of a job at work in a zone.
+func (x *evacuated) standing(job, zone string) int {
+	n := 0
+	for _, w := range x.rig.Ledger.Workers(job) {
+		for i, a := range x.rig.Agents {
+			if x.rig.Zone(i) == zone && a.Host.Worker() == w {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -94,7 +94,7 @@
 
 func (r *Rig) startAgent(i int) *kqmachine.Machine {
 	name := fmt.Sprintf("10.0.0.%d", i+1)
-	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger,
+	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger, Ready: r.ready,
 		Sent: func(k kqexecution.Run) { r.sent(i, k) }})
 	var m *kqmachine.Machine
 	var book *kqgate.ZoneBook
@@ -175,6 +175,17 @@
 	return s.Reserved(), s.Estimate
 }
 
+// standingReady is how long a standing task takes until it serves.
+const standingReady = 500 * time.Millisecond
+
+func (r *Rig) ready(task string) time.Duration {
+	id, _ := kqflow.ParseTaskID(task)
+	if r.submitted(id.Job).Steps[id.Step].Standing {
+		return standingReady
+	}
+	return 0
+}
+
 // submitted returns a job that was handed in.
 func (r *Rig) submitted(id string) kqflow.Job {
 	r.mu.Lock()
@@ -206,12 +217,7 @@
 
 // Submit hands a job in until it is stored or the time for it is up.
 func (r *Rig) Submit(j kqflow.Job) bool {
-	r.mu.Lock()
-	r.jobs[j.ID] = j
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
-	defer cancel()
-	if r.Front.Submit(ctx, j) != kqcontrol.OutcomeStored {
+	if !r.Serve(j) {
 		return false
 	}
 	r.mu.Lock()
@@ -220,6 +226,17 @@
 	return true
 }
 
+// Serve is Submit for a job that is not among the accepted ones, of which some are
+// cancelled and all are expected to end.
+func (r *Rig) Serve(j kqflow.Job) bool {
+	r.mu.Lock()
+	r.jobs[j.ID] = j
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
+	defer cancel()
+	return r.Front.Submit(ctx, j) == kqcontrol.OutcomeStored
+}
+
 // Cancel cancels a job and reports whether that is durable.
 func (r *Rig) Cancel(id string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
