--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -197,6 +197,7 @@
 	m := kqmessage.FromOwner{States: states, Digest: c.planner.Digest(now)}
 	if now.Sub(c.pendingAt) >= pendingInterval {
 		c.pendingAt = now
+		m.Left = c.zoneReport(now)
 		if p := c.planner.Pending(); !maps.Equal(p, c.pending) {
 			c.pending = p
 			m.Pending = p
@@ -206,7 +207,7 @@
 			}
 		}
 	}
-	if m.States == nil && m.Pending == nil && m.Digest == nil {
+	if m.States == nil && m.Pending == nil && m.Digest == nil && m.Left == nil {
 		return
 	}
 	for _, s := range c.sessions {
