--- a/internal/flow/kqfront/admission.go
+++ b/internal/flow/kqfront/admission.go
@@ -176,3 +176,15 @@
 		f.send(kqmessage.ToOwner{Unresolved: []string{id}})
 	}
 }
+
+// RoomIn returns when room is expected for a new job of usual size of a queue; 0 if there is room or nothing is known.
+func (f *Front) RoomIn(queue string) time.Duration {
+	now := f.config.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.admission.received
+	if r.Digest == nil || now.Sub(r.At) > kqadmission.MaxAge {
+		return 0
+	}
+	return r.Digest.Queues[queue].Usual
+}
--- /dev/null
+++ b/internal/flow/kqgate/admission_test.go
@@ -0,0 +1,59 @@
+package kqgate_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqfront"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+)
+
+// A flow that cannot be worth anything must be answered with its code and with when room is expected, and explained.
+func TestARejectedFlowIsToldWhyAndWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	x := &gate{store: kqrowstore.New(1), events: kqevent.New(kqevent.Config{Process: "entry"})}
+	c := x.store.Client("entry")
+	book := kqgate.NewBook(kqgate.BookConfig{Store: c, Now: time.Now})
+	front := kqfront.New(kqfront.Config{Store: c, Now: time.Now, Wall: time.Now, Events: x.events, Admission: &kqfront.Admission{Policy: book.Policy}})
+	x.server = httptest.NewServer(kqgate.New(kqgate.Config{Front: front, Book: book, Store: c, Events: x.events}).Handler())
+	t.Cleanup(func() { x.server.Close(); book.Close() })
+	x.withQueue(g)
+	front.Linked(1, func(kqmessage.ToOwner) {})
+	front.Receive(kqmessage.FromOwner{Whole: true, Digest: &kqadmission.Digest{
+		Levels: []kqadmission.Level{{Service: "pool", Processors: 4000, Ends: []kqadmission.End{{After: 16 * time.Second, Processors: 4000}}}},
+		Queues: map[string]kqadmission.Class{"urgent": {Over: []kqadmission.Part{{}}, Usual: 16 * time.Second, Large: 16 * time.Second}}}})
+
+	q, err := http.NewRequest("POST", x.server.URL+"/v1/flows", strings.NewReader(step(`"count":1,"estimate":"1s","resources":{"milli_processors":1000}`)))
+	g.Expect(err).NotTo(HaveOccurred())
+	a, err := http.DefaultClient.Do(q)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer a.Body.Close()
+	g.Expect(a.StatusCode).To(Equal(http.StatusTooManyRequests))
+	g.Expect(a.Header.Get("Kq-Result")).To(Equal("112"))
+	seconds, err := strconv.Atoi(a.Header.Get("Retry-After"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(seconds).To(BeNumerically(">=", 16))
+	var body kqresult.Body
+	g.Expect(json.NewDecoder(a.Body).Decode(&body)).To(Succeed())
+	g.Expect(body.NotRun).To(BeTrue())
+	g.Expect(body.Reason).To(ContainSubstring("cannot start within 8s"))
+
+	s, _ := x.send("GET", "/v1/flows/a", "")
+	g.Expect(s).To(Equal(http.StatusNotFound))
+	_, said := x.send("GET", "/v1/explain/flow/a", "")
+	g.Expect(said).To(And(ContainSubstring("flow_rejected"), ContainSubstring("room is expected in 16s")))
+	_, shown := x.send("GET", "/v1/queues/urgent", "")
+	g.Expect(shown).To(ContainSubstring(`"room_in":"16s"`))
+}
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -14,6 +14,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
@@ -163,10 +164,14 @@
 	Version uint64 `json:"version"`
 	// Pending is how many flows have not begun; it may be two seconds old.
 	Pending int `json:"pending"`
+	// RoomIn is when room is expected for a new flow of usual size, by the owner's latest word; left out if there is room or
+	// nothing is known.
+	RoomIn kqmodel.Duration `json:"room_in,omitempty"`
 }
 
 func (g *Gate) view(q kqflow.Queue) QueueView {
-	return QueueView{QueueSpec: spec(q), Version: g.config.Book.Version(q.Name), Pending: g.config.Front.Pending(q.Name)}
+	return QueueView{QueueSpec: spec(q), Version: g.config.Book.Version(q.Name), Pending: g.config.Front.Pending(q.Name),
+		RoomIn: kqmodel.Duration(g.config.Front.RoomIn(q.Name))}
 }
 
 func (g *Gate) listQueues(context.Context, bunrouter.Request) (any, *kqresult.Error) {
