Admission control in the rig and on the platform's API; finer times of ends

Cause: ends of runs were rounded down to a power of two, so a caller was told 32 s for room in 60 s. Change: at most a fifth is rounded off.

--- a/internal/flow/kqadmission/digest.go
+++ b/internal/flow/kqadmission/digest.go
@@ -100,7 +100,7 @@
 
 // End is processors that come free.
 type End struct {
-	// After is the least time until they do, by the estimates.
+	// After is the time until they do, by the estimates, rounded down by EndBound.
 	After time.Duration `json:"after"`
 	// Processors is how many, in thousandths.
 	Processors int64 `json:"processors"`
@@ -145,3 +145,22 @@
 	}
 	return 0
 }
+
+const (
+	// leastEnd is up to which time processors count as free at once.
+	leastEnd = 125 * time.Millisecond
+	// endParts is into how many parts the times between two powers of two are split.
+	endParts = 4
+)
+
+// EndBound returns the time by which processors that come free after d are counted: d or up to a fifth less.
+func EndBound(d time.Duration) time.Duration {
+	if d < leastEnd {
+		return 0
+	}
+	p := leastEnd
+	for p <= d/2 {
+		p *= 2
+	}
+	return d - (d-p)%(p/endParts)
+}
--- a/internal/flow/kqadmission/wait.go
+++ b/internal/flow/kqadmission/wait.go
@@ -11,6 +11,8 @@
 	certainRun = 0.5
 	// certainWork is the part of the estimated work of many tasks which is taken to be certain: their errors cancel out.
 	certainWork = 0.8
+	// expectedRun is how much longer than its rounded time a run has left in the mean.
+	expectedRun = 1.1
 	// never is a wait without end.
 	never = time.Duration(math.MaxInt64)
 )
@@ -50,7 +52,7 @@
 // expectedWait returns about when a job starts if nothing else comes.
 func (l *Level) expectedWait(r request) time.Duration {
 	work, _ := l.ahead(r)
-	return l.wait(r.size, work, 0, 1)
+	return l.wait(r.size, work, 0, expectedRun)
 }
 
 // ExpectedWait returns about when a new job starts whose smallest first task reserves some processors, in thousandths, if
--- a/internal/flow/kqplan/summary.go
+++ b/internal/flow/kqplan/summary.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		left := min(r.task.rest(), s.Estimate-now.Sub(r.startedAt))
-		ends[kqadmission.TimeBound(left)] += s.Size.MilliProcessors
+		ends[kqadmission.EndBound(left)] += s.Size.MilliProcessors
 	}
 }
 
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -43,6 +43,8 @@
 	Agents int
 	// Capacity is what each worker has.
 	Capacity kqmodel.Resources
+	// Admission lets the entry reject jobs.
+	Admission bool
 }
 
 // Rig is a cell with its callers.
@@ -112,9 +114,13 @@
 
 func (r *Rig) startEntry() {
 	c := r.control(entryName, 1)
-	r.Front = kqfront.New(kqfront.Config{Store: c.Store, Now: time.Now, Wall: time.Now})
+	f := kqfront.Config{Store: c.Store, Now: time.Now, Wall: time.Now}
+	if r.config.Admission {
+		f.Admission = &kqfront.Admission{Zone: "z", Policy: func() *kqflow.Policy { return r.policy }}
+	}
+	r.Front = kqfront.New(f)
 	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleEntry, Control: c, Network: r.Network.of(entryName),
-		Linked: r.Front.Linked, Unlinked: r.Front.Unlinked, Receive: r.Front.Receive})
+		Linked: r.Front.Linked, Unlinked: r.Front.Unlinked, Receive: r.Front.Receive, Digests: r.config.Admission})
 	if err != nil {
 		panic(err)
 	}
