--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -63,6 +63,8 @@
 	// EvacuateWithin is the time after which nothing starts in an evacuated zone; 0 if
 	// there is no bound.
 	EvacuateWithin time.Duration
+	// Admission lets the entry reject jobs.
+	Admission bool
 }
 
 // Rig is a cell with its callers.
@@ -161,9 +163,13 @@
 
 func (r *Rig) startEntry() {
 	c := r.control(entryName, 1)
-	r.Front = kqfront.New(kqfront.Config{Store: c.Store, Now: time.Now, Wall: time.Now, Events: r.config.Events})
+	f := kqfront.Config{Store: c.Store, Zone: "z", Now: time.Now, Wall: time.Now, Events: r.config.Events}
+	if r.config.Admission {
+		f.Admission = &kqfront.Admission{Policy: func() *kqflow.Policy { return r.policy }}
+	}
+	r.Front = kqfront.New(f)
 	n, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleEntry, Control: c, Network: r.Network.of(entryName),
-		Linked: r.Front.Linked, Unlinked: r.Front.Unlinked, Receive: r.Front.Receive})
+		Linked: r.Front.Linked, Unlinked: r.Front.Unlinked, Receive: r.Front.Receive, Digests: r.config.Admission})
 	if err != nil {
 		panic(err)
 	}
