Incarnations of a worker are told apart by their time of birth

Cause: a worker was known by its id. A second incarnation under the same id had its check-ins refused as stale, its ends were taken for noted ones, and a start that the first one had left unanswered could begin on it while the owner had given the run up.

Change: kqexecution.Incarnation (ID or ID@MILLISECONDS) from the adapter to the stored record. An agent ends an incarnation at the first word of a later one (check-in, leave message, list of runs, owner), drops what earlier ones say and messages without a valid birth, and stops on each later incarnation the starts that earlier ones left unanswered. The owner has each run of an earlier incarnation stopped on the later one and gives it up with the outcome; runs that left a host in the last 15 s are stopped there too. `Noted` names the incarnation whose ends it counts. Ends are noted to a worker with births only while it has something to forget and its last answer is known, since the question may reach a later incarnation. Without births the stored text is as before. Events 820 to 822 are counted by kumquatswitch_events_total.

The clock of a worker is now estimated from when it is adopted: a worker whose first answer reads 0 was estimated from the zero time.

The ledger of the task host knows revived starts: a copy of a start that an earlier incarnation left unanswered, begun by a later one. Nobody can stop it before the later one is known, so it may begin after the task's end was noted and without room; beside another run of its task it stays a breach. All other starts are checked as before.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -86,6 +86,9 @@
 	StoreSilent          Number = 806
 	StoreAnswers         Number = 807
 	OwnerPulse           Number = 808
+	WorkerReborn         Number = 820
+	IncarnationOver      Number = 821
+	BirthRefused         Number = 822
 )
 
 // Info describes an event for operators.
@@ -178,6 +181,9 @@
 	{StoreSilent, "store_silent", "The store gives no answer; requests that need it are refused at once."},
 	{StoreAnswers, "store_answers", "The store answers again."},
 	{OwnerPulse, "owner_pulse", "How far an owner keeps up, once a second: its passes, what it hears, its commits and its processor time against the limit."},
+	{WorkerReborn, "worker_reborn", "A later incarnation of a worker has begun under the same id: the earlier one is over."},
+	{IncarnationOver, "incarnation_over", "A message of an incarnation of a worker that is over changes nothing."},
+	{BirthRefused, "birth_refused", "A message of a worker has no time of birth where the id had one, or one that cannot be read; it names no worker."},
 }
 
 var names = func() map[Number]string {
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -184,7 +184,13 @@
 	if e.Ask != nil {
 		m.Ask = append(m.Ask, e.Ask)
 	}
-	m.Noted = max(m.Noted, e.Noted)
+	switch {
+	case e.Noted == 0:
+	case m.NotedOf == e.NotedOf:
+		m.Noted = max(m.Noted, e.Noted)
+	default:
+		m.Noted, m.NotedOf = e.Noted, e.NotedOf
+	}
 }
 
 // publishStates tells the entries what to show.
--- a/internal/flow/kqexecutor/approval.go
+++ b/internal/flow/kqexecutor/approval.go
@@ -23,7 +23,7 @@
 	out := kqplan.Approved{Step: q.ask.Step, Workers: q.ask.Workers}
 	if x.config.Policy.Ask != nil {
 		ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), approvalTimeout)
-		answer, err := x.config.Policy.Ask(ctx, q.ask.Step, q.ask.Workers)
+		answer, err := x.config.Policy.Ask(ctx, q.ask.Step, q.ids())
 		cancel()
 		out.Answer, out.Answered = answer, err == nil
 	}
@@ -34,3 +34,12 @@
 	}
 	return nil
 }
+
+// ids returns the ids of the workers asked about: the service knows no others.
+func (q *question) ids() []string {
+	out := make([]string, len(q.ask.Workers))
+	for i, w := range q.ask.Workers {
+		out[i] = w.ID()
+	}
+	return out
+}
--- a/internal/flow/kqexecutor/delivery.go
+++ b/internal/flow/kqexecutor/delivery.go
@@ -50,7 +50,7 @@
 	entry    *entry
 	order    kqexecution.Run
 	worker   kqexecution.Worker
-	name     string
+	name     kqexecution.Incarnation
 	refused  kqexecution.Answer
 	tries    int
 }
@@ -139,13 +139,17 @@
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.startEnded(now, d, err)
 	if err != nil {
 		if bits.OnesCount(uint(d.tries)) == 1 {
 			x.config.Events.Emit(now, kqevent.OrderUnanswered, kqevent.Task(d.order.Task), "start of run %d on %s, try %d", d.order.Number, d.name, d.tries)
 		}
 		return
 	}
-	if clock > x.clock && x.info.Worker == d.name {
+	if x.info.Worker != d.name {
+		return
+	}
+	if clock > x.clock {
 		x.clock, x.heldAt = clock, now
 	}
 	switch answer {
@@ -177,7 +181,7 @@
 	cancel()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if err != nil || answer != kqexecution.AnswerDone {
+	if err != nil || answer != kqexecution.AnswerDone || x.info.Worker != d.name {
 		return
 	}
 	d.entry.stoppedAt = x.holds
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -4,7 +4,6 @@
 package kqexecutor
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -23,7 +22,7 @@
 // Config sets up an Executor.
 type Config struct {
 	// Connect returns the operations of an incarnation of the worker.
-	Connect func(worker string) kqexecution.Worker
+	Connect func(worker kqexecution.Incarnation) kqexecution.Worker
 	// Policy is the policy service; it may be missing.
 	Policy kqapproval.Service
 	// MaxLease is the longest lease that the worker takes.
@@ -60,7 +59,12 @@
 	mu       sync.Mutex
 	info     kqplan.WorkerInfo
 	sequence uint64
-	gone     map[string]bool
+	gone     map[kqexecution.Incarnation]bool
+	// latest is the latest incarnation that is known of each id with births.
+	latest map[string]kqexecution.Incarnation
+	// late are the starts that may still be carried out though they were not
+	// answered.
+	late     map[kqexecution.Run]lateStart
 	worker   kqexecution.Worker
 	held     bool
 	heldAt   time.Time
@@ -75,11 +79,16 @@
 	asks       uint64
 	askClocks  map[uint64]kqexecution.Clock
 
-	runs     map[kqexecution.Run]*entry
-	listed   map[kqexecution.Run]bool
-	ends     map[uint64]kqexecution.End
-	lastEnd  uint64
-	noted    uint64
+	runs    map[kqexecution.Run]*entry
+	listed  map[kqexecution.Run]bool
+	ends    map[uint64]kqexecution.End
+	lastEnd uint64
+	noted   uint64
+	// unforgotten is true while the worker may list ends that were noted.
+	unforgotten bool
+	// unsure is true from a hold that was not answered until the next that is: the
+	// worker may have begun anew.
+	unsure   bool
 	told     uint64
 	reported time.Time
 	holds    uint64
@@ -107,7 +116,8 @@
 
 // Start begins to drive.
 func Start(c Config) *Executor {
-	x := &Executor{config: c, kick: make(chan struct{}, 1), gone: map[string]bool{}, runs: map[kqexecution.Run]*entry{},
+	x := &Executor{config: c, kick: make(chan struct{}, 1), gone: map[kqexecution.Incarnation]bool{},
+		latest: map[string]kqexecution.Incarnation{}, late: map[kqexecution.Run]lateStart{}, runs: map[kqexecution.Run]*entry{},
 		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.End{}, askClocks: map[uint64]kqexecution.Clock{}, pacer: kqpace.New()}
 	x.tomb.Go(x.run)
 	return x
@@ -134,105 +144,12 @@
 }
 
 // Has reports whether an incarnation is the one that is driven.
-func (x *Executor) Has(worker string) bool {
+func (x *Executor) Has(worker kqexecution.Incarnation) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.info.Worker == worker
 }
 
-// CheckIn takes over what a worker says of itself; sequence rises with each
-// check-in of an incarnation. It returns false for one that is stale.
-func (x *Executor) CheckIn(w kqplan.WorkerInfo, sequence uint64) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.gone[w.Worker] {
-		return false
-	}
-	if w.Worker == x.info.Worker {
-		if sequence <= x.sequence {
-			return false
-		}
-		x.sequence = sequence
-		x.describe(w)
-		return true
-	}
-	if x.info.Worker != "" {
-		// Only the worker itself can tell whether this incarnation is there.
-		x.tomb.Go((&probe{x, w, sequence}).run)
-		return true
-	}
-	x.adopt(w, sequence)
-	return true
-}
-
-// describe tells the owner of a change; mu is held.
-func (x *Executor) describe(w kqplan.WorkerInfo) {
-	w.Unwell = x.info.Unwell
-	changed := w.Draining != x.info.Draining || w.Capacity != x.info.Capacity || w.Unwell != x.info.Unwell
-	x.info = w
-	if changed && x.registered {
-		x.send(kqmessage.ToOwner{Worker: &w})
-	}
-}
-
-// adopt begins to drive an incarnation; mu is held.
-func (x *Executor) adopt(w kqplan.WorkerInfo, sequence uint64) {
-	if x.info.Worker != "" {
-		x.gone[x.info.Worker] = true
-	}
-	w.Unwell = false
-	x.info, x.sequence = w, sequence
-	x.worker = x.config.Connect(w.Worker)
-	x.held, x.registered, x.synced = false, false, false
-	x.clock, x.until = 0, 0
-	x.answerAt = x.config.Now()
-	x.runs = map[kqexecution.Run]*entry{}
-	x.listed = map[kqexecution.Run]bool{}
-	x.ends, x.lastEnd, x.noted, x.told = map[uint64]kqexecution.End{}, 0, 0, 0
-	x.askClocks = map[uint64]kqexecution.Clock{}
-	x.pacer = kqpace.New()
-	x.wake()
-}
-
-// Gone notes that an incarnation has left for good.
-func (x *Executor) Gone(worker string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.drop(worker)
-}
-
-func (x *Executor) drop(worker string) {
-	x.gone[worker] = true
-	if x.info.Worker != worker {
-		return
-	}
-	if x.send != nil {
-		x.send(kqmessage.ToOwner{Gone: worker})
-	}
-	x.adopt(kqplan.WorkerInfo{}, 0)
-	delete(x.gone, "")
-}
-
-// probe asks a worker whether it is the incarnation that checked in.
-type probe struct {
-	executor *Executor
-	info     kqplan.WorkerInfo
-	sequence uint64
-}
-
-func (p *probe) run() error {
-	x := p.executor
-	ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), orderTimeout)
-	defer cancel()
-	h, err := x.config.Connect(p.info.Worker).Hold(ctx, kqexecution.Hold{})
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if err == nil && h.Answer != kqexecution.AnswerOther && x.info.Worker != p.info.Worker && !x.gone[p.info.Worker] {
-		x.adopt(p.info, p.sequence)
-	}
-	return nil
-}
-
 // Linked takes over a stream with an owner.
 func (x *Executor) Linked(epoch uint64, send func(kqmessage.ToOwner)) {
 	x.mu.Lock()
@@ -255,9 +172,8 @@
 	m = m.Readable()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if m.Known != nil && x.info.Worker == "" && !x.gone[m.Known.Worker] {
-		// The first hold tells whether this incarnation is still there.
-		x.adopt(*m.Known, 0)
+	if m.Known != nil {
+		x.know(*m.Known)
 	}
 	if m.Resync {
 		x.resync(m.Orders)
@@ -270,7 +186,7 @@
 			x.tomb.Go((&question{x, *a}).run)
 		}
 	}
-	if m.Noted > x.noted {
+	if m.Noted > x.noted && (m.NotedOf == "" || m.NotedOf == x.info.Worker) {
 		x.note(m.Noted)
 	}
 	if m.Grant != nil {
@@ -296,7 +212,7 @@
 }
 
 func (x *Executor) note(n uint64) {
-	x.noted = n
+	x.noted, x.unforgotten = n, true
 	for k := range x.ends {
 		if k <= n {
 			delete(x.ends, k)
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -48,11 +49,11 @@
 
 // nextHold returns the next question for the worker and how long to wait for
 // the owner to note ends first.
-func (x *Executor) nextHold() (h kqexecution.Hold, w kqexecution.Worker, name string, wait time.Duration) {
+func (x *Executor) nextHold() (h kqexecution.Hold, w kqexecution.Worker, name kqexecution.Incarnation, wait time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.holds++
-	h = kqexecution.Hold{Token: x.epoch, Seen: x.noted, Wait: holdWait}
+	h = kqexecution.Hold{Token: x.epoch, Seen: x.seen(), Wait: holdWait}
 	if x.watching {
 		h.Wait = watchWait
 	}
@@ -62,14 +63,14 @@
 	if len(x.ends) > 0 {
 		h.Wait, wait = 0, notedWait
 	}
-	if !x.held {
+	if !x.held || x.isUnsure() {
 		h.Wait, wait = 0, 0
 	}
 	return h, x.worker, x.info.Worker, wait
 }
 
 // answered takes over the answer to a hold.
-func (x *Executor) answered(name string, h kqexecution.Held, err error) bool {
+func (x *Executor) answered(name kqexecution.Incarnation, h kqexecution.Held, err error) bool {
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -77,7 +78,13 @@
 		return true
 	}
 	switch {
+	case errors.Is(err, kqexecution.ErrBirth):
+		x.unsure = true
+		x.refuseBirth(now, name, sourceList)
+		x.unanswered(now)
+		return false
 	case err != nil:
+		x.unsure = true
 		x.unanswered(now)
 		return false
 	case h.Answer == kqexecution.AnswerOther:
@@ -86,6 +93,9 @@
 	case h.Answer != kqexecution.AnswerDone:
 		return false
 	}
+	if !x.listedBy(now, name, h.Born) {
+		return false
+	}
 	x.answerAt = now
 	if h.Clock > x.clock {
 		x.clock, x.heldAt = h.Clock, now
@@ -112,13 +122,14 @@
 	if x.registered {
 		x.send(kqmessage.ToOwner{Worker: &w})
 	}
-	x.config.Events.Emit(now, kqevent.OrderUnanswered, kqevent.Worker(x.info.Worker), "no answer for %s", now.Sub(x.answerAt).Round(time.Millisecond))
+	x.config.Events.Emit(now, kqevent.OrderUnanswered, kqevent.Worker(string(x.info.Worker)), "no answer for %s", now.Sub(x.answerAt).Round(time.Millisecond))
 }
 
 // take follows what is on the worker and reports it.
 func (x *Executor) take(now time.Time, h kqexecution.Held) {
 	first := !x.held
-	x.held = true
+	x.held, x.unsure = true, false
+	x.unforgotten = slices.ContainsFunc(h.Ended, func(e kqexecution.End) bool { return e.Number <= x.noted })
 	x.listed = make(map[kqexecution.Run]bool, len(h.Running))
 	for _, r := range h.Running {
 		x.listed[r.Run] = true
--- a/internal/flow/kqexecutor/pacing.go
+++ b/internal/flow/kqexecutor/pacing.go
@@ -71,13 +71,14 @@
 // paceRun tells the worker at which share a run works; mu is held.
 func (x *Executor) paceRun(e *entry, r kqexecution.Run, percent int) {
 	e.paced = percent
-	x.tomb.Go((&pacing{x, e, r, percent}).run)
+	x.tomb.Go((&pacing{x, e, x.info.Worker, r, percent}).run)
 }
 
 // pacing tells the worker at which share a run works.
 type pacing struct {
 	executor *Executor
 	entry    *entry
+	name     kqexecution.Incarnation
 	of       kqexecution.Run
 	percent  int
 }
@@ -85,8 +86,11 @@
 func (p *pacing) run() error {
 	x := p.executor
 	x.mu.Lock()
-	worker, token := x.worker, x.epoch
+	worker, token, over := x.worker, x.epoch, x.info.Worker != p.name
 	x.mu.Unlock()
+	if over {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), orderTimeout)
 	defer cancel()
 	answer, err := worker.Pace(ctx, p.of, token, p.percent)
--- a/internal/flow/kqexecutor/watch.go
+++ b/internal/flow/kqexecutor/watch.go
@@ -88,7 +88,7 @@
 		rooms = append(rooms, fmt.Sprintf("%s %.2f", image, room))
 	}
 	slices.Sort(rooms)
-	x.config.Events.EmitFields(now, kqevent.FlowPaced, kqevent.Worker(x.info.Worker), []kqevent.Field{kqevent.Value("pace", w.tally)},
+	x.config.Events.EmitFields(now, kqevent.FlowPaced, kqevent.Worker(string(x.info.Worker)), []kqevent.Field{kqevent.Value("pace", w.tally)},
 		"least rooms: %s; paces: %s", strings.Join(rooms, ", "), strings.Join(w.changes, ", "))
 	w.tally, w.least, w.changes = kqpace.Tally{}, nil, nil
 }
--- a/internal/flow/kqflow/record.go
+++ b/internal/flow/kqflow/record.go
@@ -1,5 +1,7 @@
 package kqflow
 
+import "github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+
 // State is what callers see of a job.
 type State string
 
@@ -32,7 +34,7 @@
 	// Host names the machine beside which the worker runs.
 	Host string `json:"host"`
 	// Worker names the incarnation of the worker.
-	Worker string `json:"worker"`
+	Worker kqexecution.Incarnation `json:"worker"`
 	// Stopping is true if the run is no longer wanted.
 	Stopping bool `json:"stopping,omitempty"`
 }
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -8,6 +8,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 // Role is what a process is.
@@ -40,7 +41,7 @@
 	// Worker is what the agent knows of its worker.
 	Worker *kqplan.WorkerInfo `json:"worker,omitempty"`
 	// Gone names an incarnation that has left.
-	Gone string `json:"gone,omitempty"`
+	Gone kqexecution.Incarnation `json:"gone,omitempty"`
 	// Report is what is on the worker.
 	Report *kqplan.Report `json:"report,omitempty"`
 	// Registered ends the first report of an agent on this stream.
@@ -100,6 +101,9 @@
 	Resync bool `json:"resync,omitempty"`
 	// Noted is the number of ends that the worker may forget.
 	Noted uint64 `json:"noted,omitempty"`
+	// NotedOf is the incarnation whose ends Noted counts; an owner of an earlier
+	// version leaves it empty.
+	NotedOf kqexecution.Incarnation `json:"noted_of,omitempty"`
 	// Ask is questions to the policy service, for an agent.
 	Ask []*kqplan.Ask `json:"ask,omitempty"`
 	// States is the states of jobs, for an entry.
--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 // Ask is a question to the policy service, which an agent puts.
@@ -17,7 +17,7 @@
 	// Step names the step as job.occurrence.step.
 	Step string `json:"step"`
 	// Workers are the incarnations asked about.
-	Workers []string `json:"workers"`
+	Workers []kqexecution.Incarnation `json:"workers"`
 }
 
 // Approved is the answer to an Ask; an agent that got none leaves it empty.
@@ -25,7 +25,7 @@
 	// Step is the step of the question.
 	Step string `json:"step"`
 	// Workers are those of the question.
-	Workers []string `json:"workers"`
+	Workers []kqexecution.Incarnation `json:"workers"`
 	// Answered is true if the service has answered.
 	Answered bool `json:"answered,omitempty"`
 	// Answer is what it said.
@@ -53,8 +53,8 @@
 
 // approval is what is known of the workers that may run a step.
 type approval struct {
-	refused map[string]bool
-	tickets map[string]ticket
+	refused map[kqexecution.Incarnation]bool
+	tickets map[kqexecution.Incarnation]ticket
 	asked   string
 	until   time.Time
 	retryAt time.Time
@@ -113,7 +113,7 @@
 func (p *Planner) seek(now time.Time, t *task) {
 	a := p.approvals[t.stepKey()]
 	if a == nil {
-		a = &approval{refused: map[string]bool{}, tickets: map[string]ticket{}}
+		a = &approval{refused: map[kqexecution.Incarnation]bool{}, tickets: map[kqexecution.Incarnation]ticket{}}
 		p.approvals[t.stepKey()] = a
 	}
 	if now.Before(a.until) || now.Before(a.retryAt) || t.turnIn() > t.job.queue.Approval.Decide+askAhead {
@@ -183,9 +183,9 @@
 
 // candidates returns the best workers that were not asked about, those with most
 // room first.
-func (p *Planner) candidates(now time.Time, t *task, a *approval, most int) []string {
+func (p *Planner) candidates(now time.Time, t *task, a *approval, most int) []kqexecution.Incarnation {
 	type candidate struct {
-		worker string
+		worker kqexecution.Incarnation
 		fits   int
 	}
 	var all []candidate
@@ -199,10 +199,10 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.fits, a.fits), strings.Compare(a.worker, b.worker))
+		return cmp.Or(cmp.Compare(b.fits, a.fits), cmp.Compare(a.worker, b.worker))
 	})
 	all = all[:min(len(all), kqapproval.MaxWorkers, max(leastAsked, most))]
-	out := make([]string, len(all))
+	out := make([]kqexecution.Incarnation, len(all))
 	for i, c := range all {
 		out[i] = c.worker
 	}
@@ -239,8 +239,9 @@
 			a.refused[w] = true
 		}
 		for _, y := range x.Answer.Tickets {
-			delete(a.refused, y.Worker)
-			a.tickets[y.Worker] = ticket{text: y.Ticket, until: now.Add(max(0, x.Answer.Valid-askMargin))}
+			w := x.asked(y.Worker)
+			delete(a.refused, w)
+			a.tickets[w] = ticket{text: y.Ticket, until: now.Add(max(0, x.Answer.Valid-askMargin))}
 		}
 		p.config.Events.Emit(now, kqevent.ApprovalGiven, kqevent.Job(k.job), "step %d: %d of %d workers for %s", k.number, len(x.Answer.Tickets), len(x.Workers), x.Answer.Valid)
 		a.retryAt = time.Time{}
@@ -249,6 +250,17 @@
 	}
 }
 
+// asked returns the incarnation of the question that has an id: the service
+// knows ids only.
+func (x Approved) asked(id string) kqexecution.Incarnation {
+	for _, w := range x.Workers {
+		if w.ID() == id {
+			return w
+		}
+	}
+	return kqexecution.NewIncarnation(id, time.Time{})
+}
+
 // unticket drops a ticket that a worker did not take.
 func (p *Planner) unticket(t *task, h *host) {
 	if a := p.approvals[t.stepKey()]; a != nil {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -16,7 +16,7 @@
 // WorkerInfo is what the agent of a host knows of its worker.
 type WorkerInfo struct {
 	// Worker names the incarnation; empty if there is none.
-	Worker string `json:"worker,omitempty"`
+	Worker kqexecution.Incarnation `json:"worker,omitempty"`
 	// Service names the pool that the worker belongs to.
 	Service string `json:"service,omitempty"`
 	// Zone is the availability zone.
@@ -38,7 +38,7 @@
 // Report is what an agent says of the runs on its worker.
 type Report struct {
 	// Worker names the incarnation.
-	Worker string `json:"worker"`
+	Worker kqexecution.Incarnation `json:"worker"`
 	// Whole is true if Running lists every run.
 	Whole bool `json:"whole,omitempty"`
 	// Running is the runs at work.
@@ -76,6 +76,7 @@
 	heardAt     time.Time
 	runs        kqordered.Map[kqexecution.Run, *run]
 	strays      map[kqexecution.Run]time.Time
+	departed    departures
 	ends        []*heldEnd
 	taken       uint64
 	noted       uint64
@@ -89,7 +90,7 @@
 func (p *Planner) host(name string) *host {
 	h := p.hosts.Get(name)
 	if h == nil {
-		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}}
+		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}, departed: departures{}}
 		p.hosts.Put(name, h)
 	}
 	return h
@@ -129,8 +130,9 @@
 	h.linked, h.asks = false, 0
 }
 
-// Describe takes over what an agent knows of its worker. Another incarnation
-// proves that what the last one ran is gone.
+// Describe takes over what an agent knows of its worker; an empty one says that
+// there is none for now. Another incarnation proves that what the last one ran is
+// gone.
 func (p *Planner) Describe(now time.Time, name string, w WorkerInfo) {
 	h := p.host(name)
 	p.place = true
@@ -139,14 +141,12 @@
 		h.strays = map[kqexecution.Run]time.Time{}
 		h.health, h.paces = health{}, nil
 		p.press.Forget(name)
-		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(w.Worker), "host %s, %s, draining %t", name, w.Capacity, w.Draining)
+		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(string(w.Worker)), "host %s, %s, draining %t", name, w.Capacity, w.Draining)
 	}
 	drained := w.Draining && !h.info.Draining
 	h.info = w
-	for _, r := range h.list() {
-		if w.Worker != "" && r.worker != w.Worker {
-			p.lose(now, r, "its worker is gone")
-		}
+	if w.Worker != "" {
+		p.succeed(now, h, w.Worker)
 	}
 	if drained {
 		p.evacuate(now, h)
@@ -163,10 +163,10 @@
 }
 
 // Gone notes that the worker of a host has left: what it ran is gone.
-func (p *Planner) Gone(now time.Time, name, worker string) {
+func (p *Planner) Gone(now time.Time, name string, worker kqexecution.Incarnation) {
 	h := p.host(name)
 	for _, r := range h.list() {
-		if r.worker == worker {
+		if r.worker == worker || worker.Follows(r.worker) {
 			p.lose(now, r, "its worker has left")
 		}
 	}
@@ -327,9 +327,9 @@
 		noted = h.ends[0].number
 		h.ends = h.ends[1:]
 	}
-	if noted != h.noted {
+	if noted != h.noted && h.info.Worker != "" {
 		h.noted = noted
-		p.effects = append(p.effects, Effect{Host: h.name, Noted: noted})
+		p.effects = append(p.effects, Effect{Host: h.name, Noted: noted, NotedOf: h.info.Worker})
 	}
 }
 
@@ -337,6 +337,7 @@
 func (p *Planner) apply(now time.Time, h *host, t *task, e kqexecution.End) {
 	r := h.runs.Get(e.Run)
 	if r != nil {
+		p.depart(now, r)
 		t.remove(r)
 	}
 	if e.Saved != "" && (r != nil || len(t.runs) == 0) {
@@ -344,7 +345,7 @@
 	}
 	p.config.Events.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), endFields(e),
 		"run %d on %s: %s", e.Run.Number, h.info.Worker, e.How)
-	h.health.ended(now, r, e.How)
+	h.health.ended(now, r.learnable(), e.How)
 	switch e.How {
 	case kqexecution.HowDone:
 		p.done(now, t)
@@ -418,6 +419,7 @@
 func (p *Planner) lose(now time.Time, r *run, why string) {
 	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s: %s", r.number, r.worker, why)
+	p.depart(now, r)
 	r.task.remove(r)
 	p.write(r.task.job)
 	p.place = true
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -70,9 +70,11 @@
 	task     *task
 	number   uint64
 	host     *host
-	worker   string
+	worker   kqexecution.Incarnation
 	stopping bool
 	ordered  bool
+	// over is true if the run was given to an earlier incarnation of its worker.
+	over bool
 	// counted is the priority under which the host counts the run.
 	counted int
 
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -113,7 +113,7 @@
 	// Stop is true if the run is to end; otherwise it is to start.
 	Stop bool `json:"stop,omitempty"`
 	// Worker is the incarnation meant.
-	Worker string `json:"worker"`
+	Worker kqexecution.Incarnation `json:"worker"`
 	// Payload and Checkpoint are passed to a start.
 	Payload    string `json:"payload,omitempty"`
 	Checkpoint string `json:"checkpoint,omitempty"`
@@ -143,6 +143,8 @@
 	Order *Order
 	// Noted is the number of ends that the host's worker may forget.
 	Noted uint64
+	// NotedOf is the incarnation whose ends Noted counts.
+	NotedOf kqexecution.Incarnation
 	// Ask is a question to put to the policy service, if not nil.
 	Ask *Ask
 	// Job and State are a state to show, for the entries.
--- a/internal/seam/kqapproval/approval.go
+++ b/internal/seam/kqapproval/approval.go
@@ -17,7 +17,7 @@
 
 // Ticket allows the tasks of a step to start on one worker.
 type Ticket struct {
-	// Worker names the incarnation.
+	// Worker is the worker's id.
 	Worker string `json:"worker"`
 	// Ticket is what a start carries.
 	Ticket string `json:"ticket"`
@@ -33,6 +33,6 @@
 
 // Service is the operations of a policy service.
 type Service struct {
-	// Ask names a step and workers; any error means that there is no answer.
+	// Ask names a step and the ids of workers; any error means that there is no answer.
 	Ask func(ctx context.Context, step string, workers []string) (Answer, error)
 }
--- a/internal/seam/kqexecution/execution.go
+++ b/internal/seam/kqexecution/execution.go
@@ -117,6 +117,9 @@
 type Held struct {
 	// Answer is AnswerDone, AnswerFenced or AnswerOther.
 	Answer Answer
+	// Born is the time of birth of the incarnation that answered; zero if it sent
+	// none.
+	Born time.Time
 	// Clock is the worker's clock when it answered.
 	Clock Clock
 	// Running is every run at work.
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -26,6 +26,7 @@
 
 const (
 	lease         = 7 * time.Second
+	holdMax       = 10 * time.Second
 	checkInEvery  = 1500 * time.Millisecond
 	submitTimeout = 3 * time.Second
 	attempts      = 4
@@ -43,6 +44,9 @@
 	Agents int
 	// Capacity is what each worker has.
 	Capacity kqmodel.Resources
+	// Births is true if workers keep their id when they start again and send their
+	// time of birth.
+	Births bool
 }
 
 // Rig is a cell with its callers.
@@ -85,7 +89,8 @@
 
 func (r *Rig) startAgent(i int) *kqmachine.Machine {
 	name := fmt.Sprintf("10.0.0.%d", i+1)
-	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger})
+	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger,
+		Births: r.config.Births, MaxLease: holdMax})
 	m := kqmachine.New(kqmachine.Config{Name: name, Host: host, Service: service, Capacity: r.config.Capacity, CheckInEvery: checkInEvery,
 		Network: r.Network.of(name), Control: func(boot int) kqcontrol.Config { return r.control(name, boot) }})
 	if err := m.Start(); err != nil {
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
 )
 
@@ -121,8 +122,14 @@
 
 func (c *checkIns) loop() error {
 	m := c.machine
+	var last kqexecution.Incarnation
 	for sequence := uint64(1); ; sequence++ {
-		c.executor.CheckIn(kqplan.WorkerInfo{Worker: m.Host.Worker(), Service: m.config.Service, Capacity: m.config.Capacity}, sequence)
+		worker := m.Host.Worker()
+		if worker != last {
+			// The sequence of an incarnation starts anew.
+			last, sequence = worker, 1
+		}
+		c.executor.CheckIn(kqplan.WorkerInfo{Worker: worker, Service: m.config.Service, Capacity: m.config.Capacity}, sequence)
 		select {
 		case <-c.tomb.Dying():
 			return nil
--- a/internal/trial/kqreplay/worker.go
+++ b/internal/trial/kqreplay/worker.go
@@ -211,4 +211,6 @@
 	return out
 }
 
-func (w *worker) incarnation() string { return w.name + "." + string(rune('0'+w.life)) }
+func (w *worker) incarnation() kqexecution.Incarnation {
+	return kqexecution.Incarnation(w.name + "." + string(rune('0'+w.life)))
+}
