--- a/internal/flow/kqexecutor/late.go
+++ b/internal/flow/kqexecutor/late.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// lateUnlisted remembers the runs that the incarnation that is driven has not listed:
+// their starts may have reached a later one, answered or not. mu is held.
+func (x *Executor) lateUnlisted(now time.Time) {
+	for k := range x.runs {
+		if !x.listed[k] {
+			x.late[k] = lateStart{x.info.Worker, now}
+		}
+	}
+}
+
 func (x *Executor) forgetLate(now time.Time) {
 	for k, l := range x.late {
 		if now.Sub(l.at) > kqplan.LateStart {
