--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -162,7 +162,8 @@
 	return h.info, true
 }
 
-// Gone notes that the worker of a host has left: what it ran is gone.
+// Gone notes that the worker of a host has left: what it, or an earlier incarnation
+// of it, ran is gone.
 func (p *Planner) Gone(now time.Time, name string, worker kqexecution.Incarnation) {
 	h := p.host(name)
 	for _, r := range h.list() {
@@ -170,7 +171,7 @@
 			p.lose(now, r, "its worker has left")
 		}
 	}
-	if h.info.Worker == worker {
+	if h.info.Worker == worker || worker.Follows(h.info.Worker) {
 		h.info = WorkerInfo{}
 	}
 }
