--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -93,6 +93,9 @@
 	OwnerPulse           Number = 808
 	StoreSlow            Number = 809
 	StoreFast            Number = 810
+	WorkerReborn         Number = 820
+	IncarnationOver      Number = 821
+	BirthRefused         Number = 822
 )
 
 // Info describes an event for operators.
@@ -192,6 +195,9 @@
 	{OwnerPulse, "owner_pulse", "How far an owner keeps up, once a second: its passes, what it hears, its commits and its processor time against the limit."},
 	{StoreSlow, "store_slow", "The store answers slowly: the owner writes one transaction at a time and confirms its ownership by reads."},
 	{StoreFast, "store_fast", "The store answers the owner as usual again."},
+	{WorkerReborn, "worker_reborn", "A later incarnation of a worker has begun under the same id: the earlier one is over."},
+	{IncarnationOver, "incarnation_over", "A message of an incarnation of a worker that is over changes nothing."},
+	{BirthRefused, "birth_refused", "A message of a worker has no time of birth where the id had one, or one that cannot be read; it names no worker."},
 }
 
 var names = func() map[Number]string {
--- a/internal/flow/kqplan/cold_test.go
+++ b/internal/flow/kqplan/cold_test.go
@@ -16,7 +16,7 @@
 	processors := func(n int64) kqmodel.Resources {
 		return kqmodel.Resources{MilliProcessors: n * 1000, MemoryBytes: 1 << 40}
 	}
-	coldFor := func(host, worker string, d time.Duration) {
+	coldFor := func(host string, worker kqexecution.Incarnation, d time.Duration) {
 		c.described(host, kqplan.WorkerInfo{Worker: worker, Capacity: processors(8), Cold: d})
 	}
 	again := func(d time.Duration) {
@@ -94,7 +94,7 @@
 			c.settle()
 			o := c.take()
 			again(3 * time.Second)
-			host := map[string]string{"w1": "h1", "w2": "h2"}[o[0].Worker]
+			host := map[kqexecution.Incarnation]string{"w1": "h1", "w2": "h2"}[o[0].Worker]
 			ends[host]++
 			c.Observe(c.now, host, kqplan.Report{Worker: o[0].Worker, Ended: []kqexecution.End{{Number: ends[host], Run: o[0].Run, How: kqexecution.HowDone}}})
 			coldFor("h1", "w1", 20*time.Second)
--- a/internal/flow/kqplan/evacuation_test.go
+++ b/internal/flow/kqplan/evacuation_test.go
@@ -13,7 +13,7 @@
 )
 
 // inZone connects a worker of a zone with a number of processors.
-func (c *cell) inZone(name, worker, zone string, processors int64) {
+func (c *cell) inZone(name string, worker kqexecution.Incarnation, zone string, processors int64) {
 	c.described(name, kqplan.WorkerInfo{Worker: worker, Zone: zone, Capacity: kqmodel.Resources{MilliProcessors: processors * 1000, MemoryBytes: 1 << 40}})
 }
 
@@ -42,7 +42,7 @@
 	out := []string{}
 	for _, o := range orders {
 		if !o.Stop {
-			out = append(out, o.Worker)
+			out = append(out, string(o.Worker))
 		}
 	}
 	return out
--- a/internal/flow/kqplan/leave_test.go
+++ b/internal/flow/kqplan/leave_test.go
@@ -17,8 +17,8 @@
 type zoned struct {
 	*cell
 	events *kqevent.Log
-	host   map[string]string
-	at     map[kqexecution.Run]string
+	host   map[kqexecution.Incarnation]string
+	at     map[kqexecution.Run]kqexecution.Incarnation
 	// since is when each run began, lengths how long the tasks of a job without a percent
 	// run; a minute if it is not there.
 	since   map[kqexecution.Run]time.Time
@@ -27,11 +27,11 @@
 	percent map[string]float64
 	stopped []time.Duration
 	began   time.Time
-	ends    map[string]uint64
+	ends    map[kqexecution.Incarnation]uint64
 }
 
 func newZoned(processors int64) *zoned {
-	z := &zoned{events: kqevent.New(kqevent.Config{}), host: map[string]string{"wa1": "a1", "wa2": "a2", "wb1": "b1", "wb2": "b2"}, at: map[kqexecution.Run]string{}, since: map[kqexecution.Run]time.Time{}, lengths: map[string]time.Duration{}, percent: map[string]float64{}, ends: map[string]uint64{}}
+	z := &zoned{events: kqevent.New(kqevent.Config{}), host: map[kqexecution.Incarnation]string{"wa1": "a1", "wa2": "a2", "wb1": "b1", "wb2": "b2"}, at: map[kqexecution.Run]kqexecution.Incarnation{}, since: map[kqexecution.Run]time.Time{}, lengths: map[string]time.Duration{}, percent: map[string]float64{}, ends: map[kqexecution.Incarnation]uint64{}}
 	z.cell = newCellWith(kqplan.Config{Epoch: 1, Events: z.events})
 	for worker, host := range z.host {
 		z.inZone(host, worker, host[:1], processors)
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -30,6 +30,7 @@
 
 const (
 	lease         = 7 * time.Second
+	holdMax       = 10 * time.Second
 	checkInEvery  = 1500 * time.Millisecond
 	submitTimeout = 3 * time.Second
 	attempts      = 4
@@ -65,6 +66,9 @@
 	EvacuateWithin time.Duration
 	// Admission lets the entry reject jobs.
 	Admission bool
+	// Births is true if workers keep their id when they start again and send their
+	// time of birth.
+	Births bool
 }
 
 // Rig is a cell with its callers.
@@ -112,6 +116,7 @@
 func (r *Rig) startAgent(i int) *kqmachine.Machine {
 	name := fmt.Sprintf("10.0.0.%d", i+1)
 	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, Size: r.size, Ledger: r.Ledger, Ready: r.ready,
+		Births: r.config.Births, MaxLease: holdMax,
 		Sent: func(k kqexecution.Run) { r.sent(i, k) }})
 	var m *kqmachine.Machine
 	var book *kqgate.ZoneBook
--- a/internal/trial/kqflowrig/slow_faults_test.go
+++ b/internal/trial/kqflowrig/slow_faults_test.go
@@ -97,7 +97,7 @@
 			x.rig.Store.Heal()
 			x.load(2 * time.Second)
 			time.Sleep(12 * time.Second)
-			if lost := x.lost(worker); lost > 0 || x.rig.Epoch() != 2 || took > followIn {
+			if lost := x.lost(string(worker)); lost > 0 || x.rig.Epoch() != 2 || took > followIn {
 				t.Errorf("seed %d: followed after %s, %d runs of other workers lost; %s", seed, took, lost, x)
 			}
 			x.verdict(t)
@@ -126,7 +126,7 @@
 			x.rig.Store.Heal()
 			x.load(2 * time.Second)
 			time.Sleep(12 * time.Second)
-			if lost := x.lapsed(old.Host.Worker()); lost > 0 || x.rig.Epoch() != 2 || took > followIn {
+			if lost := x.lapsed(string(old.Host.Worker())); lost > 0 || x.rig.Epoch() != 2 || took > followIn {
 				t.Errorf("seed %d: replaced after %s, %d runs of other workers lost; %s", seed, took, lost, x)
 			}
 			x.verdict(t)
