Feeds that end their wait late are no sign of a slow store

Cause: the time of a feed's empty answer beyond its wait counted as an answer of the store, so that a feed with a coarse wait would have made the owner hold writes back and read its ownership each second. Change: it lengthens limits only. The chaos trial has stores of partitions that are 30 and 90 times as slow, and hanging calls of the owner.

--- a/internal/seam/kqrows/speed.go
+++ b/internal/seam/kqrows/speed.go
@@ -30,6 +30,8 @@
 	KindRead Kind = iota
 	// KindWrite is a transaction, which waits for those before it.
 	KindWrite
+	// KindFeed is a feed, which waits for changes.
+	KindFeed
 	kinds
 )
 
@@ -74,13 +76,13 @@
 	s.answers[f.kind], s.answered[f.kind] = now.Sub(f.sent), f.sent
 }
 
-// Took notes an answer whose time is known otherwise, such as that of a feed which
-// waited for changes.
-func (s *Speed) Took(now time.Time, answer time.Duration) {
+// Waited notes how long the answer of a feed without changes took beyond its wait. It
+// lengthens limits, but is no sign of a slow store: a feed may end its wait late.
+func (s *Speed) Waited(now time.Time, answer time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sent := now.Add(-answer); !sent.Before(s.answered[KindRead]) {
-		s.answers[KindRead], s.answered[KindRead] = max(0, answer), sent
+	if sent := now.Add(-answer); !sent.Before(s.answered[KindFeed]) {
+		s.answers[KindFeed], s.answered[KindFeed] = max(0, answer), sent
 	}
 }
 
@@ -96,15 +98,18 @@
 func (s *Speed) Answer() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.answer()
+	return s.latest(KindRead, KindWrite, KindFeed)
 }
 
-func (s *Speed) answer() time.Duration {
-	k := KindRead
-	if s.answered[KindWrite].After(s.answered[KindRead]) {
-		k = KindWrite
+// latest returns how long an answer takes, by the call of some kinds that was sent last.
+func (s *Speed) latest(of ...Kind) time.Duration {
+	last := of[0]
+	for _, k := range of[1:] {
+		if s.answered[k].After(s.answered[last]) {
+			last = k
+		}
 	}
-	return min(mostAnswer, s.answers[k])
+	return min(mostAnswer, s.answers[last])
 }
 
 // Oldest returns for how long the oldest call of a kind has been in flight; 0 if there
@@ -130,7 +135,7 @@
 func (s *Speed) Slow(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.answer() >= slowAnswer && s.answers[KindRead] >= slowAnswer || s.answers[KindWrite] >= slowWrite {
+	if s.latest(KindRead, KindWrite) >= slowAnswer && s.answers[KindRead] >= slowAnswer || s.answers[KindWrite] >= slowWrite {
 		return true
 	}
 	for _, f := range s.flights {
--- a/internal/seam/kqrows/speed_test.go
+++ b/internal/seam/kqrows/speed_test.go
@@ -51,6 +51,17 @@
 	g.Expect(s.Slow(s.now)).To(BeFalse())
 }
 
+// A feed that ends its wait late must not make the owner hold writes back and read more.
+func TestAFeedThatWaitsLongIsTakenForASlowStore(t *testing.T) {
+	g := NewWithT(t)
+	s := newSpeed()
+	s.answered(kqrows.KindWrite, usualAnswer)
+	s.now = s.now.Add(slowAnswer)
+	s.Waited(s.now, slowAnswer)
+	g.Expect(s.Slow(s.now)).To(BeFalse())
+	g.Expect(s.Limit(usualLimit)).To(Equal(usualLimit + 3*slowAnswer))
+}
+
 // A call that has waited behind others says little of the store's speed.
 func TestAQueuedWriteLengthensLimitsWithoutBound(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/seam/kqrows/timed.go
+++ b/internal/seam/kqrows/timed.go
@@ -122,7 +122,7 @@
 	sent := t.now()
 	rows, next, err := t.inner.Follow(ctx, table, after, wait)
 	if now := t.now(); err == nil && len(rows) == 0 && now.Sub(sent) >= wait {
-		t.Speed.Took(now, now.Sub(sent)-wait)
+		t.Speed.Waited(now, now.Sub(sent)-wait)
 	}
 	return rows, next, err
 }
--- a/internal/trial/kqflowrig/chaos_test.go
+++ b/internal/trial/kqflowrig/chaos_test.go
@@ -91,6 +91,9 @@
 	{"store loses answers", storeFault(kqrowstore.Faults{LoseAnswers: 0.3}, everyone)},
 	{"store writes late", storeFault(kqrowstore.Faults{Late: 0.2}, everyone)},
 	{"store is slow", storeFault(kqrowstore.Faults{Delay: 300 * time.Millisecond}, everyone)},
+	{"store is 30 times as slow", storeFault(kqrowstore.Faults{Slow: 30}, everyone)},
+	{"store is 90 times as slow", storeFault(kqrowstore.Faults{Slow: 90}, everyone)},
+	{"calls of the owner hang", storeFault(kqrowstore.Faults{Hang: 0.3}, theOwner)},
 	{"store refuses the owner", storeFault(kqrowstore.Faults{Refuse: true}, theOwner)},
 	{"store is silent to the owner", storeFault(kqrowstore.Faults{Silent: true}, theOwner)},
 	{"history dropped", func(r *run) func() { r.rig.Store.Compact(); return nothing }},
@@ -190,7 +193,8 @@
 func TestRandomFaultsBreakNoPromise(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			rig := kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: agents, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}})
+			rig := kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: agents, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30},
+				Partitions: slowPartitions})
 			r := &run{rig: rig, rng: rand.New(rand.NewPCG(seed, 17)), cancelled: map[string]time.Time{}, asked: map[string]bool{}}
 			time.Sleep(2 * time.Second)
 			r.play()
