--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -22,6 +22,9 @@
 type Config struct {
 	// Store is the platform's store.
 	Store kqrows.Store
+	// Timed is the store with time limits that follow its speed; nil means that the
+	// front makes its own.
+	Timed *kqrows.Timed
 	// Now is the clock, Wall the time of day.
 	Now  func() time.Time
 	Wall func() time.Time
@@ -57,7 +60,9 @@
 // New returns a Front without an owner.
 func New(c Config) *Front {
 	f := &Front{config: c, states: map[string]kqflow.State{}, pending: map[string]int{}, waiting: map[uint64]chan kqcontrol.Outcome{}}
-	f.timed = kqrows.NewTimed(c.Store, c.Now)
+	if f.timed = c.Timed; f.timed == nil {
+		f.timed = kqrows.NewTimed(c.Store, c.Now)
+	}
 	f.health.speed = f.timed.Speed
 	f.watched = f.observed()
 	return f
