--- /dev/null
+++ b/internal/flow/kqcontrol/slow_test.go
@@ -0,0 +1,86 @@
+package kqcontrol_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+)
+
+// blocked is a store that, once told to, answers reads slowly and writes never.
+type blocked struct {
+	rows *kqrowstore.Store
+	on   bool
+}
+
+func (b *blocked) store() kqrows.Store {
+	s := b.rows.Client("owner")
+	transact, read := s.Transact, s.Read
+	s.Transact = func(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
+		if b.on {
+			<-ctx.Done()
+			return kqrows.Outcome{}, kqrows.ErrUnknown
+		}
+		return transact(ctx, t)
+	}
+	s.Read = func(ctx context.Context, table, from, to string) ([]kqrows.Row, uint64, error) {
+		if b.on {
+			kqtable.Sleep(ctx, 300*time.Millisecond)
+		}
+		return read(ctx, table, from, to)
+	}
+	return s
+}
+
+// own has a controller take the cell, and blocks its writes.
+func (b *blocked) own(g Gomega) *kqcontrol.Controller {
+	c, err := kqcontrol.Take(context.Background(), kqcontrol.Config{Cell: leasesCell, Name: "owner", Boot: "b", Store: b.store(), Lease: 7 * time.Second, FarFactor: 1,
+		Keep: time.Minute, Policy: func() *kqflow.Policy { return nil }, Now: time.Now, Wall: time.Now, Counter: &kqinvariant.Counter{}}, kqcontrol.OwnerRow{}, 0, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.Start()
+	time.Sleep(time.Second)
+	b.on = true
+	return c
+}
+
+// While writes wait in the store, an owner must be confirmed by reads of its row.
+func TestAnOwnerWhoseWritesWaitIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := &blocked{rows: kqrowstore.New(1)}
+		c := b.own(g)
+		defer c.Abandon()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(c.Stale(time.Now())).To(BeFalse())
+		}
+	})
+}
+
+// A read that finds another owner's row must end the ownership, and never confirm it.
+func TestAnOwnerWhoseRowIsAnothersGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		b := &blocked{rows: kqrowstore.New(1)}
+		c := b.own(g)
+		defer c.Abandon()
+		key := kqcontrol.OwnerKey(leasesCell)
+		other := b.rows.Client("other")
+		rows, _, err := other.Read(context.Background(), key.Table, key.Name, kqcontrol.After(key.Name))
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = other.Transact(context.Background(), kqrows.Tx{Expected: []kqrows.Expect{{Key: key, Version: rows[0].Version}},
+			Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(kqcontrol.OwnerRow{Name: "other", Epoch: 2})}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(1200 * time.Millisecond)
+		g.Expect(c.Done()).To(BeClosed())
+	})
+}
--- a/internal/standin/kqrowstore/partition.go
+++ b/internal/standin/kqrowstore/partition.go
@@ -12,6 +12,9 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 )
 
+// commonPartition is the partition of the tables that are not spread.
+const commonPartition = "all"
+
 // partition carries transactions out one after another, in the order in which they
 // came.
 type partition struct {
@@ -20,6 +23,9 @@
 	last chan struct{}
 	// waiting is how long what has not been carried out takes.
 	waiting time.Duration
+	// inside is how many have not been carried out, deepest the most of them at once
+	// since Deepest was called.
+	inside, deepest int
 }
 
 // Partition makes the store carry out the transactions of each partition one after
@@ -34,7 +40,7 @@
 
 // partitionOf returns the partition of a row, made if it is new; mu is held.
 func (s *Store) partitionOf(k kqrows.Key) (name string) {
-	name = "all"
+	name = commonPartition
 	if n := s.spread[k.Table]; n > 0 {
 		name = fmt.Sprint(k.Table, xxhash.Sum64String(k.Name)%uint64(n))
 	}
@@ -86,6 +92,8 @@
 		}
 		x.last = p.done
 		x.waiting += p.takes
+		x.inside++
+		x.deepest = max(x.deepest, x.inside)
 	}
 	return p
 }
@@ -101,6 +109,7 @@
 	p.outcome = apply()
 	for _, x := range p.partitions {
 		x.waiting -= p.takes
+		x.inside--
 	}
 	p.store.mu.Unlock()
 	close(p.done)
@@ -129,6 +138,17 @@
 	}
 }
 
+// Deepest returns how many transactions were at once in the partition of the tables
+// that have one together, since the last call.
+func (s *Store) Deepest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.partitions[commonPartition]
+	n := x.deepest
+	x.deepest = x.inside
+	return n
+}
+
 // Settle returns once everything that waits in a partition has been carried out.
 func (s *Store) Settle() { s.inTurns.Wait() }
 
--- a/internal/trial/kqflowrig/slow_test.go
+++ b/internal/trial/kqflowrig/slow_test.go
@@ -150,7 +150,12 @@
 func slowFor(t *testing.T, seed uint64, times int, d, lease time.Duration) {
 	x := newSlow(seed, lease)
 	x.rig.Store.SetFaults("", kqrowstore.Faults{Slow: times})
-	x.load(d)
+	x.load(d / 2)
+	x.rig.Store.Deepest()
+	x.load(d - d/2)
+	if n := x.rig.Store.Deepest(); n > 1 {
+		t.Errorf("the owner had %d writes in its partition at once", n)
+	}
 	x.rig.Store.Heal()
 	x.load(3 * time.Second)
 	time.Sleep(8 * time.Second)
