--- a/internal/seam/kqrows/follower.go
+++ b/internal/seam/kqrows/follower.go
@@ -25,26 +25,24 @@
 	Pause time.Duration
 	// Take takes over rows as read or changed; there may be none.
 	Take func(rows []Row)
-
-	timed *Timed
 }
 
 // Run follows until ctx ends.
 func (f Follower) Run(ctx context.Context) {
-	f.timed = NewTimed(f.Store, time.Now)
+	t := NewTimed(f.Store, time.Now)
 	for ctx.Err() == nil {
-		after, ok := f.read(ctx)
+		after, ok := f.read(ctx, t)
 		for ok && ctx.Err() == nil {
-			after, ok = f.follow(ctx, after)
+			after, ok = f.follow(ctx, t, after)
 		}
 		kqtable.Sleep(ctx, f.Pause)
 	}
 }
 
-func (f Follower) read(ctx context.Context) (uint64, bool) {
-	ctx, cancel := f.timed.Bound(ctx, f.Wait)
+func (f Follower) read(ctx context.Context, t *Timed) (uint64, bool) {
+	ctx, cancel := t.Bound(ctx, f.Wait)
 	defer cancel()
-	rows, at, err := f.timed.Store.Read(ctx, f.Table, f.From, f.To)
+	rows, at, err := t.Store.Read(ctx, f.Table, f.From, f.To)
 	if err != nil {
 		return 0, false
 	}
@@ -52,10 +50,10 @@
 	return at, true
 }
 
-func (f Follower) follow(ctx context.Context, after uint64) (uint64, bool) {
-	ctx, cancel := f.timed.Bound(ctx, f.Wait+f.Slack)
+func (f Follower) follow(ctx context.Context, t *Timed, after uint64) (uint64, bool) {
+	ctx, cancel := t.Bound(ctx, f.Wait+f.Slack)
 	defer cancel()
-	rows, next, err := f.timed.Store.Follow(ctx, f.Table, after, f.Wait)
+	rows, next, err := t.Store.Follow(ctx, f.Table, after, f.Wait)
 	if err != nil {
 		return after, false
 	}
--- a/internal/trial/kqflowrig/slow_faults_test.go
+++ b/internal/trial/kqflowrig/slow_faults_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 )
@@ -162,3 +163,40 @@
 		})
 	}
 }
+
+// slowCancelBound is after how long a cancelled job starts nothing any more.
+const slowCancelBound = 4 * time.Second
+
+// A job that is cancelled while the store is slow, and calls of the owner hang besides,
+// must not go on: the feed may be older then than while the store answers as usual.
+func TestACancellationIsHeardTooLateWhileTheStoreIsSlow(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			x := newSlow(seed, usualLease)
+			j := kqflow.Job{ID: x.id(), Queue: "urgent", Payload: "p"}
+			for n := range 40 {
+				s := step(2, 1000, 400*time.Millisecond)
+				if n > 0 {
+					s.After = []int{n - 1}
+				}
+				j.Steps = append(j.Steps, s)
+			}
+			x.submit(j)
+			x.rig.Store.SetFaults("", kqrowstore.Faults{Slow: 100})
+			x.rig.Store.SetFaults(x.owner().Name(), kqrowstore.Faults{Slow: 100, Hang: 0.3})
+			time.Sleep(time.Duration(1000+100*seed) * time.Millisecond)
+			for !x.rig.Cancel(j.ID) {
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(slowCancelBound)
+			x.rig.Ledger.Forbid(j.ID)
+			time.Sleep(3 * time.Second)
+			x.rig.Store.Heal()
+			time.Sleep(3 * time.Second)
+			if bad := x.rig.Ledger.Breaches(); len(bad) > 0 {
+				t.Errorf("seed %d: %v", seed, bad)
+			}
+			x.rig.Stop()
+		})
+	}
+}
