--- a/internal/flow/kqexecutor/incarnation_test.go
+++ b/internal/flow/kqexecutor/incarnation_test.go
@@ -273,7 +273,7 @@
 func TestLateAnswersOfTheFirstIncarnationChangeNothing(t *testing.T) {
 	lives(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
 		old := m.present()
-		old.delay = 200 * time.Millisecond
+		old.delay, old.unwell = 200*time.Millisecond, true
 		m.order(first)
 		time.Sleep(100 * time.Millisecond)
 		second := m.begin()
@@ -283,10 +283,31 @@
 		g.Expect(m.present().starts).To(BeEmpty())
 		g.Expect(m.stops()).To(ContainElement(run), "a try that was under way may have reached the second")
 		g.Expect(m.executor.Has(second)).To(BeTrue())
+		g.Expect(m.events.Counts()).NotTo(HaveKey("order_refused"))
 		g.Expect(time.Duration(m.present().until)).To(BeNumerically("<", 9*time.Second), "the lease is on the clock of the second")
 	})
 }
 
+// The first lists the run before the try to start it has timed out: a copy of that
+// try may still begin on the second.
+func TestATryThatWasUnderWayAsTheWorkerBeganAnewIsStoppedThere(t *testing.T) {
+	lives(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
+		old := m.present()
+		old.delay, old.silent = 200*time.Millisecond, true
+		m.answer(func(h kqexecution.Held) (kqexecution.Held, error) {
+			h.Running = []kqexecution.Running{{Run: run, Percent: 50}}
+			return h, nil
+		})
+		m.order(first)
+		time.Sleep(120 * time.Millisecond)
+		m.answer(nil)
+		second := m.begin()
+		m.executor.CheckIn(info(second), 1)
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(m.stops()).To(ContainElement(run))
+	})
+}
+
 // Numbers of ends start anew: what was noted of the first must not make the worker
 // forget, or the agent pass over, ends of the second.
 func TestEndsOfTheSecondIncarnationAreReportedWhateverWasNotedOfTheFirst(t *testing.T) {
@@ -325,6 +346,7 @@
 		m.answer(nil)
 		time.Sleep(500 * time.Millisecond)
 		g.Expect(m.present().seen).To(BeZero())
+		g.Expect(m.present().until).To(BeZero(), "the lease is on the clock of the first")
 		g.Expect(m.executor.Has(first)).To(BeFalse())
 	})
 }
@@ -378,16 +400,21 @@
 // A worker that has just begun answers with clock 0: the lease must not be counted
 // from a reading that it has not reached.
 func TestTheLeaseOfAWorkerWhoseClockReadsZeroIsNotTooLong(t *testing.T) {
-	lives(t, func(g *WithT, m *machine, _ kqexecution.Incarnation) {
-		time.Sleep(time.Hour)
-		second := m.begin()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := &machine{owner: &owner{}}
+		first := m.begin()
 		m.answer(func(h kqexecution.Held) (kqexecution.Held, error) {
 			h.Clock = 0
 			return h, nil
 		})
-		m.executor.CheckIn(info(second), 1)
+		m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.connect, MaxLease: 7 * time.Second, Now: time.Now})
+		m.executor.CheckIn(info(first), 1)
+		m.executor.Linked(1, m.owner.send)
 		m.sync()
 		time.Sleep(time.Second)
-		g.Expect(time.Duration(m.present().until)).To(BeNumerically("<=", 9*time.Second))
+		g.Expect(time.Duration(m.present().until)).To(BeNumerically("<=", 8*time.Second))
+		m.executor.Stop()
+		time.Sleep(time.Second)
 	})
 }
--- a/internal/flow/kqexecutor/late.go
+++ b/internal/flow/kqexecutor/late.go
@@ -110,7 +110,9 @@
 	return err == nil && (answer == kqexecution.AnswerDone || answer == kqexecution.AnswerOther)
 }
 
-// isUnsure reports whether a later incarnation may be there; mu is held.
+// isUnsure reports whether a later incarnation may be there. It is then asked at
+// once who it is, and given no lease on the clock of the one that is driven; mu is
+// held.
 func (x *Executor) isUnsure() bool {
 	_, born := x.info.Worker.Born()
 	return born && x.unsure
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -95,7 +95,7 @@
 func (p *Planner) host(name string) *host {
 	h := p.hosts.Get(name)
 	if h == nil {
-		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}, departed: departures{}}
+		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}}
 		p.hosts.Put(name, h)
 	}
 	return h
@@ -346,7 +346,7 @@
 func (p *Planner) apply(now time.Time, h *host, t *task, e kqexecution.End) {
 	r := h.runs.Get(e.Run)
 	if r != nil {
-		p.depart(now, r)
+		r.host.departed.note(now, r)
 		t.remove(r)
 	}
 	if e.Saved != "" && (r != nil || len(t.runs) == 0) {
@@ -430,7 +430,7 @@
 func (p *Planner) lose(now time.Time, r *run, why string) {
 	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s: %s", r.number, r.worker, why)
-	p.depart(now, r)
+	r.host.departed.note(now, r)
 	r.task.remove(r)
 	p.write(r.task.job)
 	p.place = true
