--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -30,6 +30,9 @@
 	// task.
 	Starts  int
 	Weighed int64
+	// Evacuated is how many runs were begun in a zone that was evacuated, Left how many
+	// were stopped there.
+	Evacuated, Left int
 }
 
 // Count is how many of some jobs ended while they were worth something.
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -91,9 +91,19 @@
 	// Press the load that such an image adds if it uses a whole worker.
 	HeavyShare, Press float64
 	// Bursts, Losses and Slowdowns strike during the replay.
-	Bursts    []Burst
-	Losses    []Loss
-	Slowdowns []Slowdown
+	Bursts      []Burst
+	Losses      []Loss
+	Slowdowns   []Slowdown
+	Evacuations []Evacuation
+	// Zones is how many availability zones there are, to which workers belong in turn;
+	// 0 means one without a name.
+	Zones int
+	// MayMiss is how many tasks of a watch job may be away.
+	MayMiss int
+	// ColdFor is for how long the workers of a zone are slow after its evacuation,
+	// ColdFactor how many times as long work takes there.
+	ColdFor    time.Duration
+	ColdFactor float64
 }
 
 const (
@@ -281,7 +291,7 @@
 	return kqflow.Job{ID: fmt.Sprintf("%s%d", QueueWatch, s.jobs), Queue: QueueWatch, Steps: []kqflow.Step{{
 		Count: max(1, int(math.Round(shape.Width*s.spread(shape.WidthSpread)))), Estimate: time.Second,
 		Size: kqmodel.Resources{MilliProcessors: int64(milli * shape.Cores * s.spread(shape.CoresSpread)), MemoryBytes: 1 << 30}, Standing: true,
-		Image: image(QueueWatch, which), TailTarget: time.Duration(s.load.TargetFactor * float64(baseTail)), PerWorker: 3}}}
+		Image: image(QueueWatch, which), TailTarget: time.Duration(s.load.TargetFactor * float64(baseTail)), PerWorker: 3, MayMiss: s.load.MayMiss}}}
 }
 
 // policy is what the operator has set.
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -44,6 +44,8 @@
 	// Weighing is how long it takes the owner to weigh a worker for a task; it decides
 	// nothing else meanwhile. 0 takes no time.
 	Weighing time.Duration
+	// Abrupt lets the owner fill cold workers as others.
+	Abrupt bool
 }
 
 // Replay is a cell under a load.
@@ -51,6 +53,7 @@
 	config  Config
 	source  *source
 	planner *kqplan.Planner
+	zones   kqevacuate.Zones
 	workers []*worker
 	byName  map[string]*worker
 	jobs    []kqflow.Job
@@ -69,10 +72,11 @@
 func New(c Config) *Replay {
 	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
 		account: &account{load: c.Load}, now: epoch}
-	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1})
+	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1, Gradual: !c.Abrupt})
 	p.planner.SetPolicy(policy())
 	for n := range c.Load.Workers {
 		w := newWorker(fmt.Sprintf("host-%02d", n))
+		w.zone = c.Load.zone(n)
 		p.workers = append(p.workers, w)
 		p.byName[w.name] = w
 		p.register(w)
@@ -81,8 +85,7 @@
 }
 
 func (p *Replay) register(w *worker) {
-	p.planner.Describe(p.now, w.name, kqplan.WorkerInfo{Worker: w.incarnation(), Service: service,
-		Capacity: kqmodel.Resources{MilliProcessors: int64(milli * p.config.Load.Cores), MemoryBytes: 128 << 30}})
+	p.planner.Describe(p.now, w.name, p.info(w))
 	p.planner.Linked(p.now, w.name)
 	p.planner.Granted(p.now, w.name, lease)
 }
@@ -96,6 +99,7 @@
 	for n := 0; p.now.Before(end); n++ {
 		p.now = p.now.Add(stepTime)
 		p.fault()
+		p.evacuate()
 		for _, j := range p.source.due(p.now.Sub(epoch)) {
 			p.submit(j)
 		}
@@ -234,6 +238,9 @@
 // begin starts a run on a worker.
 func (p *Replay) begin(w *worker, k kqexecution.Run, id kqflow.TaskID) *run {
 	p.account.result.Starts++
+	if p.zones.Has(w.zone) {
+		p.account.result.Evacuated++
+	}
 	r := &run{key: k, length: p.source.lengths[k.Task], percent: 100, paced: 100, phase: p.phase(id), step: p.specs[id.Job].Steps[id.Step]}
 	w.runs.Put(k, r)
 	return r
@@ -250,6 +257,9 @@
 
 func (p *Replay) stop(w *worker, k kqexecution.Run, r *run) {
 	if r != nil {
+		if p.zones.Has(w.zone) {
+			p.account.result.Left++
+		}
 		r.stopAt = p.now.Add(stopDelay)
 		return
 	}
--- a/internal/trial/kqreplay/worker.go
+++ b/internal/trial/kqreplay/worker.go
@@ -63,8 +63,12 @@
 	runs  kqordered.Map[kqexecution.Run, *run]
 	pacer *kqpace.Pacer
 	slow  float64
-	gone  bool
-	ends  uint64
+	// zone is the availability zone, coldTill until when the worker is slow after its
+	// return.
+	zone     string
+	coldTill time.Time
+	gone     bool
+	ends     uint64
 }
 
 func newWorker(name string) *worker {
@@ -101,6 +105,9 @@
 	var ended []kqexecution.End
 	for _, r := range w.runs.All() {
 		if r.step.Standing {
+			if !r.stopAt.IsZero() && !now.Before(r.stopAt) {
+				ended = append(ended, w.end(r, kqexecution.HowStopped))
+			}
 			continue
 		}
 		speed := 1 / w.slow
