Evacuation: slow runs stay for ten seconds too, and small bounds hold no starts

Workers of an evacuated zone may be cold, and the moves of slow and held-back runs stopped work there at once (spec: 'moves nothing that is only slow', which failed without the change). A bound on evacuations below 4.5 s would have held all starts, as a feed's answer may be 3.4 s old: the feed's wait follows the bound, and starts are held from an age of 1 s at the earliest.

--- a/internal/flow/kqevacuate/zones.go
+++ b/internal/flow/kqevacuate/zones.go
@@ -112,13 +112,33 @@
 	return begun, ended
 }
 
-// boundMargin is how long before the bound starts are held: a start is sent within
-// that time after it was decided on.
-const boundMargin = time.Second
+const (
+	// boundMargin is how long before the bound starts are held: a start is sent within
+	// that time after it was decided on.
+	boundMargin = time.Second
+	// leastAge is the least age from which on starts are held: feeds cannot be answered
+	// much more often.
+	leastAge = time.Second
+)
+
+// outdatedAge is the age of zones from which on nothing starts by them.
+func outdatedAge(bound time.Duration) time.Duration {
+	return max(leastAge, bound/2, bound-boundMargin)
+}
+
+// Wait returns how long one call of a feed may wait for changes, at most most: zones
+// are known as of the call before the latest answer, so two calls and a slow answer must
+// take less than the age from which on starts are held.
+func Wait(bound, most time.Duration) time.Duration {
+	if bound <= 0 {
+		return most
+	}
+	return min(most, outdatedAge(bound)*3/8)
+}
 
 // Outdated reports whether zones that are known to be right as of a time are too old
 // to start by: a request may exist that must be obeyed within bound of its making. A
 // bound of 0 is none.
 func Outdated(now, knownAt time.Time, bound time.Duration) bool {
-	return bound > 0 && now.Sub(knownAt) > max(bound/2, bound-boundMargin)
+	return bound > 0 && now.Sub(knownAt) > outdatedAge(bound)
 }
--- a/internal/flow/kqevacuate/zones_test.go
+++ b/internal/flow/kqevacuate/zones_test.go
@@ -55,3 +55,16 @@
 	g.Expect(kqevacuate.Zones{}.Known()).To(BeFalse())
 	g.Expect(z.Known()).To(BeTrue())
 }
+
+// An owner holds starts while its zones are old: a feed in its usual course must not make
+// them so, whatever the bound.
+func TestAFeedInItsCourseIsNeverOutdated(t *testing.T) {
+	g := NewWithT(t)
+	for _, bound := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, time.Minute} {
+		wait := kqevacuate.Wait(bound, 1500*time.Millisecond)
+		g.Expect(wait).To(BeNumerically(">", 0))
+		g.Expect(kqevacuate.Outdated(start.Add(2*wait+100*time.Millisecond), start, bound)).To(BeFalse(), bound.String())
+	}
+	g.Expect(kqevacuate.Wait(5*time.Second, 1500*time.Millisecond)).To(Equal(1500 * time.Millisecond))
+	g.Expect(kqevacuate.Outdated(start.Add(4100*time.Millisecond), start, 5*time.Second)).To(BeTrue())
+}
--- a/internal/flow/kqplan/evacuation.go
+++ b/internal/flow/kqplan/evacuation.go
@@ -14,6 +14,8 @@
 	zones          kqevacuate.Zones
 	soughtAt       time.Time
 	leftStandingAt time.Time
+	// aways is how many tasks of standing steps are away, as of the latest look.
+	aways map[stepKey]int
 	// doubted is the zones whose request was found doubtful.
 	doubted map[string]bool
 }
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -179,7 +179,7 @@
 // watchFill moves a filling run that serving tasks hold back to a host where
 // it can work.
 func (p *Planner) watchFill(now time.Time, h *host, r *run) {
-	if r.pace > heldPace || h.tally.serving == 0 {
+	if r.pace > heldPace || h.tally.serving == 0 || p.staysFirst(now, h) {
 		r.heldAt = time.Time{}
 		return
 	}
@@ -228,7 +228,7 @@
 		again = time.Duration(float64(s.Estimate) * (fullPercent - r.percent) / fullPercent)
 	}
 	again += stopAllowance
-	if !stalled && left < time.Duration(moveGain*float64(again))+stopAllowance {
+	if !stalled && (left < time.Duration(moveGain*float64(again))+stopAllowance || p.staysFirst(now, h)) {
 		return
 	}
 	if to := p.choose(now, r.task); to == nil || to == h || to.health.slowdown() > slowFactor {
--- a/internal/flow/kqplan/leave.go
+++ b/internal/flow/kqplan/leave.go
@@ -39,6 +39,7 @@
 		return
 	}
 	sought := mostSought
+	p.aways = map[stepKey]int{}
 	for _, h := range p.hostsInTurn() {
 		if !p.mayLeave(now, h) {
 			continue
@@ -54,6 +55,13 @@
 	}
 }
 
+// staysFirst reports whether the zone of a host was evacuated so lately that nothing is
+// stopped there which makes progress.
+func (p *Planner) staysFirst(now time.Time, h *host) bool {
+	since, ok := p.zones.Since(h.info.Zone)
+	return ok && now.Sub(since) < stayFirst
+}
+
 // mayLeave reports whether the zone of a host is evacuated for long enough that work
 // may be moved out.
 func (p *Planner) mayLeave(now time.Time, h *host) bool {
@@ -68,7 +76,7 @@
 	case r.stopping || !r.ordered || !r.seen || r.task.done || len(r.task.runs) > 1 || r.task.job.state.Final():
 		return false
 	case s.Standing:
-		return now.Sub(p.leftStandingAt) >= leaveStanding && r.atWork(now) && r.task.away(now) < s.MayMiss
+		return now.Sub(p.leftStandingAt) >= leaveStanding && r.atWork(now) && p.away(now, r.task) < s.MayMiss
 	case s.Gang && r.task.id.Index > 0:
 		// A gang moves as one, by its first member.
 		return false
@@ -84,8 +92,12 @@
 	return r.seen && !r.stopping && r.percent >= fullPercent && now.Sub(r.reportedAt) < standingHeard
 }
 
-// away counts the tasks of a standing step that do not serve, whatever the cause.
-func (t *task) away(now time.Time) int {
+// away counts the tasks of a standing step that do not serve, whatever the cause. It
+// counts once in each look at the evacuated zones.
+func (p *Planner) away(now time.Time, t *task) int {
+	if n, ok := p.aways[t.stepKey()]; ok {
+		return n
+	}
 	n := 0
 	for _, m := range t.members() {
 		serves := false
@@ -96,6 +108,7 @@
 			n++
 		}
 	}
+	p.aways[t.stepKey()] = n
 	return n
 }
 
@@ -120,7 +133,7 @@
 	}
 	if s.Standing {
 		p.leftStandingAt = now
-		p.moved(now, r, "its zone %s is evacuated, %d of %d tasks away of %d that may be", r.host.info.Zone, t.away(now), s.Count, s.MayMiss)
+		p.moved(now, r, "its zone %s is evacuated, %d of %d tasks away of %d that may be", r.host.info.Zone, p.away(now, t), s.Count, s.MayMiss)
 	} else {
 		p.moved(now, r, "its zone %s is evacuated, %s left", r.host.info.Zone, r.left(now).Round(time.Millisecond))
 	}
--- a/internal/flow/kqplan/leave_test.go
+++ b/internal/flow/kqplan/leave_test.go
@@ -126,6 +126,17 @@
 		Expect(z.events.AboutJob("j")).To(ContainElement(And(HaveField("Number", kqevent.FlowRunMoved), HaveField("Text", ContainSubstring("zone a is evacuated")))))
 	})
 
+	// Workers of the zone may be cold, so that what runs there is slow: that is no reason
+	// to stop it while the evacuation may be over soon.
+	It("moves nothing that is only slow in the first ten seconds", func() {
+		z.lengths["j"] = 5 * time.Minute
+		z.start("a", "b", job("j", "urgent", z.now, long(false, 10*time.Second)))
+		z.pass(9 * time.Second)
+		Expect(z.stopped).To(BeEmpty())
+		z.pass(3 * time.Second)
+		Expect(z.stopped).NotTo(BeEmpty())
+	})
+
 	It("leaves tasks that have no checkpoints", func() {
 		z.start("a", "b", job("j", "urgent", z.now, long(false, time.Minute)))
 		z.pass(15 * time.Second)
