--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -32,6 +32,9 @@
 	Weighed int64
 	// Callers is what the entries answered.
 	Callers Callers
+	// Evacuated is how many runs were begun in a zone that was evacuated, Left how many
+	// were stopped there.
+	Evacuated, Left int
 }
 
 // Count is how many of some jobs ended while they were worth something.
