--- a/internal/flow/kqadmission/digest.go
+++ b/internal/flow/kqadmission/digest.go
@@ -12,7 +12,7 @@
 const (
 	// DigestInterval is the least time between two digests of an owner.
 	DigestInterval = 300 * time.Millisecond
-	// RepeatInterval is after how long an owner repeats a digest while something waits.
+	// RepeatInterval is from which age on an owner does not tell a digest.
 	RepeatInterval = 600 * time.Millisecond
 	// MaxAge is from which age on a digest is not used.
 	MaxAge = time.Second
--- a/internal/flow/kqloss/account.go
+++ b/internal/flow/kqloss/account.go
@@ -98,7 +98,7 @@
 	switch l.Event {
 	case kqevent.FlowTaken:
 		a.taken(l)
-	case kqevent.FlowRefused, kqevent.FlowUnresolved:
+	case kqevent.FlowRefused, kqevent.FlowUnresolved, kqevent.FlowRejected:
 		if a.away == nil {
 			a.away = map[string]turnedAway{}
 		}
--- a/internal/flow/kqloss/loss_test.go
+++ b/internal/flow/kqloss/loss_test.go
@@ -181,3 +181,21 @@
 		g.Expect(row.Seconds["owner"]).To(BeNumerically("~", c.owner, 0.1))
 	}
 }
+
+// A job that admission control rejected was not served, unless it came back.
+func TestARejectedJobIsLeftOutOfTheSizes(t *testing.T) {
+	g := NewWithT(t)
+	h := newHistory()
+	h.submit("a", step())
+	h.pass(time.Second)
+	h.end(1, "a.0.0.0", 1, kqexecution.HowDone)
+	for _, id := range []string{"a", "b"} {
+		h.log.WriteString(`{"time":"2026-01-01T00:00:00Z","event":731,"id":"` + id + `","queue":"batch","work":9}` + "\n")
+	}
+	all, served := 0, 0
+	for _, s := range h.report(g).Sizes {
+		all, served = all+s.Jobs, served+s.Served
+	}
+	g.Expect(all).To(Equal(2))
+	g.Expect(served).To(Equal(1))
+}
--- a/internal/flow/kqplan/admission.go
+++ b/internal/flow/kqplan/admission.go
@@ -15,12 +15,12 @@
 	ledger   *kqadmission.Ledger
 	shares   *kqadmission.Shares
 	heldTill time.Time
-	// digest is the latest summary, made at builtAt and told at toldAt; told is true if entries have been told of one in which
-	// something waits.
+	// digest is the latest summary, made at builtAt; the latest that entries were told was told at toldAt, and calm is true if
+	// nothing waited in it.
 	digest  *kqadmission.Digest
 	builtAt time.Time
 	toldAt  time.Time
-	told    bool
+	calm    bool
 }
 
 func newAdmission(takenAt time.Time) admission {
@@ -35,8 +35,11 @@
 	p.admission.heldTill = later(p.admission.heldTill, now.Add(kqadmission.HoldTime))
 }
 
-// Rejected takes over that an entry has rejected a job.
+// Rejected takes over that an entry has rejected a job. One that cannot be read rightly is left alone.
 func (p *Planner) Rejected(now time.Time, r kqadmission.Rejected) {
+	if r.ID == "" || r.Work < 0 || r.Reserved < 0 {
+		return
+	}
 	if _, again := p.admission.ledger.First(now, r.ID); !again {
 		p.ask(now, r.Queue, r.Zone, r.Work, r.Reserved)
 	}
@@ -72,11 +75,15 @@
 	}
 }
 
+// mostAsked bounds what a job is counted as asking for, in processor-seconds, so that no sum overflows.
+const mostAsked = 1e9
+
 // ask notes what a queue asks for, in processor-seconds.
 func (p *Planner) ask(now time.Time, queue, zone string, work, reserved float64) {
 	if _, ok := p.queues[queue]; !ok || reserved <= 0 {
 		return
 	}
+	reserved = min(reserved, mostAsked)
 	part := kqadmission.Part{Band: p.loadOf(queue).scale.Band(work), Zone: zone}
 	p.admission.shares.Ask(now, kqadmission.Flow{Queue: queue, Part: part}, reserved)
 }
@@ -88,12 +95,11 @@
 		return nil
 	}
 	if p.backlog == 0 && (a.digest == nil || a.digest.Waits()) {
-		p.short = false
 		p.summarise(now)
 	}
-	if a.digest == nil || now.Sub(a.builtAt) > kqadmission.RepeatInterval || !a.digest.Waits() && a.told {
+	if a.digest == nil || now.Sub(a.builtAt) > kqadmission.RepeatInterval || !a.digest.Waits() && a.calm {
 		return nil
 	}
-	a.toldAt, a.told = now, !a.digest.Waits()
+	a.toldAt, a.calm = now, !a.digest.Waits()
 	return a.digest
 }
--- a/internal/flow/kqplan/summary.go
+++ b/internal/flow/kqplan/summary.go
@@ -95,10 +95,11 @@
 	return float64(x.Size.MemoryBytes)*float64(c.MilliProcessors) <= float64(x.Size.MilliProcessors)*float64(c.MemoryBytes)
 }
 
-// summarise makes the digest after a pass, if one is due.
+// summarise makes the digest after a pass, if one is due. While nothing waits, the latest one stands.
 func (p *Planner) summarise(now time.Time) {
 	a := &p.admission
-	if !a.on || now.Sub(a.builtAt) < kqadmission.DigestInterval {
+	switch {
+	case !a.on, now.Sub(a.builtAt) < kqadmission.DigestInterval, !p.short && a.digest != nil && !a.digest.Waits():
 		return
 	}
 	s := p.newSummary(now)
