--- a/internal/flow/kqfront/admission.go
+++ b/internal/flow/kqfront/admission.go
@@ -151,7 +151,7 @@
 	_, known := f.states[a.id]
 	switch {
 	case known || o == kqcontrol.OutcomeRefused:
-	case o == kqcontrol.OutcomeUnknown, left, x.received.Digest != nil && x.received.Digest.Waits():
+	case o == kqcontrol.OutcomeUnknown, left, x.received.Digest != nil && x.received.Digest.Crowded:
 		// The answer may be lost on its way, and others reject jobs while work waits.
 		f.tellUnresolved(a.id)
 	default:
--- a/internal/flow/kqfront/admission_test.go
+++ b/internal/flow/kqfront/admission_test.go
@@ -182,7 +182,7 @@
 	g := NewWithT(t)
 	e := newGatedEntry()
 	d := crowded()
-	d.Levels[0].Waiting = []kqadmission.Waiting{{Size: 1000, Work: 1}}
+	d.Crowded = true
 	e.hear(d)
 	g.Expect(e.Submit(context.Background(), quick("a"))).To(Equal(kqcontrol.OutcomeStored))
 	g.Expect(e.unresolved()).To(ConsistOf("a"))
