--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
@@ -91,7 +90,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.linked, f.send, f.left = false, nil, nil
-	f.admission.received = kqadmission.Received{}
+	f.admission.forget()
 	for n, c := range f.waiting {
 		close(c)
 		delete(f.waiting, n)
