A write whose answer is lost is sent again once later writes have overtaken it

Each attempt waited its second, all of the owner's writes in flight hung, and 2 to 8 commits a second were stored in place of 170. A partition carries its writes out in order, so that a write is lost once one that was sent later has been answered.

--- a/internal/seam/kqrows/speed.go
+++ b/internal/seam/kqrows/speed.go
@@ -17,6 +17,12 @@
 	// limitAnswers is how many answers a call may take beyond its usual limit: its own
 	// one over several partitions takes two, and a write may follow another's.
 	limitAnswers = 3
+	// lostWrite is after how long at least a write without an answer is taken for lost
+	// if later ones were answered, lostAnswers the same in answers of a write: a write
+	// usually takes 4 ms, and with more than a third of the answers lost an attempt
+	// that waits for a second leaves most of the writes that may be in flight waiting.
+	lostWrite   = 150 * time.Millisecond
+	lostAnswers = 4
 	// mostLimit bounds the limits of calls that usually end sooner.
 	mostLimit = 3 * time.Second
 )
@@ -130,6 +136,14 @@
 	return max(usual, min(mostLimit, usual+limitAnswers*s.Answer()))
 }
 
+// Overtaken reports whether a write that was sent at a time and has no answer yet seems
+// lost: one that was sent later has been answered, and enough time has passed since.
+func (s *Speed) Overtaken(now, sent time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered[KindWrite].After(sent) && now.Sub(sent) >= max(lostWrite, lostAnswers*s.answers[KindWrite])
+}
+
 // Slow reports whether the store answers slowly, or leaves a call without an answer for
 // long.
 func (s *Speed) Slow(now time.Time) bool {
--- a/internal/seam/kqrows/timed.go
+++ b/internal/seam/kqrows/timed.go
@@ -44,13 +44,25 @@
 	return ctx, b.end
 }
 
+// BoundWrite is Bound for an attempt of a write to a partition that this process alone
+// writes. It ends early if the answer is lost: writes that were sent later have been
+// answered, and a partition carries its writes out in order.
+func (t *Timed) BoundWrite(ctx context.Context, usual time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &bound{timed: t, usual: usual, isWrite: true, began: t.now(), ctx: ctx, cancel: cancel}
+	b.wait(min(usual, lostWrite))
+	return ctx, b.end
+}
+
 // bound ends the context of one call at its limit.
 type bound struct {
-	timed  *Timed
-	usual  time.Duration
-	began  time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
+	timed *Timed
+	usual time.Duration
+	// isWrite is true if the call ends once later writes have overtaken it.
+	isWrite bool
+	began   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -66,8 +78,9 @@
 
 // check ends the context, or looks again later.
 func (b *bound) check() {
-	left := b.timed.Speed.Limit(b.usual) - b.timed.now().Sub(b.began)
-	if left <= 0 {
+	now := b.timed.now()
+	left := b.timed.Speed.Limit(b.usual) - now.Sub(b.began)
+	if left <= 0 || b.isWrite && b.timed.Speed.Overtaken(now, b.began) {
 		b.cancel()
 		return
 	}
@@ -85,12 +98,12 @@
 
 // Commit is the function Commit with attempts that end at the limit.
 func (t *Timed) Commit(ctx context.Context, x Tx) (Outcome, error) {
-	return commit(ctx, t.Store, x, attempts{insists: true, bound: t.Bound})
+	return commit(ctx, t.Store, x, attempts{insists: true, bound: t.BoundWrite})
 }
 
 // Try is the function Try with attempts that end at the limit.
 func (t *Timed) Try(ctx context.Context, x Tx) (Outcome, error) {
-	return commit(ctx, t.Store, x, attempts{bound: t.Bound})
+	return commit(ctx, t.Store, x, attempts{bound: t.BoundWrite})
 }
 
 // ended tells the Speed of a call that has ended.
