Stored starts wait for a feed that is too old

Cause: a start that was planned on a feed of 2.4 s could be stored by the second attempt of a commit whose first one hung for 2.2 s, and was sent on although its job had been cancelled 4 s before.

Change: records of jobs that have not ended are taken over only once the feed is younger than 3 s, so that starts of jobs that were cancelled meanwhile are dropped.

--- a/internal/flow/kqcontrol/commit.go
+++ b/internal/flow/kqcontrol/commit.go
@@ -42,12 +42,51 @@
 	c.confirm(sent)
 	c.beatenAt = sent
 	c.writes.pause = 0
-	c.planner.Committed(now, x.writes, o.Version)
+	c.committed(now, x.writes, o.Version)
 	c.publish(now)
 	c.wake()
 	return nil
 }
 
+// releaseAge is after how long without an answer of the feed stored starts are not sent
+// on: the feed's own answer takes up to 0.4 s, and a cancelled job must start nothing 4 s
+// later. A commit whose attempt hung was stored that late.
+const releaseAge = 3 * time.Second
+
+// heldBack is records that were stored while the feed was too old.
+type heldBack struct {
+	writes  []kqplan.Write
+	version uint64
+}
+
+// committed takes over that records were stored. Those of jobs that have not ended wait
+// for the feed if it is too old, so that the starts of jobs that were cancelled
+// meanwhile are dropped; mu is held.
+func (c *Controller) committed(now time.Time, ws []kqplan.Write, version uint64) {
+	if now.Sub(c.fedAt) <= releaseAge {
+		c.planner.Committed(now, ws, version)
+		return
+	}
+	var ended, open []kqplan.Write
+	for _, w := range ws {
+		if w.Record.State.Final() {
+			ended = append(ended, w)
+		} else {
+			open = append(open, w)
+		}
+	}
+	c.planner.Committed(now, ended, version)
+	c.heldBack = append(c.heldBack, heldBack{open, version})
+}
+
+// releaseHeldBack takes over what waited for the feed; mu is held.
+func (c *Controller) releaseHeldBack(now time.Time) {
+	for _, x := range c.heldBack {
+		c.planner.Committed(now, x.writes, x.version)
+	}
+	c.heldBack = nil
+}
+
 func (x *commit) transaction() kqrows.Tx {
 	c := x.controller
 	t := kqrows.Tx{Expected: []kqrows.Expect{{Key: OwnerKey(c.config.Cell), Version: c.version}}, Puts: []kqrows.Put{c.beatPut()}}
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -15,7 +15,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
@@ -74,15 +73,9 @@
 	maxBatch     = 40
 	// slowBatch is the same while the store is slow: each record takes two entries of
 	// a transaction, the ownership and the beat one each.
-	slowBatch   = (kqrows.MaxEntries - 4) / 2
-	followWait  = time.Second
-	followSlack = 400 * time.Millisecond
-	// feedAge is after how long without an answer of the feed nothing is started:
-	// a job may have been cancelled since. An answer of a slow store is added, up to
-	// mostFeedAge: with the commit of a start a cancelled job still starts nothing
-	// 4 s later.
-	feedAge       = 2 * time.Second
-	mostFeedAge   = 2400 * time.Millisecond
+	slowBatch     = (kqrows.MaxEntries - 4) / 2
+	followWait    = time.Second
+	followSlack   = 400 * time.Millisecond
 	readTimeout   = 3 * time.Second
 	sweepInterval = 2 * time.Second
 )
@@ -105,6 +98,7 @@
 	confirmedAt time.Time
 	fedAt       time.Time
 	writes      writes
+	heldBack    []heldBack
 	beatenAt    time.Time
 	beats       atomic.Uint64
 	sweptAt     time.Time
@@ -173,35 +167,6 @@
 // Done is closed when the controller has ended.
 func (c *Controller) Done() <-chan struct{} { return c.tomb.Dead() }
 
-// staleAge is after how long without a confirmation an owner sends the entries
-// away, so that they look for another, while the store answers as usual.
-const staleAge = 1500 * time.Millisecond
-
-// Stale reports whether the store has not confirmed the ownership of late.
-func (c *Controller) Stale(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stale(now)
-}
-
-func (c *Controller) stale(now time.Time) bool {
-	return now.Sub(c.confirmedAt) > c.config.Timed.Speed.Limit(staleAge)
-}
-
-// isFed reports whether the feed has been heard of late.
-func (c *Controller) isFed(now time.Time) bool {
-	return now.Sub(c.fedAt) <= min(mostFeedAge, feedAge+c.config.Timed.Speed.Answer())
-}
-
-// sendAway ends the sessions of entries; mu is held.
-func (c *Controller) sendAway() {
-	for _, s := range c.sessions {
-		if s.hello.Role == kqmessage.RoleEntry {
-			s.stream.Close()
-		}
-	}
-}
-
 // Epoch returns the epoch of the ownership.
 func (c *Controller) Epoch() uint64 { return c.row.Epoch }
 
--- a/internal/flow/kqcontrol/feed.go
+++ b/internal/flow/kqcontrol/feed.go
@@ -48,8 +48,10 @@
 		}
 		c.submitted(now, r, nil)
 	}
+	late := len(c.heldBack) > 0
+	c.releaseHeldBack(now)
 	c.mu.Unlock()
-	if len(rows) > 0 {
+	if late || len(rows) > 0 {
 		c.wake()
 	}
 }
