Specs of incarnations at the agent and in the plan, and what they found

Cause: the races between two incarnations of one id were covered by random faults alone.

What they found and is mended: a check-in of an incarnation that is over was dropped without its event; a start that the second one had answered before it was known went on there without an owner; a leave message of a later incarnation left the earlier one in the plan. A hold to a worker that may have begun anew gives no lease on the clock of the earlier one.

--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -23,7 +23,9 @@
 type worker struct {
 	mu     sync.Mutex
 	began  time.Time
+	born   time.Time
 	silent bool
+	delay  time.Duration
 	unwell bool
 	starts []kqexecution.Start
 	stops  []kqexecution.Run
@@ -39,6 +41,7 @@
 }
 
 func (w *worker) start(ctx context.Context, s kqexecution.Start) (kqexecution.Answer, kqexecution.Clock, error) {
+	time.Sleep(w.delay)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts = append(w.starts, s)
@@ -63,7 +66,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.until, w.seen = max(w.until, h.Until), max(w.seen, h.Seen)
-	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock()}
+	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock(), Born: w.born}
 	for _, e := range w.ended {
 		if e.Number > w.seen {
 			out.Ended = append(out.Ended, e)
--- a/internal/flow/kqexecutor/hold.go
+++ b/internal/flow/kqexecutor/hold.go
@@ -57,7 +57,7 @@
 	if x.watching {
 		h.Wait = watchWait
 	}
-	if x.until > x.clock {
+	if x.until > x.clock && !x.isUnsure() {
 		h.Until = x.until
 	}
 	if len(x.ends) > 0 {
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -28,7 +28,7 @@
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.gone[w.Worker] || !x.isCurrent(now, w.Worker, sourceCheckIn) {
+	if !x.isCurrent(now, w.Worker, sourceCheckIn) || x.gone[w.Worker] {
 		return false
 	}
 	driven := x.info.Worker
@@ -94,6 +94,7 @@
 // owner keeps its runs until the later one has stopped them. mu is held.
 func (x *Executor) supersede(now time.Time, later kqexecution.Incarnation, by source) {
 	x.config.Events.Emit(now, kqevent.WorkerReborn, kqevent.Worker(string(later)), "%s is over, by a %s", x.info.Worker, by)
+	x.lateUnlisted(now)
 	x.remember(now, later)
 	if x.send != nil {
 		x.send(kqmessage.ToOwner{Worker: &kqplan.WorkerInfo{}})
--- a/internal/flow/kqexecutor/late.go
+++ b/internal/flow/kqexecutor/late.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// lateUnlisted remembers the runs that the incarnation that is driven has not listed:
+// their starts may have reached a later one, answered or not. mu is held.
+func (x *Executor) lateUnlisted(now time.Time) {
+	for k := range x.runs {
+		if !x.listed[k] {
+			x.late[k] = lateStart{x.info.Worker, now}
+		}
+	}
+}
+
 func (x *Executor) forgetLate(now time.Time) {
 	for k, l := range x.late {
 		if now.Sub(l.at) > kqplan.LateStart {
@@ -100,7 +110,9 @@
 	return err == nil && (answer == kqexecution.AnswerDone || answer == kqexecution.AnswerOther)
 }
 
-// isUnsure reports whether a later incarnation may be there; mu is held.
+// isUnsure reports whether a later incarnation may be there. It is then asked at
+// once who it is, and given no lease on the clock of the one that is driven; mu is
+// held.
 func (x *Executor) isUnsure() bool {
 	_, born := x.info.Worker.Born()
 	return born && x.unsure
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -90,7 +90,7 @@
 func (p *Planner) host(name string) *host {
 	h := p.hosts.Get(name)
 	if h == nil {
-		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}, departed: departures{}}
+		h = &host{name: name, strays: map[kqexecution.Run]time.Time{}}
 		p.hosts.Put(name, h)
 	}
 	return h
@@ -162,7 +162,8 @@
 	return h.info, true
 }
 
-// Gone notes that the worker of a host has left: what it ran is gone.
+// Gone notes that the worker of a host has left: what it, or an earlier incarnation
+// of it, ran is gone.
 func (p *Planner) Gone(now time.Time, name string, worker kqexecution.Incarnation) {
 	h := p.host(name)
 	for _, r := range h.list() {
@@ -170,7 +171,7 @@
 			p.lose(now, r, "its worker has left")
 		}
 	}
-	if h.info.Worker == worker {
+	if h.info.Worker == worker || worker.Follows(h.info.Worker) {
 		h.info = WorkerInfo{}
 	}
 }
@@ -337,7 +338,7 @@
 func (p *Planner) apply(now time.Time, h *host, t *task, e kqexecution.End) {
 	r := h.runs.Get(e.Run)
 	if r != nil {
-		p.depart(now, r)
+		r.host.departed.note(now, r)
 		t.remove(r)
 	}
 	if e.Saved != "" && (r != nil || len(t.runs) == 0) {
@@ -419,7 +420,7 @@
 func (p *Planner) lose(now time.Time, r *run, why string) {
 	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 		"run %d on %s: %s", r.number, r.worker, why)
-	p.depart(now, r)
+	r.host.departed.note(now, r)
 	r.task.remove(r)
 	p.write(r.task.job)
 	p.place = true
--- a/internal/flow/kqplan/incarnation.go
+++ b/internal/flow/kqplan/incarnation.go
@@ -19,37 +19,36 @@
 
 // departures are the runs that have left a host of late. A copy of their starts
 // may still be carried out if the worker begins again under its id.
-type departures map[kqexecution.Run]departure
+type departures struct {
+	runs     map[kqexecution.Run]departure
+	prunedAt time.Time
+}
 
 // note remembers a run whose worker sends births; without births a second
 // incarnation has another id and refuses what is meant for the first.
-func (d departures) note(now time.Time, r *run) {
-	if _, ok := r.worker.Born(); ok && r.ordered {
-		d[r.key()] = departure{r.worker, now}
+func (d *departures) note(now time.Time, r *run) {
+	if _, ok := r.worker.Born(); !ok || !r.ordered {
+		return
+	}
+	if d.runs == nil {
+		d.runs = map[kqexecution.Run]departure{}
 	}
+	if now.Sub(d.prunedAt) > LateStart {
+		d.prune(now)
+	}
+	d.runs[r.key()] = departure{r.worker, now}
 }
 
 // prune forgets the runs whose starts cannot be carried out any more.
-func (d departures) prune(now time.Time) {
-	for k, x := range d {
+func (d *departures) prune(now time.Time) {
+	d.prunedAt = now
+	for k, x := range d.runs {
 		if now.Sub(x.at) > LateStart {
-			delete(d, k)
+			delete(d.runs, k)
 		}
 	}
 }
 
-// keptDepartures is how many runs a host remembers before it looks which are old.
-const keptDepartures = 64
-
-// depart notes that a run has left its host.
-func (p *Planner) depart(now time.Time, r *run) {
-	d := r.host.departed
-	if len(d) >= keptDepartures {
-		d.prune(now)
-	}
-	d.note(now, r)
-}
-
 // succeed takes over that a worker has begun anew. Another id proves that what
 // the last one ran is gone and will not begin. Under the same id a start that was
 // not answered may still be carried out, so each run is stopped there first and
@@ -65,7 +64,7 @@
 		}
 	}
 	h.departed.prune(now)
-	for k, d := range h.departed {
+	for k, d := range h.departed.runs {
 		if worker.Follows(d.worker) {
 			p.effects = append(p.effects, Effect{Host: h.name, Order: &Order{Run: k, Stop: true, Worker: worker}})
 		}
--- /dev/null
+++ b/internal/flow/kqplan/incarnation_test.go
@@ -0,0 +1,211 @@
+package kqplan_test
+
+import (
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
+
+var _ = Describe("a worker that begins again under its id", func() {
+	const first, second, third = kqexecution.Incarnation("w1@5"), kqexecution.Incarnation("w1@8"), kqexecution.Incarnation("w1@9")
+	var c *cell
+	BeforeEach(func() { c = newCell(1) })
+	AfterEach(func() { Expect(c.counter.Breaches()).To(BeEmpty()) })
+
+	// placed has a task of four processors at work on the first incarnation, whose
+	// host has room for eight; another host has none.
+	placed := func() kqplan.Order {
+		c.host("h1", string(first), 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 4)), nil, 0)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Worker).To(Equal(first))
+		return o[0]
+	}
+	stopOf := func(o kqplan.Order, w kqexecution.Incarnation) kqplan.Order {
+		return kqplan.Order{Run: o.Run, Stop: true, Worker: w}
+	}
+
+	It("has each run of the first stopped on the second before its task starts anywhere", func() {
+		o := placed()
+		c.host("h2", "w2", 8)
+		c.host("h1", string(second), 8)
+		c.settle()
+		Expect(c.take()).To(Equal([]kqplan.Order{stopOf(o, second)}))
+		c.Submit(c.now, job("wide", "urgent", c.now, step(2, 8)), nil, 0)
+		c.settle()
+		wide := c.take()
+		Expect(wide).To(HaveLen(1), "the run's room on the second stays taken")
+		Expect(wide[0].Worker).To(Equal(kqexecution.Incarnation("w2")))
+		c.Observe(c.now, "h1", kqplan.Report{Worker: first, Ended: []kqexecution.End{{Run: o.Run, How: kqexecution.HowAbsent}}})
+		c.settle()
+		Expect(c.take()).To(BeEmpty(), "the first does not say what will not begin on the second")
+		c.end("h1", second, 0, o, kqexecution.HowAbsent)
+		c.settle()
+		again := c.take()
+		Expect(again).NotTo(BeEmpty())
+		Expect(again[0].Worker).To(Equal(second))
+		Expect(c.records["j"].Tasks[0].LastRun + c.records["wide"].Tasks[0].LastRun + c.records["wide"].Tasks[1].LastRun).To(BeNumerically(">", 2))
+	})
+
+	It("stops the run also if the agent says first that no worker is there", func() {
+		o := placed()
+		c.Describe(c.now, "h1", kqplan.WorkerInfo{})
+		c.host("h2", "w2", 8)
+		c.settle()
+		Expect(c.take()).To(BeEmpty(), "the run is not given up yet")
+		c.host("h1", string(second), 8)
+		c.settle()
+		Expect(c.take()).To(Equal([]kqplan.Order{stopOf(o, second)}))
+		c.end("h1", second, 0, o, kqexecution.HowAbsent)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+	})
+
+	It("stops a run on each further incarnation until one has answered", func() {
+		o := placed()
+		c.host("h1", string(second), 8)
+		c.settle()
+		c.take()
+		c.host("h1", string(third), 8)
+		c.settle()
+		Expect(c.take()).To(Equal([]kqplan.Order{stopOf(o, third)}))
+		Expect(c.Resync(c.now, "h1")).To(HaveLen(1))
+		c.end("h1", third, 0, o, kqexecution.HowAbsent)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+	})
+
+	It("takes over the end of a run that the second has begun late", func() {
+		o := placed()
+		c.host("h1", string(second), 8)
+		c.settle()
+		c.take()
+		c.Observe(c.now, "h1", kqplan.Report{Worker: second, Whole: true, Running: []kqexecution.Running{{Run: o.Run, Percent: 50}}})
+		c.end("h1", second, 1, o, kqexecution.HowDone)
+		c.settle()
+		Expect(c.states).To(HaveKeyWithValue("j", kqflow.StateCompleted))
+		Expect(c.noted).To(HaveKeyWithValue("h1", uint64(1)))
+	})
+
+	It("knows as a new owner the first from the record alone", func() {
+		o := placed()
+		r := c.records["j"]
+		text, err := json.Marshal(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(ContainSubstring(`"worker":"w1@5"`))
+		c = newCell(2)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 4)), &r, 9)
+		c.host("h2", "w2", 8)
+		c.host("h1", string(second), 8)
+		c.settle()
+		Expect(c.take()).To(Equal([]kqplan.Order{stopOf(o, second)}))
+		Expect(c.records["j"].Tasks[0].Runs[0]).To(Equal(kqflow.Run{Number: 1, Host: "h1", Worker: second, Stopping: true}))
+		r = c.records["j"]
+		c = newCell(3)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 4)), &r, 10)
+		c.host("h1", string(second), 8)
+		Expect(c.Resync(c.now, "h1")).To(HaveLen(1))
+		c.end("h1", second, 0, o, kqexecution.HowAbsent)
+		c.settle()
+		Expect(c.take()).To(HaveLen(1))
+	})
+
+	It("gives up at once what was decided and never ordered", func() {
+		c.host("h1", string(first), 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 4)), nil, 0)
+		c.Tick(c.now)
+		c.host("h1", string(second), 8)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Stop).To(BeFalse())
+		Expect(o[0].Worker).To(Equal(second))
+	})
+
+	It("gives up at once what ran on an incarnation that has left, or on one before it", func() {
+		placed()
+		c.Gone(c.now, "h1", second)
+		c.host("h2", "w2", 8)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Worker).To(Equal(kqexecution.Incarnation("w2")))
+	})
+
+	// A copy of the start that was not answered may still be carried out.
+	It("stops on the second what has left its host shortly before, and not what left long ago", func() {
+		o := placed()
+		c.end("h1", first, 1, o, kqexecution.HowDone)
+		c.settle()
+		c.now = c.now.Add(10 * time.Second)
+		c.host("h1", string(second), 8)
+		c.settle()
+		Expect(c.take()).To(Equal([]kqplan.Order{stopOf(o, second)}))
+		c.end("h1", second, 0, o, kqexecution.HowAbsent)
+		c.settle()
+		Expect(c.states).To(HaveKeyWithValue("j", kqflow.StateCompleted))
+		c.now = c.now.Add(10 * time.Second)
+		c.host("h1", string(third), 8)
+		c.settle()
+		Expect(c.take()).To(BeEmpty())
+	})
+
+	It("begins with no health, ends and tickets of the first", func() {
+		c.SetPolicy(&kqflow.Policy{Version: 2, Queues: map[string]kqflow.Queue{"urgent": {Name: "urgent", Service: "s", Attempts: 9, Stretch: 1.5, Target: 250 * time.Millisecond,
+			Approval: kqflow.Approval{Needed: true, Decide: 200 * time.Millisecond, Each: 10 * time.Millisecond, Valid: 60 * time.Second}}}})
+		c.host("h1", string(first), 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(2, 1)), nil, 0)
+		approve := func() []kqexecution.Incarnation {
+			c.now = c.now.Add(500 * time.Millisecond)
+			c.Granted(c.now, "h1", 7*time.Second)
+			c.settle()
+			Expect(c.asks).To(HaveLen(1))
+			a := c.asks[0]
+			c.asks = nil
+			c.Approved(c.now, a.Host, kqplan.Approved{Step: a.Ask.Step, Workers: a.Ask.Workers, Answered: true,
+				Answer: kqapproval.Answer{Valid: 60 * time.Second, Tickets: []kqapproval.Ticket{{Worker: "w1", Ticket: "t"}}}})
+			c.settle()
+			return a.Ask.Workers
+		}
+		Expect(approve()).To(Equal([]kqexecution.Incarnation{first}))
+		o := c.take()
+		Expect(o).To(HaveLen(2), "the service answers with ids")
+		for n := range o {
+			c.end("h1", first, uint64(n+1), o[n], kqexecution.HowFailed)
+		}
+		c.settle()
+		Expect(c.take()).To(BeEmpty(), "quarantined")
+		c.host("h1", string(second), 8)
+		c.settle()
+		for _, x := range c.take() {
+			Expect(x.Stop).To(BeTrue(), "the ticket was the first one's")
+		}
+		Expect(approve()).To(Equal([]kqexecution.Incarnation{second}))
+		o = c.take()
+		Expect(o).To(HaveLen(2), "not quarantined")
+		c.end("h1", second, 1, o[0], kqexecution.HowDone)
+		c.settle()
+		Expect(c.records["j"].Tasks[0].Done || c.records["j"].Tasks[1].Done).To(BeTrue(), "its ends count from 1")
+	})
+
+	It("gives up at once what ran on a worker with another id", func() {
+		c.host("h1", "w1", 8)
+		c.Submit(c.now, job("j", "urgent", c.now, step(1, 4)), nil, 0)
+		c.settle()
+		c.take()
+		c.host("h1", "w2", 8)
+		c.settle()
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Stop).To(BeFalse())
+	})
+})
