--- a/internal/flow/kqexecutor/evacuation_test.go
+++ b/internal/flow/kqexecutor/evacuation_test.go
@@ -111,9 +111,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w.began = time.Now()
-		knownAt := time.Now()
+		feed := kqevacuate.NewFeed("agent", nil)
+		feed.Answered(time.Now())
 		x := kqexecutor.Start(kqexecutor.Config{Connect: w.connect, MaxLease: 7 * time.Second, Now: time.Now,
-			ZonesKnownAt: func() time.Time { return knownAt }, EvacuateWithin: 5 * time.Second})
+			ZonesKnownAt: feed.KnownAt, EvacuateWithin: 5 * time.Second})
 		x.CheckIn(kqplan.WorkerInfo{Worker: "w", Zone: "a", Capacity: kqmodel.Resources{MilliProcessors: 4000}}, 1)
 		o := &owner{}
 		x.Linked(1, o.send)
@@ -129,7 +130,7 @@
 		after := w.begun()
 		time.Sleep(5 * time.Second)
 		g.Expect(after).To(BeNumerically(">", before), "the owner knows the zones")
-		knownAt = time.Now()
+		feed.Answered(time.Now())
 		before = w.begun()
 		time.Sleep(time.Second)
 		g.Expect(w.begun()).To(BeNumerically(">", before), "the store has answered")
