--- a/internal/trial/kqflowrig/evacuation_test.go
+++ b/internal/trial/kqflowrig/evacuation_test.go
@@ -37,7 +37,10 @@
 		Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}})
 	x := &evacuated{run: run{rig: rig, rng: rand.New(rand.NewPCG(seed, 17)), cancelled: map[string]time.Time{}, asked: map[string]bool{}}, zones: zones, done: make(chan struct{})}
 	time.Sleep(3 * time.Second)
-	go func() { x.load(load); close(x.done) }()
+	// The load draws by itself: the scene draws at the same time.
+	loader := x.run
+	loader.rng = rand.New(rand.NewPCG(seed, 19))
+	go func() { loader.load(load); close(x.done) }()
 	time.Sleep(2 * time.Second)
 	return x
 }
