--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -76,19 +76,20 @@
 	linked      bool
 	info        WorkerInfo
 	grantedTill time.Time
+	heardAt     time.Time
+	runs        kqordered.Map[kqexecution.Run, *run]
+	strays      map[kqexecution.Run]time.Time
+	ends        []*heldEnd
+	taken       uint64
+	noted       uint64
+	health      health
+	paces       map[string]int
+	tally       tally
+	beside      beside
+	asks        int
+
 	// coldTill is until when the worker is slow after its start.
 	coldTill time.Time
-	heardAt  time.Time
-	runs     kqordered.Map[kqexecution.Run, *run]
-	strays   map[kqexecution.Run]time.Time
-	ends     []*heldEnd
-	taken    uint64
-	noted    uint64
-	health   health
-	paces    map[string]int
-	tally    tally
-	beside   beside
-	asks     int
 }
 
 func (p *Planner) host(name string) *host {
