An attempt is told of as it begins, and a rejection waits for such word

Cause: a job whose answer was lost on its way to the caller could be rejected by another entry in the moment before the owner had passed on that it may be stored. Change: while the cell is crowded an entry tells of each attempt as it begins; a rejection waits 100 ms and is taken back if word of an attempt has come; nothing is rejected in the first 300 ms in which the cell is crowded. A digest says by itself that the cell is crowded, so that running work alone is enough to reject.

--- a/internal/flow/kqadmission/digest.go
+++ b/internal/flow/kqadmission/digest.go
@@ -25,6 +25,8 @@
 type Digest struct {
 	// Held is true if nothing may be rejected for now.
 	Held bool `json:"held,omitempty"`
+	// Crowded is true if a task that ends and reserves what it takes found no room.
+	Crowded bool `json:"crowded,omitempty"`
 	// Levels is the priorities of each service.
 	Levels []Level `json:"levels,omitempty"`
 	// Queues is the classes by name.
@@ -33,16 +35,6 @@
 	Returning int `json:"returning,omitempty"`
 }
 
-// Waits reports whether anything waits for room.
-func (d *Digest) Waits() bool {
-	for i := range d.Levels {
-		if len(d.Levels[i].Waiting) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Class is what concerns one queue.
 type Class struct {
 	// Level is the index of its service and priority in Digest.Levels.
--- a/internal/flow/kqfront/admission.go
+++ b/internal/flow/kqfront/admission.go
@@ -1,6 +1,7 @@
 package kqfront
 
 import (
+	"context"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -8,6 +9,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // Admission sets up the decisions of an entry on new jobs.
@@ -23,6 +25,8 @@
 // admission is what an entry keeps for its decisions; the front's mutex guards it.
 type admission struct {
 	received kqadmission.Received
+	// crowdedAt is since when every digest has been of a crowded cell; zero if the latest was not, or is old.
+	crowdedAt time.Time
 	// ledger remembers what this entry has rejected, and what may be stored by attempts of this and other entries.
 	ledger *kqadmission.Ledger
 	// attempts counts the attempts of this entry that are under way.
@@ -35,16 +39,19 @@
 
 // linked forgets what another owner told, and tells the new one which jobs may be stored.
 func (a *admission) linked(now time.Time, send func(kqmessage.ToOwner)) {
-	a.received = kqadmission.Received{}
+	a.forget()
 	if ids := a.ledger.AllUnresolved(now); len(ids) > 0 {
 		send(kqmessage.ToOwner{Unresolved: ids})
 	}
 }
 
+// forget drops what an owner has told.
+func (a *admission) forget() { a.received, a.crowdedAt = kqadmission.Received{}, time.Time{} }
+
 // receive takes what the owner tells.
 func (a *admission) receive(now time.Time, m kqmessage.FromOwner) {
 	if m.Digest != nil {
-		a.received = kqadmission.Received{Digest: m.Digest, At: now}
+		a.hear(now, m.Digest)
 	}
 	for id := range m.States {
 		a.ledger.Resolve(id)
@@ -54,8 +61,34 @@
 	}
 }
 
+// hear takes a digest.
+func (a *admission) hear(now time.Time, d *kqadmission.Digest) {
+	fresh := now.Sub(a.received.At) <= kqadmission.MaxAge
+	switch {
+	case !d.Crowded:
+		a.crowdedAt = time.Time{}
+	case a.crowdedAt.IsZero() || !fresh:
+		a.crowdedAt = now
+	}
+	a.received = kqadmission.Received{Digest: d, At: now}
+}
+
+// crowded reports whether entries may be rejecting jobs.
+func (a *admission) crowded(now time.Time) bool {
+	return !a.crowdedAt.IsZero() && now.Sub(a.received.At) <= kqadmission.MaxAge
+}
+
+const (
+	// warnTime is for how long the cell must have been crowded before an entry rejects: by then every entry knows and tells of its
+	// attempts, and those that began before have ended or have been told of.
+	warnTime = 300 * time.Millisecond
+	// confirmTime is how long an entry waits for word of an earlier attempt before it rejects a job: the caller may have tried
+	// another entry just before. The owner passes such word on between two of its passes, which take up to 100 ms.
+	confirmTime = 100 * time.Millisecond
+)
+
 // Admit decides whether a job is stored. One that is rejected must not be submitted; the owner is told of it.
-func (f *Front) Admit(j kqflow.Job) kqadmission.Decision {
+func (f *Front) Admit(ctx context.Context, j kqflow.Job) kqadmission.Decision {
 	c := f.config.Admission
 	if c == nil {
 		return accept("admission control is off")
@@ -70,6 +103,11 @@
 	}
 	now := f.config.Now()
 	d := f.decide(now, j, q)
+	if d.Verdict == kqadmission.Reject {
+		kqtable.Sleep(ctx, confirmTime)
+		now = f.config.Now()
+		d = f.confirm(now, j, d)
+	}
 	if c.Decided != nil {
 		c.Decided(j.Queue, d.Verdict)
 	}
@@ -83,31 +121,56 @@
 	return kqadmission.Decision{Verdict: kqadmission.Accept, Why: why}
 }
 
+// decide returns what the entry knows speaks for, without telling anyone.
 func (f *Front) decide(now time.Time, j kqflow.Job, q kqflow.Queue) kqadmission.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := &f.admission
-	_, known := f.states[j.ID]
+	if why := f.doubt(now, j.ID); why != "" {
+		return accept(why)
+	}
+	first, again := a.ledger.First(now, j.ID)
+	if !again {
+		first = now
+	}
+	return kqadmission.Decide(now, kqadmission.NewJob(j, q, first, f.config.Admission.Zone), q, a.received)
+}
+
+// doubt returns why a job may not be rejected whatever waits, or nothing; mu is held.
+func (f *Front) doubt(now time.Time, id string) string {
+	a := &f.admission
+	_, known := f.states[id]
 	switch {
 	case !f.linked || f.send == nil:
-		return accept("the owner is not connected")
+		return "the owner is not connected"
 	case known:
-		return accept("the owner has the job")
+		return "the owner has the job"
 	case a.ledger.Full():
-		return accept("more jobs may be stored than are remembered")
-	case a.attempts[j.ID] > 0, a.ledger.Unresolved(now, j.ID):
-		return accept("an earlier attempt may be stored")
+		return "more jobs may be stored than are remembered"
+	case a.attempts[id] > 0, a.ledger.Unresolved(now, id):
+		return "an earlier attempt may be stored"
+	case !a.crowded(now):
+		return "no fresh digest says that work waits for room"
+	case now.Sub(a.crowdedAt) < warnTime:
+		return "other entries may not know yet that work waits for room"
+	}
+	return ""
+}
+
+// confirm takes a rejection back if there is doubt about it by now, and else tells the owner of it.
+func (f *Front) confirm(now time.Time, j kqflow.Job, d kqadmission.Decision) kqadmission.Decision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := &f.admission
+	if why := f.doubt(now, j.ID); why != "" {
+		return accept(why)
 	}
 	first, again := a.ledger.First(now, j.ID)
 	if !again {
-		first = now
-	}
-	x := kqadmission.NewJob(j, q, first, f.config.Admission.Zone)
-	d := kqadmission.Decide(now, x, q, a.received)
-	if d.Verdict == kqadmission.Reject {
-		a.ledger.Reject(now, j.ID, first)
-		f.send(kqmessage.ToOwner{Rejected: &kqadmission.Rejected{ID: j.ID, Queue: j.Queue, Age: now.Sub(first), Work: x.Work, Reserved: x.Reserved, Zone: x.Zone}})
+		first = now.Add(-confirmTime)
 	}
+	a.ledger.Reject(now, j.ID, first)
+	f.send(kqmessage.ToOwner{Rejected: &kqadmission.Rejected{ID: j.ID, Queue: j.Queue, Age: now.Sub(first), Work: j.Work(), Reserved: j.ReservedWork(), Zone: f.config.Admission.Zone}})
 	return d
 }
 
@@ -129,6 +192,10 @@
 	}
 	f.mu.Lock()
 	f.admission.attempts[id]++
+	if f.admission.crowded(f.config.Now()) {
+		// Its caller may try elsewhere before there is an answer, or lose that on its way.
+		f.tellUnresolved(id)
+	}
 	f.mu.Unlock()
 	a := &attempt{front: f, id: id}
 	a.timer = time.AfterFunc(unresolvedAfter, a.unresolved)
@@ -151,8 +218,8 @@
 	_, known := f.states[a.id]
 	switch {
 	case known || o == kqcontrol.OutcomeRefused:
-	case o == kqcontrol.OutcomeUnknown, left, x.received.Digest != nil && x.received.Digest.Waits():
-		// The answer may be lost on its way, and others reject jobs while work waits.
+	case o == kqcontrol.OutcomeUnknown, left, x.crowded(f.config.Now()):
+		// The answer may be lost on its way.
 		f.tellUnresolved(a.id)
 	default:
 		x.ledger.Unresolve(f.config.Now(), a.id)
--- a/internal/flow/kqfront/front.go
+++ b/internal/flow/kqfront/front.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqadmission"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
@@ -77,7 +76,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.linked, f.send = false, nil
-	f.admission.received = kqadmission.Received{}
+	f.admission.forget()
 	for n, c := range f.waiting {
 		close(c)
 		delete(f.waiting, n)
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -128,7 +128,7 @@
 	if _, ok := p.Queues[f.Queue]; !ok {
 		return nil, kqresult.Errorf(kqresult.BadRequest, "queue: no queue %q is in force", f.Queue)
 	}
-	if d := g.config.Front.Admit(j); d.Verdict == kqadmission.Reject {
+	if d := g.config.Front.Admit(ctx, j); d.Verdict == kqadmission.Reject {
 		return nil, kqresult.Errorf(kqresult.NotRunRejected, "flow %s: %s", f.ID, d).After(d.RetryAfter)
 	}
 	if err := g.outcome(g.config.Front.Submit(ctx, j), "flow "+f.ID); err != nil {
--- a/internal/flow/kqplan/admission.go
+++ b/internal/flow/kqplan/admission.go
@@ -16,7 +16,7 @@
 	shares   *kqadmission.Shares
 	heldTill time.Time
 	// digest is the latest summary, made at builtAt; the latest that entries were told was told at toldAt, and calm is true if
-	// nothing waited in it.
+	// nothing waited for room in it.
 	digest  *kqadmission.Digest
 	builtAt time.Time
 	toldAt  time.Time
@@ -94,12 +94,12 @@
 	if !a.on || now.Sub(a.toldAt) < kqadmission.DigestInterval {
 		return nil
 	}
-	if p.backlog == 0 && (a.digest == nil || a.digest.Waits()) {
+	if p.backlog == 0 && (a.digest == nil || a.digest.Crowded) {
 		p.summarise(now)
 	}
-	if a.digest == nil || now.Sub(a.builtAt) > kqadmission.RepeatInterval || !a.digest.Waits() && a.calm {
+	if a.digest == nil || now.Sub(a.builtAt) > kqadmission.RepeatInterval || !a.digest.Crowded && a.calm {
 		return nil
 	}
-	a.toldAt, a.calm = now, !a.digest.Waits()
+	a.toldAt, a.calm = now, !a.digest.Crowded
 	return a.digest
 }
--- a/internal/flow/kqplan/summary.go
+++ b/internal/flow/kqplan/summary.go
@@ -99,11 +99,11 @@
 func (p *Planner) summarise(now time.Time) {
 	a := &p.admission
 	switch {
-	case !a.on, now.Sub(a.builtAt) < kqadmission.DigestInterval, !p.short && a.digest != nil && !a.digest.Waits():
+	case !a.on, now.Sub(a.builtAt) < kqadmission.DigestInterval, !p.short && a.digest != nil && !a.digest.Crowded:
 		return
 	}
 	s := p.newSummary(now)
-	d := &kqadmission.Digest{Held: p.hold || now.Before(a.heldTill) || a.ledger.Full(), Queues: make(map[string]kqadmission.Class, len(p.queues)), Returning: a.ledger.Returning(now)}
+	d := &kqadmission.Digest{Crowded: p.short, Held: p.hold || now.Before(a.heldTill) || a.ledger.Full(), Queues: make(map[string]kqadmission.Class, len(p.queues)), Returning: a.ledger.Returning(now)}
 	index := map[levelKey]int{}
 	for _, k := range p.levels() {
 		index[k] = len(d.Levels)
@@ -146,7 +146,7 @@
 		}
 		l.Room = kqmodel.Resources{MilliProcessors: max(l.Room.MilliProcessors, most.MilliProcessors),
 			MemoryBytes: max(l.Room.MemoryBytes, most.MemoryBytes), Accelerators: max(l.Room.Accelerators, most.Accelerators)}
-		if len(l.Waiting) > 0 {
+		if p.short {
 			h.countEnds(now, k.priority, ends)
 		}
 	}
