--- a/internal/flow/kqforesight/demand.go
+++ b/internal/flow/kqforesight/demand.go
@@ -48,8 +48,12 @@
 // value expects the mean. It is not safe for concurrent use.
 type Demand struct {
 	mean  Mean
+	sizes sizes
+	// even is the mean of the work that the series counts.
+	even  Mean
 	start time.Time
-	// series is the demand of the latest intervals that have ended, in processors;
+	// series is the demand of the latest intervals that have ended, in processors, as
+	// far as it is counted;
 	// closed is how many have ended, and open is the work of the present one.
 	series []float64
 	closed int
@@ -72,7 +76,9 @@
 	}
 	c := d.Advance(now)
 	d.mean.Add(now, work)
-	d.open += work
+	counted := d.sizes.add(work)
+	d.even.Add(now, counted)
+	d.open += counted
 	return c
 }
 
@@ -83,7 +89,7 @@
 	}
 	was, over := d.used, int(now.Sub(d.start)/interval)
 	if over-d.closed > mostIntervals {
-		*d = Demand{mean: d.mean, start: now}
+		*d = Demand{mean: d.mean, even: d.even, sizes: d.sizes, start: now}
 		over = 0
 	}
 	for d.closed < over {
@@ -131,7 +137,7 @@
 	if d.shown == nil {
 		return guess{}
 	}
-	g := guess{made: true, mean: d.mean.Processors(d.start.Add(time.Duration(d.closed) * interval))}
+	g := guess{made: true, mean: d.even.Processors(d.start.Add(time.Duration(d.closed) * interval))}
 	for n := range spanIntervals {
 		g.forecast += d.shown.at(float64(d.closed+n)) / spanIntervals
 	}
@@ -190,5 +196,5 @@
 	for n := 0; time.Duration(n)*interval <= within; n++ {
 		highest = max(highest, d.shown.at(from+float64(n)))
 	}
-	return highest
+	return highest * d.sizes.factor()
 }
--- a/internal/flow/kqforesight/demand_test.go
+++ b/internal/flow/kqforesight/demand_test.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	step    = 50 * time.Millisecond
-	perSec  = 10
+	step   = 50 * time.Millisecond
+	perSec = 5
+	// spread is that of the logarithm of the sizes of jobs.
+	spread  = 1.2
 	minutes = 4
 )
 
@@ -38,7 +40,7 @@
 	for end := s.now.Add(d); s.now.Before(end); {
 		s.now = s.now.Add(step)
 		if s.rng.Float64() < perSec*step.Seconds()*rate(s.now.Sub(start)) {
-			s.note(s.demand.Add(s.now, math.Exp(0.8*s.rng.NormFloat64()-0.32)))
+			s.note(s.demand.Add(s.now, math.Exp(spread*s.rng.NormFloat64()-spread*spread/2)))
 		}
 		s.note(s.demand.Advance(s.now))
 		if s.demand.Used() {
