--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -96,8 +96,6 @@
 	WorkerReborn         Number = 820
 	IncarnationOver      Number = 821
 	BirthRefused         Number = 822
-	ForecastUsed         Number = 830
-	ForecastWithdrawn    Number = 831
 )
 
 // Info describes an event for operators.
@@ -200,8 +198,6 @@
 	{WorkerReborn, "worker_reborn", "A later incarnation of a worker has begun under the same id: the earlier one is over."},
 	{IncarnationOver, "incarnation_over", "A message of an incarnation of a worker that is over changes nothing."},
 	{BirthRefused, "birth_refused", "A message of a worker has no time of birth where the id had one, or one that cannot be read; it names no worker."},
-	{ForecastUsed, "forecast_used", "The forecast of a queue's demand has been better than its mean and is used from now on."},
-	{ForecastWithdrawn, "forecast_withdrawn", "The forecast of a queue's demand has not been better than its mean, or the demand shows nothing any more: the mean is used."},
 }
 
 var names = func() map[Number]string {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -31,8 +31,6 @@
 	FarFactor float64
 	// Gradual is true if workers that say that they are cold get part of their room.
 	Gradual bool
-	// Forecasts is true if room is kept by forecasts where they are better than the mean.
-	Forecasts bool
 	// Settled is told once of each job how well it was served; may be nil.
 	Settled func(Settlement)
 	// Events remembers what was decided; may be nil.
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -89,8 +89,6 @@
 	// Wave is the relative swing of all rates, WaveTime its period.
 	Wave     float64
 	WaveTime time.Duration
-	// WatchTime is after what time watch jobs are cancelled; 0 means never.
-	WatchTime time.Duration
 	// WatchJobs is how many watch jobs there are from the start.
 	WatchJobs int
 	// ServingLoad is the mean load of serving tasks, Swing its relative swing and
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -48,8 +48,6 @@
 	Admission bool
 	// Lenient keeps the entries from rejecting what they would.
 	Lenient bool
-	// Forecasts lets the owner keep room by forecasts of demand.
-	Forecasts bool
 }
 
 // Replay is a cell under a load.
@@ -71,15 +69,13 @@
 	busyTill time.Time
 	// callers hand jobs in, and again if they are rejected.
 	callers *callers
-	// watching is the watch jobs that have not been cancelled, in order of their coming.
-	watching []kqflow.Job
 }
 
 // New returns a Replay at its beginning.
 func New(c Config) *Replay {
 	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
 		account: &account{load: c.Load}, now: epoch, callers: newCallers()}
-	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1, Forecasts: c.Forecasts})
+	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1})
 	p.planner.SetPolicy(policy())
 	p.planner.Summarise(c.Admission)
 	for n := range c.Load.Workers {
@@ -111,7 +107,6 @@
 			p.submit(j)
 		}
 		p.callers.again(p)
-		p.leave()
 		for _, w := range p.workers {
 			p.advance(w, n)
 		}
@@ -130,8 +125,7 @@
 	j.SubmittedAt = p.now
 	p.specs[j.ID] = *j
 	if j.Queue == QueueWatch {
-		p.account.watch(p.stays())
-		p.watching = append(p.watching, *j)
+		p.account.watch(p.config.Load.Span + settle - p.now.Sub(epoch))
 		return
 	}
 	p.jobs = append(p.jobs, *j)
--- a/internal/trial/kqreplay/worker.go
+++ b/internal/trial/kqreplay/worker.go
@@ -101,9 +101,6 @@
 	var ended []kqexecution.End
 	for _, r := range w.runs.All() {
 		if r.step.Standing {
-			if r.stops(now) {
-				ended = append(ended, w.end(r, kqexecution.HowStopped))
-			}
 			continue
 		}
 		speed := 1 / w.slow
@@ -115,7 +112,7 @@
 		switch {
 		case r.worked >= r.length:
 			ended = append(ended, w.end(r, kqexecution.HowDone))
-		case r.stops(now):
+		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			ended = append(ended, w.end(r, kqexecution.HowStopped))
 			p.saved[r.key.Task] = max(p.saved[r.key.Task], r.worked)
 		}
@@ -127,9 +124,6 @@
 	return ended
 }
 
-// stops reports whether a run that was told to stop has stopped.
-func (r *run) stops(now time.Time) bool { return !r.stopAt.IsZero() && !now.Before(r.stopAt) }
-
 func (w *worker) end(r *run, how kqexecution.How) kqexecution.End {
 	w.ends++
 	e := kqexecution.End{Number: w.ends, Run: r.key, How: how}
