Planner: the mean demand is kqforesight.Mean

The planner and the package each had the same mean. The planner now uses the one that forecasts are compared with.

--- a/internal/flow/kqplan/demand.go
+++ b/internal/flow/kqplan/demand.go
@@ -5,21 +5,13 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqforesight"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 )
 
-// rate counts the core-seconds of work that came over about the last rateTime.
-type rate struct {
-	value float64
-	at    time.Time
-	since time.Time
-}
-
 const (
-	rateTime = 10 * time.Second
-	// leastSeen bounds from below over what time the first work is taken to have
-	// come.
-	leastSeen = 2 * time.Second
+	// unseenTime is for about how long an owner expects the usual headroom to be needed.
+	unseenTime = 10 * time.Second
 	// demandMargin is how much room is kept for what comes, against its mean: jobs
 	// come in bursts, and their tasks together.
 	demandMargin = 1.5
@@ -29,32 +21,10 @@
 	mostKept = 0.4
 )
 
-// add takes over the work of a job, in core-seconds.
-func (r *rate) add(now time.Time, work float64) {
-	if r.since.IsZero() {
-		r.since = now
-	}
-	r.value, r.at = r.sum(now)+work, now
-}
-
-// sum returns what came, weighted by its age.
-func (r *rate) sum(now time.Time) float64 {
-	if r.value == 0 {
-		return 0
-	}
-	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateTime.Seconds())
-}
-
-// processors returns the mean number of processors that the work takes.
-func (r *rate) processors(now time.Time) float64 {
-	seen := max(leastSeen, now.Sub(r.since))
-	return r.sum(now) / (rateTime.Seconds() * (1 - math.Exp(-seen.Seconds()/rateTime.Seconds())))
-}
-
 // queueLoad is what was seen of the jobs of a queue that end.
 type queueLoad struct {
 	scale  kqsize.Scale
-	demand rate
+	demand kqforesight.Mean
 	// usual and large are the mean sizes of the smallest first tasks of jobs that are not of the largest band, and of those
 	// that are, in thousandths of a processor.
 	usual, large int64
@@ -102,11 +72,11 @@
 	need := 0.0
 	for name, l := range p.loads {
 		if o := p.queues[name]; o.Service == q.Service && o.Priority <= q.Priority {
-			need += l.demand.processors(now)
+			need += l.demand.Processors(now)
 		}
 	}
 	// An owner that has seen little yet expects the usual headroom to be needed.
-	unseen := math.Exp(-now.Sub(p.config.TakenAt).Seconds()/rateTime.Seconds()) * headroom / fullPercent
+	unseen := math.Exp(-now.Sub(p.config.TakenAt).Seconds()/unseenTime.Seconds()) * headroom / fullPercent
 	kept := max(unseen, demandMargin*need*milli/float64(max(1, capacity)))
 	if kept < leastKept {
 		return 0
--- a/internal/flow/kqplan/settle.go
+++ b/internal/flow/kqplan/settle.go
@@ -48,7 +48,7 @@
 	j.band = l.scale.Band(work)
 	j.settled = !isNew && j.phase(now) == phaseWorthless
 	if isNew {
-		l.demand.add(now, j.spec.ReservedWork())
+		l.demand.Add(now, j.spec.ReservedWork())
 	}
 }
 
