--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -30,6 +30,10 @@
 	// task.
 	Starts  int
 	Weighed int64
+	// Moves is how many runs were stopped before their end, MoveTime the time from the
+	// stops to the next start and the work that was lost, of all of them.
+	Moves    int
+	MoveTime time.Duration
 }
 
 // Count is how many of some jobs ended while they were worth something.
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -94,6 +94,11 @@
 	Bursts    []Burst
 	Losses    []Loss
 	Slowdowns []Slowdown
+	// Wave swings the rate of quick and batch jobs.
+	Wave Wave
+	// Moves is what moves cost; zero stands for a short stop and restoration and a
+	// checkpoint with each report.
+	Moves MoveCost
 }
 
 const (
@@ -229,12 +234,16 @@
 }
 
 func (s *source) factor(queue string, at time.Duration) float64 {
+	wave := 1.0
+	if queue != QueueWatch {
+		wave = s.load.Wave.factor(at)
+	}
 	for _, b := range s.load.Bursts {
 		if queue == QueueBatch && at >= b.From && at < b.From+b.For {
-			return b.Factor
+			return b.Factor * wave
 		}
 	}
-	return 1
+	return wave
 }
 
 func (s *source) job(queue string, shape Shape) kqflow.Job {
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -63,12 +63,13 @@
 	now     time.Time
 	// busyTill is until when the owner is at its latest decisions.
 	busyTill time.Time
+	mover    *mover
 }
 
 // New returns a Replay at its beginning.
 func New(c Config) *Replay {
 	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
-		account: &account{load: c.Load}, now: epoch}
+		account: &account{load: c.Load}, now: epoch, mover: newMover(c)}
 	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1})
 	p.planner.SetPolicy(policy())
 	for n := range c.Load.Workers {
@@ -159,7 +160,7 @@
 	}
 	r := kqplan.Report{Worker: w.incarnation()}
 	if n%reportEvery == 0 {
-		r = w.report(p.config.Unlearned)
+		r = w.report(p.mover, p.config.Unlearned)
 		for _, x := range r.Running {
 			p.save(x)
 		}
@@ -222,8 +223,10 @@
 	r = p.begin(w, o.Run, taskID(o.Run.Task))
 	r.press, r.due = o.Press, p.now.Add(o.Left)
 	if o.Checkpoint != "" {
-		r.worked = p.saved[o.Run.Task] - restoreTime
+		r.resumed = p.saved[o.Run.Task]
+		r.worked = r.resumed - p.mover.restoreTime()
 	}
+	p.account.result.MoveTime += p.mover.resumes(p.now, r)
 	if o.Fills && !p.config.Unpaced {
 		w.pacer.Add(r.filling())
 		r.percent = w.pacer.Share(o.Run)
@@ -250,7 +253,11 @@
 
 func (p *Replay) stop(w *worker, k kqexecution.Run, r *run) {
 	if r != nil {
-		r.stopAt = p.now.Add(stopDelay)
+		if r.stopAt.IsZero() {
+			p.account.result.Moves++
+			p.mover.stops(p.now, r)
+			r.stopAt = p.now.Add(p.mover.stopTime())
+		}
 		return
 	}
 	p.planner.Observe(p.now, w.name, kqplan.Report{Worker: w.incarnation(), Ended: []kqexecution.End{{Run: k, How: kqexecution.HowAbsent}}})
