Moves of runs are weighed by what they cost and gain

Runs that serving tasks hold back, and runs that are slow, were stopped by their pace alone. Where the settings say what a move costs (stopTimeoutMs, restoreMs, checkpointS), kqmove compares the end here at the observed pace with the end there after stop, commit and restore, bounded by the other tasks of the step and weighed by the job's objective. The place is chosen before the stop and kept for the task, and jobs with moved tasks that wait go first. Without the settings nothing changes.

--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmove"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -29,6 +30,9 @@
 	Lease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
+	// Moves is what moving a run costs; if it is not known, runs move by how slow they
+	// are alone.
+	Moves kqmove.Costs
 	// Settled is told once of each job how well it was served; may be nil.
 	Settled func(Settlement)
 	// Events remembers what was decided; may be nil.
@@ -65,8 +69,12 @@
 	// mostMisses is for how many steps of filling tasks a pass finds no room.
 	mostMisses int
 	moves      int
-	approvals  map[stepKey]*approval
-	askedAt    time.Time
+	// stepEnds is when tasks end, counted in the latest look at the runs.
+	stepEnds map[stepKey]*stepEnds
+	// moving is the tasks that were stopped to run elsewhere and do not run yet.
+	moving    []*task
+	approvals map[stepKey]*approval
+	askedAt   time.Time
 
 	press       kqlearn.Press
 	refreshedAt time.Time
@@ -103,6 +111,11 @@
 	for _, h := range p.hosts.All() {
 		h.recount()
 	}
+	for _, t := range p.moving {
+		if t.booking != nil {
+			t.booking.host.countBooked(t, 1)
+		}
+	}
 	p.place = true
 }
 
@@ -286,6 +299,7 @@
 	p.watchProgress(now)
 	p.refreshPress(now)
 	p.seekApprovals(now)
+	p.placeMoved(now)
 	if p.isPassDue(now) {
 		p.place, p.placedAt = false, now
 		p.placeAll(now)
--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -95,6 +95,7 @@
 	h.runs.Delete(r.key())
 	h.tally.count(r, -1)
 	h.beside.drop(r)
+	h.heldBack -= r.heldBack
 }
 
 // recount takes over changed priorities.
--- a/internal/trial/kqreplay/moving.go
+++ b/internal/trial/kqreplay/moving.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmove"
 )
 
 // MoveCost is what stopping a run and starting its task elsewhere takes.
@@ -58,6 +60,14 @@
 		Moves:  cost}
 }
 
+// moves returns what the owner is told of the costs of moves.
+func (c Config) moves() kqmove.Costs {
+	if c.Unweighed {
+		return kqmove.Costs{}
+	}
+	return kqmove.Costs(c.Load.Moves)
+}
+
 // mover models what a stop and the next start cost a task.
 type mover struct {
 	cost MoveCost
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -41,6 +41,8 @@
 	// Unlearned keeps from the owner what filling runs use, so that it learns
 	// nothing of what they press.
 	Unlearned bool
+	// Unweighed keeps from the owner what moves cost.
+	Unweighed bool
 	// Weighing is how long it takes the owner to weigh a worker for a task; it decides
 	// nothing else meanwhile. 0 takes no time.
 	Weighing time.Duration
@@ -70,7 +72,7 @@
 func New(c Config) *Replay {
 	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
 		account: &account{load: c.Load}, now: epoch, mover: newMover(c)}
-	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1})
+	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1, Moves: c.moves()})
 	p.planner.SetPolicy(policy())
 	for n := range c.Load.Workers {
 		w := newWorker(fmt.Sprintf("host-%02d", n))
