--- a/internal/flow/kqplan/booking.go
+++ b/internal/flow/kqplan/booking.go
@@ -113,17 +113,7 @@
 func (h *host) countHeldBack() {
 	h.heldBack = 0
 	for _, r := range h.beside.filling {
-		r.heldBack = r.task.step.Size.MilliProcessors * int64(fullPercent-max(leastUse, r.paceSeen())) / fullPercent
+		r.heldBack = r.task.step.Size.MilliProcessors * int64(fullPercent-max(leastUse, r.pace)) / fullPercent
 		h.heldBack += r.heldBack
 	}
 }
-
-// paceSeen returns the share of its speed, in percent, at which a filling run works: the
-// larger of what it was told and what was observed.
-func (r *run) paceSeen() int {
-	speed, ok := r.observed.Speed()
-	if !ok {
-		return r.pace
-	}
-	return min(fullPercent, max(r.pace, int(fullPercent*speed)))
-}
--- a/internal/flow/kqplan/move.go
+++ b/internal/flow/kqplan/move.go
@@ -110,8 +110,9 @@
 }
 
 // moveIfItPays stops a run that would end so much sooner elsewhere that it pays, and
-// reserves the place. A filling run of a job that is too late either way gives way: what
-// holds it back keeps others from working there, so it is stopped without a place.
+// reserves the place. A filling run of a job that is too late either way moves too if it
+// ends sooner elsewhere: held back, it keeps others from working there, and leaving such
+// runs where they are cost the filling class more than their moves (docs/LOAD.md).
 func (p *Planner) moveIfItPays(now time.Time, h *host, r *run, stalled bool) {
 	if r.task.booking != nil {
 		return
@@ -135,9 +136,7 @@
 		"run %d on %s: at %.0f %%, stands still %t, %s, step ends %s sooner on host %s", r.number, r.worker, r.percent, stalled, v.Reason, v.Gain.Round(time.Millisecond), to.name)
 	r.task.shunned = h.name
 	r.task.markMoved(v.Pays())
-	if v.Pays() {
-		p.book(now, r.task, to)
-	}
+	p.book(now, r.task, to)
 	p.stop(r)
 }
 
