--- a/internal/flow/kqplan/move_test.go
+++ b/internal/flow/kqplan/move_test.go
@@ -47,6 +47,16 @@
 			c.settle()
 		}
 	}
+	// stopped holds the run until it is stopped, so that the booking is new.
+	stopped := func() kqplan.Order {
+		for n := 0; n < 10 && len(c.orders) == 0; n++ {
+			hold(1)
+		}
+		o := c.take()
+		Expect(o).To(HaveLen(1))
+		Expect(o[0].Stop).To(BeTrue())
+		return o[0]
+	}
 	AfterEach(func() { Expect(c.counter.Breaches()).To(BeEmpty()) })
 
 	It("ARunInTimeEitherWayIsMoved: it stays", func() {
@@ -70,18 +80,16 @@
 		Expect(starts[0].Worker).To(Equal("w2"))
 	})
 
-	It("AMovedTaskWaitsBehindNewOnes: it starts before a new one of its class that came meanwhile", func() {
+	It("AMovedTaskWaitsBehindNewOnes: its place is kept though new ones of its class take all others", func() {
 		begin(time.Second)
-		hold(8)
-		stops := c.take()
-		Expect(stops).To(HaveLen(1))
+		stop := stopped()
 		// More tasks than the place has processors for come while the stop is under way.
-		wide := step(30, 3)
-		wide.Fills, wide.Checkpoints, wide.Image, wide.Estimate = true, true, "scan", 500*time.Millisecond
+		wide := step(60, 3)
+		wide.Fills, wide.Checkpoints, wide.Image, wide.Estimate = true, true, "scan", 100*time.Millisecond
 		c.Submit(c.now, job("wide", "batch", c.now, wide), nil, 0)
 		c.settle()
 		Expect(c.take()).NotTo(BeEmpty())
-		c.end("h1", "w1", 1, stops[0], kqexecution.HowStopped)
+		c.end("h1", "w1", 1, stop, kqexecution.HowStopped)
 		c.settle()
 		var tasks []string
 		for _, o := range c.take() {
@@ -91,16 +99,43 @@
 		Expect(tasks[0]).To(Equal(held.Task))
 	})
 
+	It("ABookingThatLapsedLeavesTheTaskBehindNewOnes: the task goes first where room comes", func() {
+		begin(time.Second)
+		stop := stopped()
+		wide := step(60, 3)
+		wide.Fills, wide.Checkpoints, wide.Image, wide.Estimate = true, true, "scan", 2*time.Second
+		c.Submit(c.now, job("wide", "batch", c.now, wide), nil, 0)
+		for range 8 {
+			c.now = c.now.Add(400 * time.Millisecond)
+			c.report("h1", "w1", 25, []kqplan.Slowed{{Run: held, Percent: 5}})
+			c.report("h2", "w2", 0, nil)
+			c.settle()
+		}
+		c.take()
+		c.end("h1", "w1", 1, stop, kqexecution.HowStopped)
+		c.now = c.now.Add(200 * time.Millisecond)
+		rival := step(1, 3)
+		rival.Fills, rival.Image, rival.Estimate = true, "scan", 100*time.Millisecond
+		c.Submit(c.now, job("rival", "batch", c.now, rival), nil, 0)
+		c.host("h3", "w3", 3)
+		c.settle()
+		var onNew []string
+		for _, o := range c.take() {
+			if o.Worker == "w3" {
+				onNew = append(onNew, o.Run.Task)
+			}
+		}
+		Expect(onNew).To(Equal([]string{held.Task}))
+	})
+
 	It("ABookingOutlivesItsHost: the task starts wherever it can", func() {
 		begin(time.Second)
-		hold(8)
-		stops := c.take()
-		Expect(stops).To(HaveLen(1))
+		stop := stopped()
 		c.Unlinked(c.now, "h2")
 		c.now = c.now.Add(200 * time.Millisecond)
 		c.report("h1", "w1", 25, nil)
 		c.settle()
-		c.end("h1", "w1", 1, stops[0], kqexecution.HowStopped)
+		c.end("h1", "w1", 1, stop, kqexecution.HowStopped)
 		c.settle()
 		starts := c.take()
 		Expect(starts).To(HaveLen(1))
--- a/internal/trial/kqreplay/moving_test.go
+++ b/internal/trial/kqreplay/moving_test.go
@@ -5,6 +5,9 @@
 	"math"
 	"sync"
 	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqreplay"
@@ -79,10 +82,38 @@
 	}
 }
 
-// Filling jobs of wide steps come in waves and bursts beside serving tasks, and a
-// move takes up to 1.5 s.
-func TestMovesOfWideFillingSteps(t *testing.T) {
-	for _, l := range movingLoads() {
-		logMoves(t, l.name, playAll(kqreplay.Config{Load: l.load}))
+// mostMoveTime is the part of the time lost to moves by pace alone that weighed moves may
+// lose.
+const mostMoveTime = 0.7
+
+// Runs that serving tasks hold back were stopped by their pace alone, whatever the stop,
+// the wait for a place and the restoration cost.
+func TestMovesCostWhatWaitingCosts(t *testing.T) {
+	g := NewWithT(t)
+	var weighed, unweighed time.Duration
+	earned := 0.0
+	for n, l := range movingLoads() {
+		if *seeds <= fewSeeds && n%3 != 0 {
+			continue
+		}
+		ours := playAll(kqreplay.Config{Load: l.load})
+		logMoves(t, l.name, ours)
+		alone := playAll(kqreplay.Config{Load: l.load, Unweighed: true})
+		logMoves(t, l.name+"-alone", alone)
+		for i := range ours {
+			weighed += ours[i].MoveTime
+			unweighed += alone[i].MoveTime
+			earned += (ours[i].Whole() - alone[i].Whole()) / float64(len(ours))
+		}
 	}
+	g.Expect(weighed).To(BeNumerically("<", time.Duration(mostMoveTime*float64(unweighed))))
+	g.Expect(earned).To(BeNumerically(">", -leastPaired), "less worth is no price for fewer moves")
 }
+
+const (
+	// fewSeeds is up to how many seeds only some of the loads are played.
+	fewSeeds = 6
+	// leastPaired is about two standard errors of the sum of the differences of three
+	// loads with six seeds.
+	leastPaired = 0.03
+)
