--- a/internal/trial/kqreplay/owner_bench_test.go
+++ b/internal/trial/kqreplay/owner_bench_test.go
@@ -26,3 +26,24 @@
 		})
 	}
 }
+
+// BenchmarkOwnerOfMoves is the same at 160 workers where moves cost what they do on the
+// users' deployments, weighed by the owner and decided by pace alone.
+func BenchmarkOwnerOfMoves(b *testing.B) {
+	for name, unweighed := range map[string]bool{"weighed": false, "alone": true} {
+		b.Run(name, func(b *testing.B) {
+			var c kqreplay.Cost
+			for range b.N {
+				l := kqreplay.Fleet(160)
+				l.Moves = kqreplay.DearMoves
+				r := kqreplay.New(kqreplay.Config{Seed: 1, Load: l, Unweighed: unweighed})
+				r.Run()
+				c = c.Add(r.Cost())
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(c.PerStart().Seconds()*1e6, "µs/start")
+			b.ReportMetric(c.PerEvent().Seconds()*1e6, "µs/event")
+			b.ReportMetric(100*c.Share(), "%processor")
+		})
+	}
+}
