A run that stands still moves whatever its job is worth

Weighed by its pace, a stalled run with little work left, or of a job that is too late either way, would have stayed for ever and held its worker. Found on review; 'AStalledRunOfALateJobStaysForEver' guards it.

--- a/internal/flow/kqmove/move.go
+++ b/internal/flow/kqmove/move.go
@@ -94,6 +94,8 @@
 	// until then and at least.
 	spread      = 0.15
 	leastSpread = 200 * time.Millisecond
+	// stalledTime stands for the end of a run that stands still, which does not come.
+	stalledTime = time.Minute
 )
 
 // Cost returns the time that a task does not work for a move, with the time for work
@@ -110,7 +112,12 @@
 }
 
 // HereIn returns the time until the run is expected to end where it is.
-func (r Run) HereIn() time.Duration { return at(r.Left, r.Here) }
+func (r Run) HereIn() time.Duration {
+	if r.Stalled {
+		return stalledTime
+	}
+	return at(r.Left, r.Here)
+}
 
 // ThereIn returns the time until the task is expected to end after a move.
 func (c Costs) ThereIn(r Run) time.Duration { return c.Cost(r) + at(r.Left, r.There) }
@@ -128,6 +135,8 @@
 	v.Saved = after - before
 	least := time.Duration(r.Doubt * float64(there))
 	switch {
+	case r.Stalled:
+		// It would hold its worker for ever, whatever its job is worth.
 	case here-there <= least:
 		v.Reason = NotSooner
 	case !j.Due.IsZero() && v.Saved < leastSaved && before < (1+j.Late)/2:
--- a/internal/flow/kqmove/move_test.go
+++ b/internal/flow/kqmove/move_test.go
@@ -75,6 +75,12 @@
 		Expect(costs.Cost(run) - costs.Cost(kqmove.Run{Checkpoints: true})).To(Equal(costs.Checkpoint))
 	})
 
+	It("AStalledRunOfALateJobStaysForEver: it moves whatever its job is worth", func() {
+		run.Stalled, run.Left = true, 50*time.Millisecond
+		job.Due, job.LateTill = now.Add(-30*time.Second), now.Add(-10*time.Second)
+		Expect(decide().Pays()).To(BeTrue())
+	})
+
 	It("moves a run of a job without an objective by time alone", func() {
 		job.Due, job.LateTill = time.Time{}, time.Time{}
 		Expect(decide().Pays()).To(BeTrue())
