--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmove"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -31,6 +32,9 @@
 	FarFactor float64
 	// Gradual is true if workers that say that they are cold get part of their room.
 	Gradual bool
+	// Moves is what moving a run costs; if it is not known, runs move by how slow they
+	// are alone.
+	Moves kqmove.Costs
 	// Settled is told once of each job how well it was served; may be nil.
 	Settled func(Settlement)
 	// Events remembers what was decided; may be nil.
@@ -67,8 +71,12 @@
 	// mostMisses is for how many steps of filling tasks a pass finds no room.
 	mostMisses int
 	moves      int
-	approvals  map[stepKey]*approval
-	askedAt    time.Time
+	// stepEnds is when tasks end, counted in the latest look at the runs.
+	stepEnds map[stepKey]*stepEnds
+	// moving is the tasks that were stopped to run elsewhere and do not run yet.
+	moving    []*task
+	approvals map[stepKey]*approval
+	askedAt   time.Time
 
 	press       kqlearn.Press
 	refreshedAt time.Time
@@ -109,6 +117,11 @@
 	for _, h := range p.hosts.All() {
 		h.recount()
 	}
+	for _, t := range p.moving {
+		if t.booking != nil {
+			t.booking.host.countBooked(t, 1)
+		}
+	}
 	p.place = true
 }
 
@@ -299,6 +312,7 @@
 	p.leaveZones(now)
 	p.refreshPress(now)
 	p.seekApprovals(now)
+	p.placeMoved(now)
 	if p.isPassDue(now) {
 		p.place, p.placedAt = false, now
 		p.placeAll(now)
