--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -16,7 +16,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmove"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
@@ -44,8 +43,6 @@
 	Lease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
-	// Moves is what moving a run costs, as the deployment says.
-	Moves kqmove.Costs
 	// Keep is how long the state of an ended job is kept.
 	Keep time.Duration
 	// Policy returns the operator's policy as in force in this process.
@@ -151,7 +148,7 @@
 	}
 	x.restoreLeases(left.leases.rows, old, seen)
 	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, TakenAt: sent, LeftAt: func(host string) time.Time { return x.leftAt(host, sent) },
-		Lease: c.Lease, FarFactor: c.FarFactor, Gradual: c.Gradual, Moves: c.Moves, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
+		Lease: c.Lease, FarFactor: c.FarFactor, Gradual: c.Gradual, Settled: c.Settled, Events: c.Events, Counter: c.Counter})
 	x.load(left)
 	c.Events.Emit(c.Now(), kqevent.OwnerTaken, kqevent.Process(c.Name), "%s with epoch %d after %s (epoch %d): %d jobs not ended, %s after the write",
 		c.Cell, row.Epoch, old.Name, old.Epoch, x.planner.Active(), c.Now().Sub(sent).Round(time.Millisecond))
--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -66,7 +66,10 @@
 
 // stepCost is the cost of any task of a step.
 func (p *Planner) stepCost(s *kqflow.Step, h *host, all peers) float64 {
-	c := h.health.expected()
+	c := h.health.slowdown()
+	if c < slowFactor {
+		c = 1 + (c-1)/4
+	}
 	if s.Rack != "" && !slices.Contains(h.info.Labels, s.Rack) {
 		c *= max(1, p.config.FarFactor)
 	}
@@ -74,7 +77,7 @@
 	switch {
 	case s.Fills:
 		press := p.pressing(s, h)
-		c += float64(h.filling()+s.Size.MilliProcessors) / float64(max(1, h.unused(press.pace)))
+		c += float64(h.tally.filling+s.Size.MilliProcessors) / float64(max(1, h.unused(press.pace)))
 		switch {
 		case h.tally.serving > 0 && press.heaviest >= heavyPress:
 			c += pressCost
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -60,7 +60,7 @@
 		return false
 	}
 	need := t.step.Size.MilliProcessors
-	return h.tally.filling == 0 || h.filling()+need <= h.unused(p.pressing(t.step, h).pace)*overcommit/fullPercent
+	return h.tally.filling == 0 || h.tally.filling+need <= h.unused(p.pressing(t.step, h).pace)*overcommit/fullPercent
 }
 
 // leavesRoom reports whether the serving tasks of a host bear one more filling
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -59,16 +59,6 @@
 	return max(0.5, x.speed)
 }
 
-// expected returns how many times as long work is expected to take: a small deviation is
-// mostly that of the estimates.
-func (x *health) expected() float64 {
-	c := x.slowdown()
-	if c < slowFactor {
-		c = 1 + (c-1)/4
-	}
-	return c
-}
-
 // quarantined reports whether the worker fails what it starts.
 func (x *health) quarantined() bool { return !x.probeAt.IsZero() }
 
@@ -107,7 +97,6 @@
 	}
 	p.watchedAt = now
 	p.moves = mostMoves
-	p.stepEnds = map[stepKey]*stepEnds{}
 	if p.isBehind() {
 		p.moves = 1
 	}
@@ -201,10 +190,6 @@
 	if now.Sub(r.heldAt) < heldTime || r.percent > keepShare || (!s.Checkpoints && r.percent > keepPercent) {
 		return
 	}
-	if p.config.Moves.Known() {
-		p.moveIfItPays(now, h, r, false)
-		return
-	}
 	if p.moves--; p.moves < 0 {
 		return
 	}
@@ -246,10 +231,6 @@
 	if !stalled && (left < time.Duration(moveGain*float64(again))+stopAllowance || p.staysFirst(now, h)) {
 		return
 	}
-	if p.config.Moves.Known() {
-		p.moveIfItPays(now, h, r, stalled)
-		return
-	}
 	if to := p.choose(now, r.task); to == nil || to == h || to.health.slowdown() > slowFactor {
 		return
 	}
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -91,8 +91,6 @@
 
 	// coldTill is until when the worker is slow after its start.
 	coldTill time.Time
-	// heldBack is the processors that filling runs are taken not to use.
-	heldBack int64
 }
 
 func (p *Planner) host(name string) *host {
@@ -213,9 +211,6 @@
 		return
 	}
 	h.takePaces(r)
-	if p.config.Moves.Known() {
-		h.countHeldBack()
-	}
 	p.learn(now, h)
 	for k := range h.strays {
 		if !slices.ContainsFunc(r.Running, func(x kqexecution.Running) bool { return x.Run == k }) {
@@ -291,7 +286,6 @@
 		r.percent, r.movedAt = x.Percent, now
 	}
 	r.measure, r.reportedAt = x.Measure, now
-	r.observed.Note(now, x.Percent/fullPercent, r.task.step.Estimate)
 	if x.Saved != "" && !r.stopping {
 		r.task.keep(x.Saved)
 	}
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -6,7 +6,6 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmove"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqsize"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -32,9 +31,7 @@
 	tasks []*task
 	// undone counts the tasks that have not ended well, of each step of each
 	// occurrence.
-	undone []int
-	// moved counts the tasks that were moved and wait.
-	moved   int
+	undone  []int
 	started bool
 
 	revision uint64
@@ -66,9 +63,6 @@
 	shunned    string
 	waiting    bool
 	waitingAt  time.Time
-	// moved is true from when a run was stopped to go on elsewhere until the next starts.
-	moved   bool
-	booking *booking
 }
 
 // run is a start of a task that has been decided and has not ended.
@@ -97,10 +91,6 @@
 	// pace is the share at which a filling run was last told to work.
 	pace   int
 	heldAt time.Time
-	// observed is how fast the run works.
-	observed kqmove.Pace
-	// heldBack is the processors that the run is taken not to use.
-	heldBack int64
 }
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
@@ -262,7 +252,6 @@
 func (t *task) finish() {
 	if !t.done {
 		t.done = true
-		t.markMoved(false)
 		t.job.undone[t.id.Occurrence*len(t.job.spec.Steps)+t.id.Step]--
 	}
 }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -207,8 +207,6 @@
 	j := t.job
 	p.config.Counter.Check(!j.state.Final(), kqinvariant.StartedAfterCancel, "task %s", t.id)
 	p.config.Counter.Check(t.step.Speculative || len(t.runs) == 0, kqinvariant.TaskInTwoPlaces, "task %s", t.id)
-	t.unbook()
-	t.markMoved(false)
 	t.lastRun++
 	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, movedAt: now, pace: fullPercent, press: p.pressOf(t.step, h)}
 	r.ticket, _ = p.ticketFor(now, t, h)
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -13,7 +13,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqordered"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmove"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -32,9 +31,6 @@
 	FarFactor float64
 	// Gradual is true if workers that say that they are cold get part of their room.
 	Gradual bool
-	// Moves is what moving a run costs; if it is not known, runs move by how slow they
-	// are alone.
-	Moves kqmove.Costs
 	// Settled is told once of each job how well it was served; may be nil.
 	Settled func(Settlement)
 	// Events remembers what was decided; may be nil.
@@ -71,12 +67,8 @@
 	// mostMisses is for how many steps of filling tasks a pass finds no room.
 	mostMisses int
 	moves      int
-	// stepEnds is when tasks end, counted in the latest look at the runs.
-	stepEnds map[stepKey]*stepEnds
-	// moving is the tasks that were stopped to run elsewhere and do not run yet.
-	moving    []*task
-	approvals map[stepKey]*approval
-	askedAt   time.Time
+	approvals  map[stepKey]*approval
+	askedAt    time.Time
 
 	press       kqlearn.Press
 	refreshedAt time.Time
@@ -117,11 +109,6 @@
 	for _, h := range p.hosts.All() {
 		h.recount()
 	}
-	for _, t := range p.moving {
-		if t.booking != nil {
-			t.booking.host.countBooked(t, 1)
-		}
-	}
 	p.place = true
 }
 
@@ -312,7 +299,6 @@
 	p.leaveZones(now)
 	p.refreshPress(now)
 	p.seekApprovals(now)
-	p.placeMoved(now)
 	if p.isPassDue(now) {
 		p.place, p.placedAt = false, now
 		p.placeAll(now)
--- a/internal/flow/kqplan/tally.go
+++ b/internal/flow/kqplan/tally.go
@@ -95,7 +95,6 @@
 	h.runs.Delete(r.key())
 	h.tally.count(r, -1)
 	h.beside.drop(r)
-	h.heldBack -= r.heldBack
 }
 
 // recount takes over changed priorities.
--- a/internal/flow/kqplan/turn.go
+++ b/internal/flow/kqplan/turn.go
@@ -39,8 +39,6 @@
 	stage   stage
 	urgency float64
 	load    load
-	// waits is 0 for a job of which a moved task waits, else 1.
-	waits int
 }
 
 // stage orders jobs of a phase while tasks that end and reserve what they take
@@ -77,7 +75,7 @@
 			continue
 		}
 		l := j.load()
-		turns = append(turns, turn{job: j, phase: p.phase(now, j), stage: p.stage(j), load: l, waits: j.waits()})
+		turns = append(turns, turn{job: j, phase: p.phase(now, j), stage: p.stage(j), load: l})
 		sums[j.queue.Name] += l.whole
 		counts[j.queue.Name]++
 	}
@@ -86,7 +84,7 @@
 		t.urgency = t.job.urgency(now, t.load, sums[t.job.queue.Name]/counts[t.job.queue.Name])
 	}
 	slices.SortFunc(turns, func(a, b turn) int {
-		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.phase, b.phase), cmp.Compare(a.waits, b.waits), cmp.Compare(a.stage, b.stage), cmp.Compare(b.urgency, a.urgency),
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.phase, b.phase), cmp.Compare(a.stage, b.stage), cmp.Compare(b.urgency, a.urgency),
 			a.job.deadline.Compare(b.job.deadline), strings.Compare(a.job.spec.ID, b.job.spec.ID))
 	})
 	out := make([]*job, len(turns))
--- a/internal/trial/kqreplay/account.go
+++ b/internal/trial/kqreplay/account.go
@@ -35,10 +35,6 @@
 	// Evacuated is how many runs were begun in a zone that was evacuated, Left how many
 	// were stopped there.
 	Evacuated, Left int
-	// Moves is how many runs were stopped before their end, MoveTime the time from the
-	// stops to the next start and the work that was lost, of all of them.
-	Moves    int
-	MoveTime time.Duration
 }
 
 // Count is how many of some jobs ended while they were worth something.
--- a/internal/trial/kqreplay/load.go
+++ b/internal/trial/kqreplay/load.go
@@ -86,6 +86,9 @@
 	Span time.Duration
 	// Quick, Report, Batch and Watch are the jobs; Watch jobs stay once they have come.
 	Quick, Report, Batch, Watch Shape
+	// Wave is the relative swing of all rates, WaveTime its period.
+	Wave     float64
+	WaveTime time.Duration
 	// WatchJobs is how many watch jobs there are from the start.
 	WatchJobs int
 	// ServingLoad is the mean load of serving tasks, Swing its relative swing and
@@ -111,11 +114,6 @@
 	// ColdFactor how many times as long work takes there.
 	ColdFor    time.Duration
 	ColdFactor float64
-	// Wave swings the rate of quick and batch jobs.
-	Wave Wave
-	// Moves is what moves cost; zero stands for a short stop and restoration and a
-	// checkpoint with each report.
-	Moves MoveCost
 }
 
 const (
@@ -252,8 +250,8 @@
 
 func (s *source) factor(queue string, at time.Duration) float64 {
 	wave := 1.0
-	if queue != QueueWatch || s.load.Wave.Watch {
-		wave = s.load.Wave.factor(at)
+	if s.load.WaveTime > 0 {
+		wave += s.load.Wave * math.Sin(2*math.Pi*at.Seconds()/s.load.WaveTime.Seconds())
 	}
 	for _, b := range s.load.Bursts {
 		if (b.All || queue == cmp.Or(b.Queue, QueueBatch)) && at >= b.From && at < b.From+b.For {
@@ -332,7 +330,7 @@
 // Waving is the bursting load with waves in place of the burst.
 func Waving() Load {
 	l := Bursting(1)
-	l.Wave = Wave{Period: 15 * time.Second, Swing: 0.55, Watch: true}
+	l.Wave, l.WaveTime = 0.55, 15*time.Second
 	return l
 }
 
--- a/internal/trial/kqreplay/owner_bench_test.go
+++ b/internal/trial/kqreplay/owner_bench_test.go
@@ -39,15 +39,3 @@
 	b.ReportMetric(c.PerEvent().Seconds()*1e6, "µs/event")
 	b.ReportMetric(100*c.Share(), "%processor")
 }
-
-// BenchmarkOwnerOfMoves is the same at 160 workers where moves cost what they do on the
-// users' deployments, weighed by the owner and decided by pace alone.
-func BenchmarkOwnerOfMoves(b *testing.B) {
-	for name, unweighed := range map[string]bool{"weighed": false, "alone": true} {
-		b.Run(name, func(b *testing.B) {
-			l := kqreplay.Fleet(160)
-			l.Moves = kqreplay.DearMoves
-			ownerCost(b, kqreplay.Config{Seed: 1, Load: l, Unweighed: unweighed})
-		})
-	}
-}
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -41,8 +41,6 @@
 	// Unlearned keeps from the owner what filling runs use, so that it learns
 	// nothing of what they press.
 	Unlearned bool
-	// Unweighed keeps from the owner what moves cost.
-	Unweighed bool
 	// Weighing is how long it takes the owner to weigh a worker for a task; it decides
 	// nothing else meanwhile. 0 takes no time.
 	Weighing time.Duration
@@ -74,14 +72,13 @@
 	busyTill time.Time
 	// callers hand jobs in, and again if they are rejected.
 	callers *callers
-	mover   *mover
 }
 
 // New returns a Replay at its beginning.
 func New(c Config) *Replay {
 	p := &Replay{config: c, source: newSource(c.Load, c.Seed), byName: map[string]*worker{}, specs: map[string]kqflow.Job{}, ended: map[string]time.Duration{}, saved: map[string]time.Duration{},
-		account: &account{load: c.Load}, now: epoch, callers: newCallers(), mover: newMover(c)}
-	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1, Gradual: !c.Abrupt, Moves: c.moves()})
+		account: &account{load: c.Load}, now: epoch, callers: newCallers()}
+	p.planner = kqplan.New(kqplan.Config{Epoch: 1, TakenAt: epoch, Lease: lease, FarFactor: 1, Gradual: !c.Abrupt})
 	p.planner.SetPolicy(policy())
 	p.planner.Summarise(c.Admission)
 	for n := range c.Load.Workers {
@@ -174,7 +171,7 @@
 	}
 	r := kqplan.Report{Worker: w.incarnation()}
 	if n%reportEvery == 0 {
-		r = w.report(p.mover, p.config.Unlearned)
+		r = w.report(p.config.Unlearned)
 		for _, x := range r.Running {
 			p.save(x)
 		}
@@ -238,10 +235,8 @@
 	r = p.begin(w, o.Run, taskID(o.Run.Task))
 	r.press, r.due = o.Press, p.now.Add(o.Left)
 	if o.Checkpoint != "" {
-		r.resumed = p.saved[o.Run.Task]
-		r.worked = r.resumed - p.mover.restoreTime()
+		r.worked = p.saved[o.Run.Task] - restoreTime
 	}
-	p.account.result.MoveTime += p.mover.resumes(p.now, r)
 	if o.Fills && !p.config.Unpaced {
 		w.pacer.Add(r.filling())
 		r.percent = w.pacer.Share(o.Run)
@@ -271,14 +266,10 @@
 
 func (p *Replay) stop(w *worker, k kqexecution.Run, r *run) {
 	if r != nil {
-		if r.stopAt.IsZero() {
-			if p.zones.Has(w.zone) {
-				p.account.result.Left++
-			}
-			p.account.result.Moves++
-			p.mover.stops(p.now, r)
-			r.stopAt = p.now.Add(p.mover.stopTime())
+		if p.zones.Has(w.zone) {
+			p.account.result.Left++
 		}
+		r.stopAt = p.now.Add(stopDelay)
 		return
 	}
 	p.planner.Observe(p.now, w.name, kqplan.Report{Worker: w.incarnation(), Ended: []kqexecution.End{{Run: k, How: kqexecution.HowAbsent}}})
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -16,8 +16,6 @@
 	seeds = flag.Uint64("seeds", 6, "how many seeds each load is played with")
 	// parallel is how many replays run at a time.
 	parallel = flag.Int("replays", 3, "how many replays run at a time")
-	// each logs each seed by itself, so that pairs can be compared.
-	each = flag.Bool("each", false, "whether each seed is logged by itself")
 )
 
 const (
--- a/internal/trial/kqreplay/worker.go
+++ b/internal/trial/kqreplay/worker.go
@@ -36,8 +36,6 @@
 	pacedAt time.Time
 	phase   float64
 	stopAt  time.Time
-	// resumed is the work that the run began with.
-	resumed time.Duration
 	// looks is what was measured in the latest steps: tail latency in
 	// milliseconds, or milli-processors in use.
 	looks []float64
@@ -116,16 +114,14 @@
 		if r.step.Fills {
 			speed *= fill * float64(r.percent) / 100
 		}
-		if r.stopAt.IsZero() || !p.mover.modelled() {
-			r.worked += time.Duration(speed * float64(stepTime))
-		}
+		r.worked += time.Duration(speed * float64(stepTime))
 		r.look(float64(r.step.Size.MilliProcessors) * speed * w.slow)
 		switch {
 		case r.worked >= r.length:
 			ended = append(ended, w.end(r, kqexecution.HowDone))
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			ended = append(ended, w.end(r, kqexecution.HowStopped))
-			p.saved[r.key.Task] = max(p.saved[r.key.Task], r.worked, r.resumed)
+			p.saved[r.key.Task] = max(p.saved[r.key.Task], r.worked)
 		}
 	}
 	w.serve(p, at, fill)
@@ -195,17 +191,17 @@
 }
 
 // report is what the agent tells the owner.
-func (w *worker) report(m *mover, unlearned bool) kqplan.Report {
+func (w *worker) report(unlearned bool) kqplan.Report {
 	out := kqplan.Report{Worker: w.incarnation(), Whole: true}
 	var filling []kqpace.Run
 	for _, r := range w.runs.All() {
 		percent := 100.0
 		if !r.step.Standing {
-			percent = min(99, 100*max(r.worked, r.resumed).Seconds()/r.length.Seconds())
+			percent = min(99, 100*r.worked.Seconds()/r.length.Seconds())
 		}
 		x := kqexecution.Running{Run: r.key, Percent: percent, Measure: r.measure()}
 		if r.step.Checkpoints {
-			x.Saved = m.saved(r)
+			x.Saved = r.worked.String()
 		}
 		if r.step.Fills && unlearned {
 			x.Measure = 0
