--- a/internal/flow/kqfront/admission.go
+++ b/internal/flow/kqfront/admission.go
@@ -119,7 +119,7 @@
 	return kqadmission.Decision{Verdict: kqadmission.Accept, Why: why}
 }
 
-// decide returns what the entry knows speaks for, without telling anyone.
+// decide returns what the entry would answer by what it knows, without telling anyone.
 func (f *Front) decide(now time.Time, j kqflow.Job, q kqflow.Queue) kqadmission.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,13 +127,18 @@
 	if why := f.doubt(now, j.ID); why != "" {
 		return accept(why)
 	}
-	first, again := a.ledger.First(now, j.ID)
-	if !again {
-		first = now
-	}
+	first := a.firstAttempt(now, j.ID, now)
 	return kqadmission.Decide(now, kqadmission.NewJob(j, q, first, f.config.Zone), q, a.received)
 }
 
+// firstAttempt returns when this entry first rejected a job, or the given time.
+func (a *admission) firstAttempt(now time.Time, id string, otherwise time.Time) time.Time {
+	if first, again := a.ledger.First(now, id); again {
+		return first
+	}
+	return otherwise
+}
+
 // doubt returns why a job may not be rejected whatever waits, or nothing; mu is held.
 func (f *Front) doubt(now time.Time, id string) string {
 	a := &f.admission
@@ -163,10 +168,7 @@
 	if why := f.doubt(now, j.ID); why != "" {
 		return accept(why)
 	}
-	first, again := a.ledger.First(now, j.ID)
-	if !again {
-		first = now.Add(-confirmTime)
-	}
+	first := a.firstAttempt(now, j.ID, now.Add(-confirmTime))
 	a.ledger.Reject(now, j.ID, first)
 	f.send(kqmessage.ToOwner{Rejected: &kqadmission.Rejected{ID: j.ID, Queue: j.Queue, Age: now.Sub(first), Work: j.Work(), Reserved: j.ReservedWork(), Zone: f.config.Zone}})
 	return d
