Entries are told of evacuated zones by themselves; an unused function is gone

The check whether a message to an entry says anything stood twice, and the one in sendStates did not know of the report on evacuated zones: a merge of admission and evacuation had left it out, so the report was dropped unless states came with it, and was not made again. One check now serves both. TestEntriesOfAnIdleCellAreToldOfAnEvacuation failed before: no zone at the entry.

kqrows.Try has had no caller since Timed.Try.

--- a/internal/flow/kqcontrol/admission.go
+++ b/internal/flow/kqcontrol/admission.go
@@ -48,12 +48,17 @@
 	}
 }
 
+// hasNews reports whether a message tells an entry anything.
+func hasNews(m kqmessage.FromOwner) bool {
+	return m.States != nil || m.Pending != nil || m.Digest != nil || m.Left != nil
+}
+
 // sendStates sends what entries are told, without a digest to one that wants none.
 func (x *Session) sendStates(m kqmessage.FromOwner) {
 	if !x.hello.Digests {
 		m.Digest = nil
 	}
-	if m.States != nil || m.Pending != nil || m.Digest != nil {
+	if hasNews(m) {
 		x.send(m)
 	}
 }
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -213,7 +213,7 @@
 			}
 		}
 	}
-	if m.States == nil && m.Pending == nil && m.Digest == nil && m.Left == nil {
+	if !hasNews(m) {
 		return
 	}
 	for _, s := range c.sessions {
--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -25,12 +25,6 @@
 	return commit(ctx, s, t, attempts{insists: true, bound: context.WithTimeout})
 }
 
-// Try is Commit for a write that many may send at the same time: a store that
-// refuses it is not asked again, unless a copy may have taken effect.
-func Try(ctx context.Context, s Store, t Tx) (Outcome, error) {
-	return commit(ctx, s, t, attempts{bound: context.WithTimeout})
-}
-
 // attempts says how a transaction is sent.
 type attempts struct {
 	// insists asks a store again that refuses.
--- a/internal/seam/kqrows/timed.go
+++ b/internal/seam/kqrows/timed.go
@@ -101,7 +101,8 @@
 	return commit(ctx, t.Store, x, attempts{insists: true, bound: t.BoundWrite})
 }
 
-// Try is the function Try with attempts that end at the limit.
+// Try is Commit for a write that many may send at the same time: a store that refuses
+// it is not asked again, unless a copy may have taken effect.
 func (t *Timed) Try(ctx context.Context, x Tx) (Outcome, error) {
 	return commit(ctx, t.Store, x, attempts{bound: t.BoundWrite})
 }
--- a/internal/trial/kqflowrig/evacuation_test.go
+++ b/internal/trial/kqflowrig/evacuation_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
@@ -248,3 +250,17 @@
 	}
 	return n
 }
+
+// What is left in evacuated zones must reach entries by itself: in a cell without jobs
+// nothing else is sent to them, and a report that is dropped is not made again.
+func TestEntriesOfAnIdleCellAreToldOfAnEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		rig := kqflowrig.New(kqflowrig.Config{Seed: 1, Agents: 3, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}, Zones: []string{"a", "b", "c"}})
+		defer rig.Stop()
+		time.Sleep(3 * time.Second)
+		rig.Evacuate("a")
+		time.Sleep(2 * time.Second)
+		g.Expect(rig.Front.Left()).To(ContainElement(HaveField("Zone", "a")))
+	})
+}
