kqnode: log what speaks against an owner that is to be replaced

Operators saw owner_taken of the successor and nothing that told why: whether the heartbeat had stopped, the owner's grants had stopped, or its address had not answered.

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -110,6 +110,22 @@
 // Connected records that a connection to the owner was established.
 func (o *Observer) Connected() { o.isUnreachable = false }
 
+// Evidence is what an Observer knows against an owner.
+type Evidence struct {
+	// HeartbeatAge is how long the ownership and its heartbeat have been observed without a
+	// change.
+	HeartbeatAge time.Duration
+	// Unreachable is true if the latest connection to the owner failed.
+	Unreachable bool
+	// StoreLatency is the response time of the latest read of the ownership.
+	StoreLatency time.Duration
+}
+
+// Evidence returns what is known against the observed owner.
+func (o *Observer) Evidence(now time.Time) Evidence {
+	return Evidence{HeartbeatAge: now.Sub(o.changedAt), Unreachable: o.isUnreachable, StoreLatency: o.storeLatency}
+}
+
 // Next returns the next action. It is called after an Observe at the same time.
 func (o *Observer) Next(now time.Time) Action {
 	sinceChange := now.Sub(o.changedAt)
--- a/internal/flow/kqnode/connection.go
+++ b/internal/flow/kqnode/connection.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	if n.awaitAcquireDelay(ctx, func() bool { return o.shouldReplace() && !o.isSuperseded() && !isDone(s) }) {
-		n.acquire(ctx)
+		n.replace(ctx)
 		return true
 	}
 	return o.isSuperseded()
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -220,7 +220,7 @@
 		switch n.observer.Next(n.config.Control.Now()) {
 		case kqelect.ActionAcquire:
 			if n.awaitAcquireDelay(ctx, func() bool { return n.observer.Next(n.config.Control.Now()) == kqelect.ActionAcquire }) {
-				n.acquire(ctx)
+				n.replace(ctx)
 			}
 		case kqelect.ActionDial:
 			if !n.dial(ctx) {
@@ -300,6 +300,23 @@
 	return true
 }
 
+// replace logs why the present owner is to be replaced, and tries to acquire the ownership.
+func (n *Node) replace(ctx context.Context) {
+	c := n.config.Control
+	now := c.Now()
+	owner, confirmedAt := n.ownerState()
+	if owner.Name != "" {
+		e := n.observer.Evidence(now)
+		confirmation := "no confirmation reported"
+		if !confirmedAt.IsZero() {
+			confirmation = "last reported confirmation " + now.Sub(confirmedAt).Round(time.Millisecond).String() + " ago"
+		}
+		c.Events.Emit(now, kqevent.OwnerUnresponsive, kqevent.Process(owner.Name), "cell %s, epoch %d: heartbeat unchanged for %s, %s, unreachable %t, the store responds within %s",
+			c.Cell, owner.Epoch, e.HeartbeatAge.Round(time.Millisecond), confirmation, e.Unreachable, e.StoreLatency.Round(time.Millisecond))
+	}
+	n.acquire(ctx)
+}
+
 // acquire tries to acquire the ownership and starts the controller.
 func (n *Node) acquire(ctx context.Context) {
 	n.mu.Lock()
