kqflowrig: an owner that is slow is replaced again and again (failing)

Machines that take 22 or 26 ms for each message for 10 s make the agents replace the owner five times in 8 s although no process has failed; 146 to 254 runs are lost with their leases.

Rig: a machine's processor handles one message at a time and takes a set time for it.

--- a/internal/trial/kqflowrig/network.go
+++ b/internal/trial/kqflowrig/network.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 )
 
 var (
@@ -21,13 +23,73 @@
 
 // Network connects processes by in-memory connections. Machines can be isolated from all others.
 type Network struct {
-	mu        sync.Mutex
-	listeners map[netip.AddrPort]*listener
-	isolated  map[string]bool
+	mu         sync.Mutex
+	listeners  map[netip.AddrPort]*listener
+	isolated   map[string]bool
+	processors map[string]*processor
 }
 
 func newNetwork() *Network {
-	return &Network{listeners: map[netip.AddrPort]*listener{}, isolated: map[string]bool{}}
+	return &Network{listeners: map[netip.AddrPort]*listener{}, isolated: map[string]bool{}, processors: map[string]*processor{}}
+}
+
+// processor models the processor of a machine, which handles one message or answer of the store at
+// a time.
+type processor struct {
+	idle chan struct{}
+	// timePerCall is how long one of them takes, in nanoseconds.
+	timePerCall atomic.Int64
+}
+
+// use occupies the processor for one call.
+func (p *processor) use() {
+	if p.timePerCall.Load() == 0 {
+		return
+	}
+	<-p.idle
+	time.Sleep(time.Duration(p.timePerCall.Load()))
+	p.idle <- struct{}{}
+}
+
+// processor returns the processor of a machine.
+func (n *Network) processor(name string) *processor {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.processors[name]
+	if p == nil {
+		p = &processor{idle: make(chan struct{}, 1)}
+		p.idle <- struct{}{}
+		n.processors[name] = p
+	}
+	return p
+}
+
+// SetTimePerCall sets how long the processor of a machine takes for each read of a connection and
+// each call of the store; 0 is no time.
+func (n *Network) SetTimePerCall(name string, d time.Duration) {
+	n.processor(name).timePerCall.Store(int64(d))
+}
+
+// limitStore returns a store whose calls occupy the processor of a machine when they are answered.
+func (n *Network) limitStore(name string, s kqrows.Store) kqrows.Store {
+	p := n.processor(name)
+	return kqrows.Store{
+		Transact: func(ctx context.Context, t kqrows.Tx) (kqrows.Outcome, error) {
+			o, err := s.Transact(ctx, t)
+			p.use()
+			return o, err
+		},
+		Read: func(ctx context.Context, table, from, to string) ([]kqrows.Row, uint64, error) {
+			rows, at, err := s.Read(ctx, table, from, to)
+			p.use()
+			return rows, at, err
+		},
+		Follow: func(ctx context.Context, table string, after uint64, wait time.Duration) ([]kqrows.Row, uint64, error) {
+			rows, at, err := s.Follow(ctx, table, after, wait)
+			p.use()
+			return rows, at, err
+		},
+	}
 }
 
 // SetIsolated sets whether a machine is isolated from all others: nothing that is written between
@@ -89,8 +151,8 @@
 		return nil, errRefused
 	}
 	a, b := net.Pipe()
-	dialerSide := &connection{Conn: a, network: m.network, from: m.name, to: remote}
-	listenerSide := &connection{Conn: b, network: m.network, from: remote, to: m.name}
+	dialerSide := &connection{Conn: a, network: m.network, processor: m.network.processor(m.name), from: m.name, to: remote}
+	listenerSide := &connection{Conn: b, network: m.network, processor: m.network.processor(remote), from: remote, to: m.name}
 	select {
 	case l.incoming <- listenerSide:
 		return dialerSide, nil
@@ -136,13 +198,22 @@
 // isolated, it discards that and all later writes without an error, also after the isolation ends.
 type connection struct {
 	net.Conn
-	network  *Network
-	from, to string
+	network   *Network
+	processor *processor
+	from, to  string
 
 	mu       sync.Mutex
 	discards bool
 }
 
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err == nil {
+		c.processor.use()
+	}
+	return n, err
+}
+
 func (c *connection) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	c.discards = c.discards || c.network.blocked(c.from, c.to)
--- /dev/null
+++ b/internal/trial/kqflowrig/overload_test.go
@@ -0,0 +1,58 @@
+package kqflowrig_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+)
+
+// All machines are slow for 10 s, as if short of processor time, but none fails. Guards against agents
+// that replace an owner because its answers are late, and its slow successors in turn, until leases end.
+func TestAnOwnerThatIsSlowIsReplacedAgainAndAgain(t *testing.T) {
+	for _, timePerCall := range []time.Duration{22 * time.Millisecond, 26 * time.Millisecond} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%s for each message, seed %d", timePerCall, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { runOverload(t, seed, timePerCall) })
+			})
+		}
+	}
+}
+
+func runOverload(t *testing.T, seed uint64, timePerCall time.Duration) {
+	x := newSlowStoreRun(seed, 5760*time.Millisecond)
+	x.setTimePerCall(timePerCall)
+	x.submitJobs(10 * time.Second)
+	x.setTimePerCall(3 * time.Millisecond)
+	x.submitJobs(3 * time.Second)
+	time.Sleep(8 * time.Second)
+	t.Log(x)
+	x.logOwnerChanges(t)
+	if x.lostRuns("") > 0 || x.rig.Epoch() != 1 || x.rig.OwnerCount() != 1 {
+		t.Errorf("no process has failed, but %d runs were lost and the cell has had %d owners", x.lostRuns(""), x.rig.Epoch())
+	}
+	x.rig.Stop()
+	if breaches := x.rig.Ledger.Breaches(); len(breaches) > 0 {
+		t.Errorf("%d breaches, first %v", len(breaches), breaches[0])
+	}
+}
+
+// setTimePerCall sets how long every agent's machine takes for each message.
+func (x *slowStoreRun) setTimePerCall(d time.Duration) {
+	for _, a := range x.rig.Agents {
+		x.rig.Network.SetTimePerCall(a.Name(), d)
+	}
+}
+
+// logOwnerChanges logs each acquisition of the cell and what spoke against the owner before it.
+func (x *slowStoreRun) logOwnerChanges(t *testing.T) {
+	for _, a := range x.rig.Agents {
+		for _, e := range x.events.BySubject(kqevent.Process(a.Name())) {
+			if e.Number == kqevent.OwnerUnresponsive || e.Number == kqevent.OwnershipAcquired {
+				t.Log(e.At.Format("05.000"), e.Number, e.Subject, e.Text)
+			}
+		}
+	}
+}
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -180,7 +180,7 @@
 
 func (r *Rig) controlConfig(name string, boot int) kqcontrol.Config {
 	return kqcontrol.Config{Cell: "cell", Name: name, Boot: fmt.Sprintf("%s/%d", name, boot), Address: netip.AddrPortFrom(netip.MustParseAddr(name), agentPort),
-		Store: r.Store.Client(name), Lease: r.lease(), CrossRackSlowdown: 1, Retention: time.Hour, Policy: func() *kqflow.Policy { return r.policy },
+		Store: r.Network.limitStore(name, r.Store.Client(name)), Lease: r.lease(), CrossRackSlowdown: 1, Retention: time.Hour, Policy: func() *kqflow.Policy { return r.policy },
 		Now: time.Now, WallClock: time.Now, Events: r.config.Events, RecordOutcome: r.config.OnOutcome, Counter: r.Counter}
 }
 
