kqelect: late reports do not count against an owner

Cause: an agent took the time since the owner's last report as the time for which the store had not confirmed the owner. An owner that is short of processor time answers lease requests late, so after 1.2 s any one of a hundred agents replaced it as soon as its heartbeat was half a second old (event owner_silent of every one of these replacements: heartbeat unchanged for 507 to 714 ms, last confirmation 1.2 to 1.8 s ago, store quick, connection fine). The successor carries out a takeover on top of the load and is replaced in turn: the detector causes what it detects.

Now only what the owner itself reports counts as not confirmed. Without such a report its heartbeat in the store must be missing for the whole timeout, as for processes that are not connected.

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -154,9 +154,28 @@
 	stallResponseTimes = 3
 )
 
-// ShouldReplace reports whether to replace an owner although it is connected: its latest
-// confirmation by the store is older than the heartbeat timeout, and its heartbeat has not
-// changed for some time. Confirmed is the time of that confirmation as the owner reports it.
-func (o *Observer) ShouldReplace(now, confirmed time.Time) bool {
-	return o.config.Candidate && now.Sub(confirmed) >= o.timeout(HeartbeatTimeout, heartbeatResponseTimes) && now.Sub(o.changedAt) >= max(stallTime, stallResponseTimes*o.storeLatency)
+// OwnerReport is what an owner has told a connected process about its ownership.
+type OwnerReport struct {
+	// At is when the report arrived.
+	At time.Time
+	// ConfirmationAge is the age of the owner's latest confirmation by the store when it sent
+	// the report.
+	ConfirmationAge time.Duration
+}
+
+// ConfirmedAt returns when the store confirmed the owner by the latest report.
+func (r OwnerReport) ConfirmedAt() time.Time { return r.At.Add(-r.ConfirmationAge) }
+
+// ShouldReplace reports whether to replace an owner although it is connected. One that reports
+// that the store has not confirmed it for the heartbeat timeout is replaced once its heartbeat
+// is stalled. Otherwise the heartbeat must be missing for the whole timeout: reports that are
+// late do not count against an owner, because one that is short of processor time sends them
+// late.
+func (o *Observer) ShouldReplace(now time.Time, r OwnerReport) bool {
+	timeout := o.timeout(HeartbeatTimeout, heartbeatResponseTimes)
+	missing := timeout
+	if r.ConfirmationAge >= timeout {
+		missing = max(stallTime, stallResponseTimes*o.storeLatency)
+	}
+	return o.config.Candidate && now.Sub(o.changedAt) >= missing
 }
--- a/internal/flow/kqnode/connection.go
+++ b/internal/flow/kqnode/connection.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
 )
@@ -37,7 +38,7 @@
 		return
 	}
 	if m.Grant != nil {
-		o.node.setConfirmed(o.node.config.Control.Now().Add(-m.Grant.ConfirmationAge), m.Grant.Agents)
+		o.node.setReport(kqelect.OwnerReport{At: o.node.config.Control.Now(), ConfirmationAge: m.Grant.ConfirmationAge}, m.Grant.Agents)
 	}
 	o.node.config.Receive(m)
 }
@@ -62,7 +63,7 @@
 	}
 	n.observer.Connected()
 	n.mu.Lock()
-	n.confirmedAt = n.config.Control.Now()
+	n.report = kqelect.OwnerReport{At: n.config.Control.Now()}
 	n.mu.Unlock()
 	defer n.config.Disconnected()
 	tick := time.NewTicker(watchInterval)
@@ -86,7 +87,7 @@
 // another process owns the cell or this one has tried to acquire it.
 func (o *ownerConnection) replaceOwner(ctx context.Context, s *kqstream.Stream) bool {
 	n := o.node
-	if _, confirmedAt := n.ownerState(); n.config.Control.Now().Sub(confirmedAt) < suspectAge || !n.readOwnership(ctx) {
+	if _, report := n.ownerState(); n.config.Control.Now().Sub(report.ConfirmedAt()) < suspectAge || !n.readOwnership(ctx) {
 		return false
 	}
 	if o.isSuperseded() {
@@ -111,8 +112,8 @@
 
 // shouldReplace reports whether the owner of this connection should be replaced.
 func (o *ownerConnection) shouldReplace() bool {
-	_, confirmedAt := o.node.ownerState()
-	return o.node.observer.ShouldReplace(o.node.config.Control.Now(), confirmedAt)
+	_, report := o.node.ownerState()
+	return o.node.observer.ShouldReplace(o.node.config.Control.Now(), report)
 }
 
 // isDone reports whether a stream has ended.
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -89,9 +90,8 @@
 	controller *kqcontrol.Controller
 	owner      kqcontrol.OwnerRow
 	version    uint64
-	// confirmedAt is when the store last confirmed the owner that this process is
-	// connected to, as reported by that owner.
-	confirmedAt time.Time
+	// report is what the owner that this process is connected to last reported.
+	report kqelect.OwnerReport
 	// agentCount is the number of connected agents that the owner last reported.
 	agentCount int
 	isStopping bool
@@ -304,15 +304,15 @@
 func (n *Node) replace(ctx context.Context) {
 	c := n.config.Control
 	now := c.Now()
-	owner, confirmedAt := n.ownerState()
+	owner, report := n.ownerState()
 	if owner.Name != "" {
 		e := n.observer.Evidence(now)
-		confirmation := "no confirmation reported"
-		if !confirmedAt.IsZero() {
-			confirmation = "last reported confirmation " + now.Sub(confirmedAt).Round(time.Millisecond).String() + " ago"
+		reported := "has not reported"
+		if !report.At.IsZero() {
+			reported = fmt.Sprintf("reported %s ago that it was confirmed %s before", now.Sub(report.At).Round(time.Millisecond), report.ConfirmationAge.Round(time.Millisecond))
 		}
-		c.Events.Emit(now, kqevent.OwnerUnresponsive, kqevent.Process(owner.Name), "cell %s, epoch %d: heartbeat unchanged for %s, %s, unreachable %t, the store responds within %s",
-			c.Cell, owner.Epoch, e.HeartbeatAge.Round(time.Millisecond), confirmation, e.Unreachable, e.StoreLatency.Round(time.Millisecond))
+		c.Events.Emit(now, kqevent.OwnerUnresponsive, kqevent.Process(owner.Name), "cell %s, epoch %d: heartbeat unchanged for %s, unreachable %t, owner %s; the store responds within %s",
+			c.Cell, owner.Epoch, e.HeartbeatAge.Round(time.Millisecond), e.Unreachable, reported, e.StoreLatency.Round(time.Millisecond))
 	}
 	n.acquire(ctx)
 }
@@ -359,18 +359,17 @@
 	return o.monitor(ctx, s)
 }
 
-// setConfirmed records when the store last confirmed the owner and how many agents are
-// connected to it, both as reported by the owner.
-func (n *Node) setConfirmed(at time.Time, agents int) {
+// setReport records what the owner reports and how many agents are connected to it.
+func (n *Node) setReport(r kqelect.OwnerReport, agents int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.confirmedAt, n.agentCount = at, max(agents, 1)
+	n.report, n.agentCount = r, max(agents, 1)
 }
 
-// ownerState returns the owner as last read, and when the store last confirmed the owner that
-// this process is connected to.
-func (n *Node) ownerState() (kqcontrol.OwnerRow, time.Time) {
+// ownerState returns the owner as last read, and the latest report of the owner that this
+// process is connected to.
+func (n *Node) ownerState() (kqcontrol.OwnerRow, kqelect.OwnerReport) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.owner, n.confirmedAt
+	return n.owner, n.report
 }
