kqcontrol: heartbeats do not wait for messages and scheduling passes

Cause: heartbeats, confirming reads and their answers took the lock that each of a hundred sessions takes for a message and that the scheduling loop holds for a whole pass, up to 0.6 s; the lock is fair, so a heartbeat waited for all of them, twice.

What confirms the ownership has its own lock now, which nobody holds for long, and messages are decoded and handled one at a time, so that neither the scheduling loop nor a heartbeat has more than one of them before it.

--- a/internal/flow/kqcontrol/commit.go
+++ b/internal/flow/kqcontrol/commit.go
@@ -21,10 +21,14 @@
 	sent := c.config.Now()
 	o, err := c.config.TimedStore.TryCommit(c.tomb.Context(context.Background()), x.transaction())
 	now := c.config.Now()
+	c.confirmation.writeAnswered()
+	if err == nil && o.Committed {
+		c.confirmation.committed(sent)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writes.commits--
-	c.writeDone()
+	c.slotFreed()
 	c.stats.commitAnswered(now.Sub(sent))
 	if c.config.ObserveLatency != nil {
 		c.config.ObserveLatency("commit", now.Sub(sent))
@@ -39,8 +43,6 @@
 		c.loseOwnership(now, o)
 		return nil
 	}
-	c.markConfirmed(sent)
-	c.commitHeartbeatAt = sent
 	c.writes.backoff = 0
 	c.committed(now, x.writes, o.Version)
 	c.publish(now)
--- a/internal/flow/kqcontrol/confirm.go
+++ b/internal/flow/kqcontrol/confirm.go
@@ -50,9 +50,7 @@
 	if now.Sub(f.lastReadAt) < confirmReadInterval {
 		return false
 	}
-	c.mu.Lock()
-	age := now.Sub(c.confirmedAt)
-	c.mu.Unlock()
+	age := c.confirmation.age(now)
 	latency := c.config.TimedStore.Latency
 	isLate := latency.OldestInFlight(now, kqrows.KindWrite) >= lateWriteAge || latency.IsSlow(now)
 	return age >= 2*HeartbeatInterval || age >= HeartbeatInterval/2 && isLate
@@ -74,10 +72,13 @@
 	if err != nil {
 		return nil
 	}
+	isOwner := len(rows) == 1 && rows[0].Version == c.version
+	if isOwner {
+		c.confirmation.confirmed(sent)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(rows) == 1 && rows[0].Version == c.version {
-		c.markConfirmed(sent)
+	if isOwner {
 		c.stats.readConfirmed()
 		return nil
 	}
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -106,6 +106,12 @@
 	// submissionsVersion is the version of the store from which the submission feed starts.
 	submissionsVersion uint64
 
+	// confirmation has its own lock.
+	confirmation confirmation
+	// receiving is held while a message is handled. Messages are handled one at a time, so that
+	// those of many sessions do not compete with the scheduling loop for mu and for the processor.
+	receiving sync.Mutex
+
 	// mu guards the fields below, except for heartbeats and wallOffset.
 	mu           sync.Mutex
 	planner      *kqplan.Planner
@@ -114,14 +120,10 @@
 	// sessions holds the session of each connected host by the host's name.
 	sessions   map[string]*Session
 	agentCount int
-	// confirmedAt is when the latest request that confirmed the ownership was sent.
-	confirmedAt time.Time
 	// lastFeedAt is when the submission feed last answered.
 	lastFeedAt  time.Time
 	writes      writes
 	heldCommits []heldCommit
-	// commitHeartbeatAt is when the latest commit that carried a heartbeat was sent.
-	commitHeartbeatAt time.Time
 	// heartbeats counts the heartbeats written.
 	heartbeats atomic.Uint64
 	sweptAt    time.Time
@@ -155,7 +157,7 @@
 	if !o.Committed {
 		return nil, ErrLost
 	}
-	x := &Controller{config: c, row: row, version: o.Version, wakeup: make(chan struct{}, 1), loaded: make(chan struct{}), confirmedAt: sent, lastFeedAt: c.Now(),
+	x := &Controller{config: c, row: row, version: o.Version, wakeup: make(chan struct{}, 1), loaded: make(chan struct{}), confirmation: confirmation{confirmedAt: sent}, lastFeedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.WallClock().Round(0))}
 	// Heartbeats are written while the rows are read; without them another process would
 	// acquire the cell.
--- a/internal/flow/kqcontrol/heartbeat.go
+++ b/internal/flow/kqcontrol/heartbeat.go
@@ -8,14 +8,6 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
-// markConfirmed records that the store has confirmed the ownership by a request that was sent
-// at sent. mu is held.
-func (c *Controller) markConfirmed(sent time.Time) {
-	if sent.After(c.confirmedAt) {
-		c.confirmedAt = sent
-	}
-}
-
 // heartbeater writes heartbeats, which also confirm the ownership.
 type heartbeater struct{ controller *Controller }
 
@@ -24,7 +16,8 @@
 	t := time.NewTicker(HeartbeatInterval)
 	defer t.Stop()
 	for {
-		if c.heartbeatDue() {
+		now := c.config.Now()
+		if c.confirmation.heartbeatDue(now) && c.confirmation.takeSlot(c.config.TimedStore.Latency.IsSlow(now)) {
 			c.tomb.Go((&heartbeat{c}).run)
 		}
 		select {
@@ -35,19 +28,6 @@
 	}
 }
 
-// heartbeatDue reports whether a heartbeat must be written: no recent commit has carried
-// one, and another write may be sent. If so it counts the heartbeat as a write in flight.
-func (c *Controller) heartbeatDue() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.config.Now()
-	if now.Sub(c.commitHeartbeatAt) < HeartbeatInterval/2 || !c.hasWriteSlot(now) {
-		return false
-	}
-	c.writes.inFlight++
-	return true
-}
-
 // heartbeatPut returns the write of the next heartbeat, by which other processes see that
 // the owner is alive.
 func (c *Controller) heartbeatPut() kqrows.Put {
@@ -71,16 +51,17 @@
 	o, err := c.config.Store.Transact(ctx, kqrows.Tx{
 		Conditions: []kqrows.Condition{{Key: OwnerKey(c.config.Cell), Version: c.version}},
 		Puts:       []kqrows.Put{c.heartbeatPut()}})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeDone()
+	c.confirmation.writeAnswered()
+	c.slotFreed()
 	if err != nil {
 		return nil
 	}
 	if o.Committed {
-		c.markConfirmed(sent)
+		c.confirmation.confirmed(sent)
 		return nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.loseOwnership(c.config.Now(), o)
 	return nil
 }
--- a/internal/flow/kqcontrol/learned.go
+++ b/internal/flow/kqcontrol/learned.go
@@ -39,7 +39,7 @@
 		return
 	}
 	c.learned = estimates
-	c.writes.inFlight++
+	c.confirmation.writeSent()
 	c.tomb.Go((&learnedWrite{c, estimates}).run)
 }
 
@@ -73,8 +73,7 @@
 	defer cancel()
 	_, _ = c.config.Store.Transact(ctx, kqrows.Tx{Conditions: []kqrows.Condition{{Key: OwnerKey(c.config.Cell), Version: c.version}},
 		Puts: []kqrows.Put{{Key: LearnedKey(c.config.Cell), Value: kqtable.Encode(w.estimates)}}})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writeDone()
+	c.confirmation.writeAnswered()
+	c.slotFreed()
 	return nil
 }
--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -104,11 +104,10 @@
 // recordHosts writes the hosts that wait to be recorded, if there are any, no such write is
 // in flight and the store takes another write. mu is held.
 func (c *Controller) recordHosts(now time.Time) {
-	if l := &c.leases; len(l.pendingHosts) == 0 || l.isWriting || !c.hasWriteSlot(now) {
+	if l := &c.leases; len(l.pendingHosts) == 0 || l.isWriting || !c.confirmation.takeSlot(c.config.TimedStore.Latency.IsSlow(now)) {
 		return
 	}
 	c.leases.isWriting = true
-	c.writes.inFlight++
 	c.tomb.Go((&leasesWrite{c}).run)
 }
 
@@ -128,10 +127,14 @@
 		Conditions: []kqrows.Condition{{Key: OwnerKey(c.config.Cell), Version: c.version}, {Key: key, Version: version}},
 		Puts:       []kqrows.Put{{Key: key, Value: kqtable.Encode(row)}, c.heartbeatPut()}})
 	now := c.config.Now()
+	c.confirmation.writeAnswered()
+	if err == nil && o.Committed {
+		c.confirmation.committed(sent)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leases.isWriting = false
-	c.writeDone()
+	c.slotFreed()
 	if err != nil {
 		return nil
 	}
@@ -139,8 +142,6 @@
 		c.loseOwnership(now, o)
 		return nil
 	}
-	c.markConfirmed(sent)
-	c.commitHeartbeatAt = sent
 	c.leases.version = o.Version
 	c.hostsRecorded(now, row)
 	return nil
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -86,6 +86,8 @@
 func (x *Session) Receive(body []byte) {
 	c := x.controller
 	began := c.config.Now()
+	c.receiving.Lock()
+	defer c.receiving.Unlock()
 	var m kqmessage.ToOwner
 	if err := json.Unmarshal(body, &m); err != nil {
 		x.stream.Close()
@@ -146,7 +148,7 @@
 // held.
 func (x *Session) grant(now time.Time, request uint64) {
 	c := x.controller
-	age := now.Sub(c.confirmedAt)
+	age := c.confirmation.age(now)
 	remaining := max(0, c.config.Lease-age)
 	if remaining > 0 && x.registered && !c.ensureRecorded(x.hello.Name) {
 		c.leases.pendingRequests[x] = request
--- a/internal/flow/kqcontrol/stale.go
+++ b/internal/flow/kqcontrol/stale.go
@@ -28,7 +28,7 @@
 
 // isStale is Stale with mu held.
 func (c *Controller) isStale(now time.Time) bool {
-	return now.Sub(c.confirmedAt) > c.config.TimedStore.Latency.Timeout(staleAge)
+	return c.confirmation.age(now) > c.config.TimedStore.Latency.Timeout(staleAge)
 }
 
 // isFeedCurrent reports whether the submission feed has answered recently; mu is held.
--- a/internal/flow/kqcontrol/stats.go
+++ b/internal/flow/kqcontrol/stats.go
@@ -120,7 +120,7 @@
 
 // logStats logs the statistics of an interval once it has passed; mu is held.
 func (c *Controller) logStats(now time.Time) {
-	c.stats.addUnconfirmed(now.Sub(c.confirmedAt))
+	c.stats.addUnconfirmed(c.confirmation.age(now))
 	stats, due := c.stats.snapshot(now, c.config.ProcessorTime, c.config.ProcessorLimit)
 	if !due {
 		return
--- a/internal/flow/kqcontrol/sweep.go
+++ b/internal/flow/kqcontrol/sweep.go
@@ -16,7 +16,7 @@
 	c.sweptAt = now
 	ended := c.planner.EndedJobs(now.Add(-c.config.Retention))
 	if len(ended) > 0 {
-		c.writes.inFlight++
+		c.confirmation.writeSent()
 		c.tomb.Go((&removal{c, ended[:min(len(ended), maxBatchRecords)]}).run)
 	}
 }
@@ -36,9 +36,10 @@
 	ctx, cancel := c.config.TimedStore.WithTimeout(c.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
 	o, err := c.config.Store.Transact(ctx, t)
+	c.confirmation.writeAnswered()
+	c.slotFreed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeDone()
 	if err != nil || !o.Committed {
 		return nil
 	}
--- a/internal/flow/kqcontrol/writes.go
+++ b/internal/flow/kqcontrol/writes.go
@@ -1,6 +1,7 @@
 package kqcontrol
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -17,31 +18,22 @@
 // store applies the writes of a partition one after another. While the store is slow, a
 // second write would only wait, and delay the write that confirms the ownership.
 type writes struct {
-	// inFlight is the number of writes of any kind without an answer, commits the number
-	// of those that store records.
-	inFlight int
-	commits  int
+	// commits is the number of writes of records without an answer.
+	commits int
 	// backoff is how long commits wait after the store has refused one; they wait until
 	// backoffUntil. It is 0 after a commit that succeeded.
 	backoff      time.Duration
 	backoffUntil time.Time
 	// isSlow is the last result of LatencyTracker.IsSlow; slowSince is when it last became
 	// true.
-	isSlow    bool
+	isSlow    atomic.Bool
 	slowSince time.Time
 }
 
-// hasWriteSlot reports whether a write may be sent now: while the store is slow only one may
-// be in flight. mu is held.
-func (c *Controller) hasWriteSlot(now time.Time) bool {
-	return c.writes.inFlight == 0 || !c.config.TimedStore.Latency.IsSlow(now)
-}
-
-// writeDone records that a write is no longer in flight. While the store is slow it wakes
-// the loop, since other writes wait for the slot. mu is held.
-func (c *Controller) writeDone() {
-	c.writes.inFlight--
-	if c.writes.isSlow {
+// slotFreed wakes the loop while the store is slow, since other writes wait for the slot of
+// the one that was answered.
+func (c *Controller) slotFreed() {
+	if c.writes.isSlow.Load() {
 		c.wake()
 	}
 }
@@ -80,13 +72,13 @@
 	if w.backoff > 0 {
 		concurrency = 1
 	}
-	for w.commits < concurrency && (!slow || w.inFlight == 0) && !now.Before(w.backoffUntil) {
+	for w.commits < concurrency && !now.Before(w.backoffUntil) && c.confirmation.takeSlot(slow) {
 		ws := c.planner.TakeWrites(batch)
 		if len(ws) == 0 {
+			c.confirmation.writeAnswered()
 			return
 		}
 		w.commits++
-		w.inFlight++
 		c.tomb.Go((&commit{c, ws}).run)
 	}
 }
@@ -94,15 +86,15 @@
 // logSlow logs when the store becomes slow and when it recovers; mu is held.
 func (c *Controller) logSlow(now time.Time, slow bool) {
 	w := &c.writes
-	if slow == w.isSlow {
+	if slow == w.isSlow.Load() {
 		return
 	}
 	responseTime := c.config.TimedStore.Latency.ResponseTime().Round(time.Millisecond)
 	if slow {
 		w.slowSince = now
-		c.config.Events.Emit(now, kqevent.StoreSlow, kqevent.Process("store"), "store is slow: response time %s, %d writes in flight", responseTime, w.inFlight)
+		c.config.Events.Emit(now, kqevent.StoreSlow, kqevent.Process("store"), "store is slow: response time %s, %d writes in flight", responseTime, c.confirmation.inFlight())
 	} else {
 		c.config.Events.Emit(now, kqevent.StoreNormal, kqevent.Process("store"), "store is no longer slow: response time %s, was slow for %s", responseTime, now.Sub(w.slowSince).Round(time.Millisecond))
 	}
-	w.isSlow = slow
+	w.isSlow.Store(slow)
 }
