kqexecutor: an agent waits for an owner that is behind

Cause: agents sent a lease request each 0.5 s, a report each 0.35 s and each end at once, however far behind the owner was. What it could not read queued up in the connections, new requests behind old ones, so the grants came seconds late.

Now a lease request goes with each complete report, and until the owner has answered it the agent sends nothing more for up to 2 s; ends go with the next report. The queue of an owner is bounded by one message for each agent, and an owner that keeps up is sent fewer messages than before.

--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -56,6 +56,10 @@
 	// ackWait is how long the next poll waits for the owner to acknowledge reported ends.
 	ackWait              = 200 * time.Millisecond
 	leaseRequestInterval = 500 * time.Millisecond
+	// leaseRequestTimeout is the time after which a lease request that the owner has not
+	// answered is repeated. Until then another one would only queue up behind it: an owner
+	// that is short of processor time would work through requests that are out of date.
+	leaseRequestTimeout = 2 * time.Second
 	// orderTimeout limits each other call to the worker.
 	orderTimeout    = 250 * time.Millisecond
 	orderRetryDelay = 30 * time.Millisecond
@@ -117,6 +121,8 @@
 	// synced is true once the owner has sent all of its orders on this connection.
 	synced           bool
 	lastLeaseRequest uint64
+	// leaseRequestedAt is when the latest lease request was sent.
+	leaseRequestedAt time.Time
 	// requestClocks holds, for each lease request, a lower bound of the worker's clock
 	// when the request was sent.
 	requestClocks map[uint64]kqexecution.Clock
@@ -135,6 +141,8 @@
 	// may have restarted in between.
 	pollUnanswered bool
 	reportedEnds   uint64
+	// unreported holds the ends that wait to be reported while the owner is behind.
+	unreported []kqexecution.RunEnd
 	// reportedAt is when the last complete report was sent.
 	reportedAt time.Time
 	// polls counts the polls.
@@ -298,11 +306,16 @@
 	return x.workerClock + kqexecution.Clock(float64(now.Sub(x.clockReadAt))*minClockRate)
 }
 
-// leaseRequester requests a lease from the owner at a fixed interval.
+// leaseRequestChecks is how often per leaseRequestInterval it is checked whether a lease request
+// is due. Most requests are sent with a complete report.
+const leaseRequestChecks = 2
+
+// leaseRequester requests a lease from the owner if no report has carried a request for the
+// leaseRequestInterval.
 type leaseRequester struct{ executor *Executor }
 
 func (r *leaseRequester) loop() error {
-	t := time.NewTicker(leaseRequestInterval)
+	t := time.NewTicker(leaseRequestInterval / leaseRequestChecks)
 	defer t.Stop()
 	for {
 		select {
@@ -317,13 +330,36 @@
 func (x *Executor) requestLease() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.send == nil || !x.registered || !x.polled {
+	now := x.config.Now()
+	if x.send == nil || !x.registered || !x.polled || x.awaitsGrant(now) || now.Sub(x.leaseRequestedAt) < leaseRequestInterval {
 		return
 	}
+	x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.clockLowerBound(now))})
+}
+
+// newLeaseRequest returns the number of a new lease request, which the caller sends. clock is a
+// lower bound of the worker's clock at present. mu is held.
+func (x *Executor) newLeaseRequest(now time.Time, clock kqexecution.Clock) uint64 {
 	x.lastLeaseRequest++
-	x.requestClocks[x.lastLeaseRequest] = x.clockLowerBound(x.config.Now())
-	x.requestTimes[x.lastLeaseRequest] = x.config.Now()
-	x.send(kqmessage.ToOwner{LeaseRequest: x.lastLeaseRequest})
+	x.requestClocks[x.lastLeaseRequest] = clock
+	x.requestTimes[x.lastLeaseRequest] = now
+	x.leaseRequestedAt = now
+	return x.lastLeaseRequest
+}
+
+// awaitsGrant reports whether the latest lease request is unanswered and not to be repeated yet;
+// mu is held.
+func (x *Executor) awaitsGrant(now time.Time) bool {
+	sent, ok := x.requestTimes[x.lastLeaseRequest]
+	return ok && now.Sub(sent) < leaseRequestTimeout
+}
+
+// isOwnerBehind reports whether the owner has left the latest lease request unanswered for a
+// report interval. Reports wait meanwhile: what is sent faster than the owner reads it delays the
+// lease requests behind it, until all leases end. mu is held.
+func (x *Executor) isOwnerBehind(now time.Time) bool {
+	sent, ok := x.requestTimes[x.lastLeaseRequest]
+	return ok && now.Sub(sent) >= reportInterval && x.awaitsGrant(now)
 }
 
 // usage returns the resources that the runs reserve on the worker. Filling runs reserve no
--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -244,3 +244,29 @@
 		g.Expect(x.Drives("w")).To(BeFalse())
 	})
 }
+
+func (o *fakeOwner) messageCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.received)
+}
+
+// Guards against an agent that sends reports and lease requests faster than its owner reads them: they
+// queue up, and the grants come after the leases have ended.
+func TestAnOwnerThatIsBehindIsSentMore(t *testing.T) {
+	w := &fakeWorker{}
+	withExecutor(t, w, func(g *WithT, x *kqexecutor.Executor, o *fakeOwner) {
+		time.Sleep(time.Second)
+		unanswered, sent := o.lastLeaseRequest(), o.messageCount()
+		w.mu.Lock()
+		w.ended = []kqexecution.RunEnd{{Number: 1, Run: run, Reason: kqexecution.EndDone}}
+		w.mu.Unlock()
+		time.Sleep(900 * time.Millisecond)
+		g.Expect(o.messageCount()-sent).To(BeNumerically("<=", 1), "messages behind an unanswered lease request")
+		g.Expect(o.ends()).To(BeEmpty())
+		x.Receive(kqmessage.FromOwner{Grant: &kqmessage.Grant{LeaseRequest: unanswered, Duration: 7 * time.Second}})
+		time.Sleep(450 * time.Millisecond)
+		g.Expect(o.ends()).To(HaveLen(1))
+		g.Expect(o.lastLeaseRequest()).To(BeNumerically(">", unanswered))
+	})
+}
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -134,6 +134,7 @@
 	x.listed = map[kqexecution.Run]bool{}
 	x.ends, x.lastEnd, x.acked, x.reportedEnds = map[uint64]kqexecution.RunEnd{}, 0, 0, 0
 	x.ackPending, x.pollUnanswered = false, false
+	x.unreported = nil
 	x.requestClocks = map[uint64]kqexecution.Clock{}
 	x.pacer = kqpace.New()
 	x.wake()
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -151,15 +151,32 @@
 		x.register(now, h)
 		return
 	}
-	r := kqplan.Report{Worker: x.info.Worker, Ended: newEnds}
-	if now.Sub(x.reportedAt) >= reportInterval {
-		x.reportedAt = now
-		r.Complete, r.Running = true, h.Running
-		r.Paces, r.Slowed = x.paces()
+	x.unreported = append(x.unreported, newEnds...)
+	if x.isOwnerBehind(now) {
+		return
+	}
+	if now.Sub(x.reportedAt) < reportInterval {
+		x.reportEnds()
+		return
+	}
+	x.reportedAt = now
+	r := kqplan.Report{Worker: x.info.Worker, Complete: true, Running: h.Running, Ended: x.unreported}
+	r.Paces, r.Slowed = x.paces()
+	x.unreported = nil
+	m := kqmessage.ToOwner{Report: &r}
+	if !x.awaitsGrant(now) {
+		m.LeaseRequest = x.newLeaseRequest(now, x.clockLowerBound(now))
 	}
-	if r.Complete || len(newEnds) > 0 {
-		x.send(kqmessage.ToOwner{Report: &r})
+	x.send(m)
+}
+
+// reportEnds reports the ends that were not reported yet; mu is held.
+func (x *Executor) reportEnds() {
+	if len(x.unreported) == 0 {
+		return
 	}
+	x.send(kqmessage.ToOwner{Report: &kqplan.Report{Worker: x.info.Worker, Ended: x.unreported}})
+	x.unreported = nil
 }
 
 // markStarted records when the run was first known to be on the worker.
@@ -172,7 +189,7 @@
 // register sends the owner the worker's description and a complete report, and requests a
 // lease; mu is held.
 func (x *Executor) register(now time.Time, h kqexecution.Held) {
-	x.registered, x.reportedAt = true, now
+	x.registered, x.reportedAt, x.unreported = true, now, nil
 	w := x.info
 	ended := make([]kqexecution.RunEnd, 0, len(x.ends))
 	for _, e := range x.ends {
@@ -182,10 +199,7 @@
 	r := kqplan.Report{Worker: w.Worker, Complete: true, Running: h.Running, Ended: ended}
 	r.Paces, r.Slowed = x.paces()
 	x.send(kqmessage.ToOwner{Worker: &w, Report: &r, Registered: true})
-	x.lastLeaseRequest++
-	x.requestClocks[x.lastLeaseRequest] = x.workerClock
-	x.requestTimes[x.lastLeaseRequest] = now
-	x.send(kqmessage.ToOwner{LeaseRequest: x.lastLeaseRequest})
+	x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.workerClock)})
 }
 
 // recordEnds records the listed ends that are not acknowledged, and returns those that were
