kqplan, kqcontrol: an owner whose passes are slow leaves time for messages

Cause: the time between two passes counts from the start of the first and is at most 100 ms, so passes that take longer follow each other without a break. While the loop holds the lock almost all the time, one message is handled between two steps.

Passes that take over 100 ms are now three times their duration apart, at most 1.5 s; a step that took longer than a tick leaves as much time to the messages before the next one. Owners with shorter passes decide as before.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -76,9 +76,11 @@
 const (
 	// HeartbeatInterval is the interval at which the owner writes its heartbeat, which
 	// confirms the ownership.
-	HeartbeatInterval    = 400 * time.Millisecond
-	heartbeatTimeout     = 1200 * time.Millisecond
-	tickInterval         = 50 * time.Millisecond
+	HeartbeatInterval = 400 * time.Millisecond
+	heartbeatTimeout  = 1200 * time.Millisecond
+	tickInterval      = 50 * time.Millisecond
+	// maxMessageTime limits the time that a slow step leaves for messages before the next one.
+	maxMessageTime       = time.Second
 	maxConcurrentCommits = 6
 	maxBatchRecords      = 40
 	// slowBatchRecords replaces maxBatchRecords while the store is slow: as many records
@@ -269,17 +271,31 @@
 		case <-c.wakeup:
 		case <-t.C:
 		}
-		c.step()
+		c.leaveTimeForMessages(c.step())
+	}
+}
+
+// leaveTimeForMessages waits after a step that took longer than a tick for as long as the step took.
+// Otherwise the steps of an owner that is short of processor time follow each other, and between two
+// of them only one message is handled, whatever it asks for.
+func (c *Controller) leaveTimeForMessages(took time.Duration) {
+	if took <= tickInterval {
+		return
+	}
+	t := time.NewTimer(min(took, maxMessageTime))
+	defer t.Stop()
+	select {
+	case <-c.tomb.Dying():
+	case <-t.C:
 	}
 }
 
 // step runs one pass of the scheduling loop: it lets the planner decide, sends writes and
-// publishes stored decisions.
-func (c *Controller) step() {
+// publishes stored decisions. It returns how long that took.
+func (c *Controller) step() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.config.Now()
-	defer func() { c.stats.passDone(now, c.config.Now()) }()
 	c.logStats(now)
 	c.planner.SetHold(!c.isFeedCurrent(now) || c.config.Evacuation.isOutdated(now))
 	c.planner.Tick(now)
@@ -289,6 +305,9 @@
 	if c.isStale(now) {
 		c.disconnectEntries()
 	}
+	ended := c.config.Now()
+	c.stats.passDone(now, ended)
+	return ended.Sub(now)
 }
 
 // stop ends the controller and closes all sessions; mu is held.
--- a/internal/flow/kqplan/overload_test.go
+++ b/internal/flow/kqplan/overload_test.go
@@ -32,4 +32,29 @@
 		}
 		Expect(c.takeOrders()).To(HaveLen(1))
 	})
+
+	// An owner that is short of processor time must not spend all of it on passes, or it cannot handle
+	// the messages that renew leases.
+	It("spends less than half of its time on slow passes while tasks wait", func() {
+		const passTime, span = 400 * time.Millisecond, 12 * time.Second
+		c := newCell(1)
+		c.addHost("h1", "w1", 8)
+		waiting := newStep(1, 1)
+		waiting.Label = "none"
+		c.Submit(c.now, job("waiting", "urgent", c.now, waiting), nil, 0)
+		inPasses := time.Duration(0)
+		for end := c.now.Add(span); c.now.Before(end); {
+			c.LeaseGranted(c.now, "h1", 7*time.Second)
+			scored, began := c.CandidatesScored(), c.now
+			c.Tick(c.now)
+			if c.CandidatesScored() > scored {
+				c.now = c.now.Add(passTime)
+				c.RecordTickDuration(began, passTime)
+				inPasses += passTime
+			} else {
+				c.now = c.now.Add(50 * time.Millisecond)
+			}
+		}
+		Expect(inPasses).To(And(BeNumerically(">", 0), BeNumerically("<", span/2)))
+	})
 })
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -51,6 +51,9 @@
 	// total.
 	passSpacingPerTask = 500 * time.Microsecond
 	maxPassSpacing     = 100 * time.Millisecond
+	// maxSlowPassSpacing replaces maxPassSpacing while passes take longer than slowPassTime.
+	// Urgent tasks must start within 3.4 s.
+	maxSlowPassSpacing = 1500 * time.Millisecond
 	// passSpacingFactor is the ratio of the time between two passes to the duration of the latest
 	// pass.
 	passSpacingFactor = 3
@@ -66,6 +69,9 @@
 // expensive and a short delay costs them little. Spacing by the duration of a pass leaves an owner
 // whose passes are slow most of its time for the messages that it receives.
 func (p *Planner) passSpacing() time.Duration {
+	if p.passDuration > slowPassTime {
+		return min(maxSlowPassSpacing, passSpacingFactor*p.passDuration)
+	}
 	spacing := min(maxPassSpacing, passSpacingFactor*p.passDuration)
 	if p.backlog <= shortBacklog {
 		return spacing
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -357,5 +357,6 @@
 // without an event. It is also due once the filling tasks that the latest pass skipped are due.
 func (p *Planner) isPassDue(now time.Time) bool {
 	age := now.Sub(p.lastPassAt)
-	return p.passRequested && age >= p.passSpacing() || p.backlog > 0 && age >= maxPassSpacing || p.fillingSkipped && p.isFillingDue(now)
+	spacing := p.passSpacing()
+	return age >= spacing && (p.passRequested || p.backlog > 0 && age >= maxPassSpacing || p.fillingSkipped && p.isFillingDue(now))
 }
