kqnode: an owner that is loading the cell is not unreachable

Cause: an agent that connects to a new owner before it has loaded the cell is turned away, and one that gets no welcome within 0.7 s gives the connection up; both count as a failed connection, after which half a second without a heartbeat is enough to replace the owner. A hundred agents that connect again every 150 ms also slow the loading down.

A process that is acquiring the cell keeps its peers waiting on their streams until it has loaded. An agent that waits for a welcome looks at the heartbeat and waits as long as that is alive. A process that is told to stop while it acquires the cell hands it over at once; before, its controller went on until the process ended.

kqflowrig AnOwnerThatIsLoading fails before (several owners after one was killed), passes now.

--- a/internal/flow/kqnode/connection.go
+++ b/internal/flow/kqnode/connection.go
@@ -16,7 +16,8 @@
 	// welcome passes the epoch of the owner's first message from receive to monitor.
 	welcome    chan uint64
 	isWelcomed bool
-	epoch      uint64
+	// epoch is the owner's epoch: as read from the store, then as in the owner's welcome.
+	epoch uint64
 }
 
 // receive handles a message of the owner. It is called by one goroutine. It closes the stream
@@ -48,18 +49,8 @@
 // to replace an owner that it does not confirm.
 func (o *ownerConnection) monitor(ctx context.Context, s *kqstream.Stream) bool {
 	n := o.node
-	t := time.NewTimer(welcomeTimeout)
-	defer t.Stop()
-	select {
-	case o.epoch = <-o.welcome:
-	case <-t.C:
-		n.observer.ConnectFailed()
+	if !o.awaitWelcome(ctx, s) {
 		return false
-	case <-s.Done():
-		n.observer.ConnectFailed()
-		return false
-	case <-n.tomb.Dying():
-		return true
 	}
 	n.observer.Connected()
 	n.mu.Lock()
@@ -82,6 +73,30 @@
 	}
 }
 
+// awaitWelcome waits for the owner's welcome, and returns false if there will be none. An owner that
+// has accepted the connection but has not sent its welcome is loading the cell or short of processor
+// time. It is alive as long as its heartbeat is.
+func (o *ownerConnection) awaitWelcome(ctx context.Context, s *kqstream.Stream) bool {
+	n := o.node
+	t := time.NewTicker(welcomeTimeout)
+	defer t.Stop()
+	for {
+		select {
+		case o.epoch = <-o.welcome:
+			return true
+		case <-s.Done():
+			n.observer.ConnectFailed()
+			return false
+		case <-n.tomb.Dying():
+			return false
+		case <-t.C:
+		}
+		if n.readOwnership(ctx) && (o.isSuperseded() || n.observer.Next(n.config.Control.Now()) == kqelect.ActionAcquire) {
+			return false
+		}
+	}
+}
+
 // replaceOwner replaces an owner that the store has not confirmed for suspectAge, if it
 // should be replaced. It returns true if this process should end the connection, because
 // another process owns the cell or this one has tried to acquire it.
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -95,6 +95,8 @@
 	// agentCount is the number of connected agents that the owner last reported.
 	agentCount int
 	isStopping bool
+	// acquired is closed when the acquisition in progress has ended; nil if there is none.
+	acquired chan struct{}
 }
 
 // Start starts a node that searches for the owner of its cell. An agent also listens for
@@ -175,6 +177,21 @@
 	}
 }
 
+// awaitController returns the controller of the cell. If this process is acquiring the cell, it
+// waits until that has succeeded or failed. It returns nil if this process does not own the cell.
+func (n *Node) awaitController() *kqcontrol.Controller {
+	n.mu.Lock()
+	acquired := n.acquired
+	n.mu.Unlock()
+	if acquired != nil {
+		select {
+		case <-acquired:
+		case <-n.tomb.Dying():
+		}
+	}
+	return n.activeController()
+}
+
 // OwnerStats returns the latest statistics of the controller. Ok is false if this process
 // does not own the cell.
 func (n *Node) OwnerStats() (stats kqcontrol.Stats, ok bool) {
@@ -321,20 +338,32 @@
 func (n *Node) acquire(ctx context.Context) {
 	n.mu.Lock()
 	owner, version, isStopping := n.owner, n.version, n.isStopping
-	n.mu.Unlock()
 	if isStopping {
+		n.mu.Unlock()
 		return
 	}
+	acquired := make(chan struct{})
+	n.acquired = acquired
+	n.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	c, err := kqcontrol.Acquire(call, n.config.Control, owner, version, n.epochs)
-	if err != nil {
+	n.mu.Lock()
+	n.acquired = nil
+	close(acquired)
+	isStopping = n.isStopping
+	if err == nil && !isStopping {
+		n.controller = c
+	}
+	n.mu.Unlock()
+	switch {
+	case err != nil:
+		return
+	case isStopping:
+		c.HandOver()
 		return
 	}
 	c.Start()
-	n.mu.Lock()
-	n.controller = c
-	n.mu.Unlock()
 	// SetZones had no controller to pass zones to while the cell was being acquired.
 	if f := n.config.Control.Evacuation.Zones; f != nil {
 		c.SetZones(f())
@@ -352,7 +381,7 @@
 		n.observer.ConnectFailed()
 		return false
 	}
-	o := &ownerConnection{node: n, welcome: make(chan uint64, 1)}
+	o := &ownerConnection{node: n, welcome: make(chan uint64, 1), epoch: owner.Epoch}
 	s := kqstream.New(conn, kqstream.Config{OnMessage: o.receive, OnClose: func(*kqstream.Stream, error) {}})
 	s.Send(kqmessage.ToOwner{Hello: &kqmessage.Hello{Role: n.config.Role, Name: n.config.Control.Name, Boot: n.config.Control.Boot, Epoch: owner.Epoch, WantsDigests: n.config.WantsDigests}})
 	defer s.Close()
--- a/internal/trial/kqflowrig/overload_test.go
+++ b/internal/trial/kqflowrig/overload_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
 )
 
 // All machines are slow for 10 s, as if short of processor time, but none fails. Guards against agents
@@ -56,3 +58,24 @@
 		}
 	}
 }
+
+// The owner is killed, and its slow successor takes 3 s to load the stored state. Guards against agents
+// that take a successor for unreachable because it does not serve them before it has loaded.
+func TestAnOwnerThatIsLoadingIsReplaced(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			x := &slowStoreRun{events: kqevent.New(kqevent.Config{MaxEvents: keptEvents})}
+			x.rig = kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: slowAgents, Capacity: kqmodel.Resources{MilliProcessors: 16_000, MemoryBytes: 64 << 30}, Events: x.events,
+				LoadTime: 3 * time.Second})
+			time.Sleep(6 * time.Second)
+			x.setTimePerCall(20 * time.Millisecond)
+			x.owner().Kill()
+			time.Sleep(10 * time.Second)
+			if n := x.rig.Epoch(); n != 2 || x.rig.OwnerCount() != 1 {
+				x.logOwnerChanges(t)
+				t.Errorf("seed %d: one owner was killed, but the cell has had %d owners and has %d now", seed, n, x.rig.OwnerCount())
+			}
+			x.rig.Stop()
+		})
+	}
+}
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -50,6 +50,8 @@
 	Capacity kqmodel.Resources
 	// Lease is the maximum duration of a granted lease; 0 means 7 s.
 	Lease time.Duration
+	// LoadTime is how long a new owner takes to load the stored state after it was read.
+	LoadTime time.Duration
 	// Partitions is the number of partitions of the submission table. The store executes the
 	// transactions of a partition one after another. 0 means a store without partitions, whose
 	// transactions do not wait for each other.
@@ -180,10 +182,16 @@
 
 func (r *Rig) controlConfig(name string, boot int) kqcontrol.Config {
 	return kqcontrol.Config{Cell: "cell", Name: name, Boot: fmt.Sprintf("%s/%d", name, boot), Address: netip.AddrPortFrom(netip.MustParseAddr(name), agentPort),
-		Store: r.Network.limitStore(name, r.Store.Client(name)), Lease: r.lease(), CrossRackSlowdown: 1, Retention: time.Hour, Policy: func() *kqflow.Policy { return r.policy },
+		Store: r.Network.limitStore(name, r.Store.Client(name)), Lease: r.lease(), CrossRackSlowdown: 1, Retention: time.Hour, Policy: r.loadPolicy,
 		Now: time.Now, WallClock: time.Now, Events: r.config.Events, RecordOutcome: r.config.OnOutcome, Counter: r.Counter}
 }
 
+// loadPolicy returns the policy to a new owner, which loads its state.
+func (r *Rig) loadPolicy() *kqflow.Policy {
+	time.Sleep(r.config.LoadTime)
+	return r.policy
+}
+
 // EntryName returns the name of the machine of the entry with the given index. It is also the
 // entry's name as a client of the store.
 func EntryName(i int) string { return fmt.Sprintf("10.0.1.%d", i+1) }
