kqexecutor: the next lease request is due half a second after the latest

Requests go with reports since, and the requester looked only each 250 ms whether one was due, so 0.75 s could pass without one; an agent then looked at the ownership in the store (kqflowrig AUsualStoreIsCalled: one read in 10 s, seen once in a run of the whole package, not in four runs alone). The requester now sleeps until a request is due.

--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -306,16 +306,12 @@
 	return x.workerClock + kqexecution.Clock(float64(now.Sub(x.clockReadAt))*minClockRate)
 }
 
-// leaseRequestChecks is how often per leaseRequestInterval it is checked whether a lease request
-// is due. Most requests are sent with a complete report.
-const leaseRequestChecks = 2
-
 // leaseRequester requests a lease from the owner if no report has carried a request for the
 // leaseRequestInterval.
 type leaseRequester struct{ executor *Executor }
 
 func (r *leaseRequester) loop() error {
-	t := time.NewTicker(leaseRequestInterval / leaseRequestChecks)
+	t := time.NewTimer(leaseRequestInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -323,18 +319,23 @@
 			return nil
 		case <-t.C:
 		}
-		r.executor.requestLease()
+		t.Reset(r.executor.requestLease())
 	}
 }
 
-func (x *Executor) requestLease() {
+// requestLease requests a lease if no request was sent for the leaseRequestInterval. It returns the
+// time until the next one may be due.
+func (x *Executor) requestLease() (next time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.config.Now()
-	if x.send == nil || !x.registered || !x.polled || x.awaitsGrant(now) || now.Sub(x.leaseRequestedAt) < leaseRequestInterval {
-		return
+	if age := now.Sub(x.leaseRequestedAt); age < leaseRequestInterval {
+		return leaseRequestInterval - age
+	}
+	if x.send != nil && x.registered && x.polled && !x.awaitsGrant(now) {
+		x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.clockLowerBound(now))})
 	}
-	x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.clockLowerBound(now))})
+	return leaseRequestInterval
 }
 
 // newLeaseRequest returns the number of a new lease request, which the caller sends. clock is a
