kqnode: an owner's own agent does not reach it through the network

Seen: in kqflowrig AnOwnerThatIsSlow the runs that still lapse (2 to 8 of a case) are all on the owner's own machine.

Cause: both ends of the connection between the owner and its own agent wait for the same processor, so its grants are twice as late as those of other agents.

The connection of a process to itself is a pipe in the process.

--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -376,7 +376,7 @@
 	n.mu.Lock()
 	owner := n.owner
 	n.mu.Unlock()
-	conn, err := n.config.Network.Dial(ctx, owner.Address)
+	conn, err := n.connect(ctx, owner)
 	if err != nil {
 		n.observer.ConnectFailed()
 		return false
@@ -388,6 +388,24 @@
 	return o.monitor(ctx, s)
 }
 
+// connect returns a connection to the owner. If this process is the owner, the connection does not
+// go through the network: otherwise, while the process is short of processor time, its own agent's
+// messages would wait twice as long as those of others.
+func (n *Node) connect(ctx context.Context, owner kqcontrol.OwnerRow) (net.Conn, error) {
+	if c := n.activeController(); c == nil || c.Epoch() != owner.Epoch {
+		return n.config.Network.Dial(ctx, owner.Address)
+	}
+	near, far := net.Pipe()
+	n.accept(far)
+	return near, nil
+}
+
+// accept serves a peer on a connection.
+func (n *Node) accept(conn net.Conn) {
+	p := &peer{node: n}
+	kqstream.New(conn, kqstream.Config{OnMessage: p.receive, OnClose: p.closed})
+}
+
 // setReport records what the owner reports and how many agents are connected to it.
 func (n *Node) setReport(r kqelect.OwnerReport, agents int) {
 	n.mu.Lock()
--- a/internal/flow/kqnode/peer.go
+++ b/internal/flow/kqnode/peer.go
@@ -23,8 +23,7 @@
 				continue
 			}
 		}
-		p := &peer{node: a.node}
-		kqstream.New(conn, kqstream.Config{OnMessage: p.receive, OnClose: p.closed})
+		a.node.accept(conn)
 	}
 }
 
--- a/internal/trial/kqflowrig/overload_test.go
+++ b/internal/trial/kqflowrig/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,7 @@
 	time.Sleep(8 * time.Second)
 	t.Log(x)
 	x.logOwnerChanges(t)
+	x.logLapses(t)
 	if x.lostRuns("") > 0 || x.rig.Epoch() != 1 || x.rig.OwnerCount() != 1 {
 		t.Errorf("no process has failed, but %d runs were lost and the cell has had %d owners", x.lostRuns(""), x.rig.Epoch())
 	}
@@ -79,3 +81,13 @@
 		})
 	}
 }
+
+func (x *slowStoreRun) logLapses(t *testing.T) {
+	for job := 1; job <= x.created; job++ {
+		for _, e := range x.events.ByJob(fmt.Sprintf("%016x", job)) {
+			if e.Number == kqevent.FlowRunLost || strings.HasSuffix(e.Text, "lapsed") {
+				t.Log(e.At.Format("05.000"), e.Subject, e.Text)
+			}
+		}
+	}
+}
