kqplan: slow passes take at most 45 % of an owner's time

Passes three times their duration apart leave a third of the time to passes, which is less than the quick jobs of an owner with a tenth of its processor need.

--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -51,8 +51,10 @@
 	// total.
 	passSpacingPerTask = 500 * time.Microsecond
 	maxPassSpacing     = 100 * time.Millisecond
-	// maxSlowPassSpacing replaces maxPassSpacing while passes take longer than slowPassTime.
-	// Urgent tasks must start within 3.4 s.
+	// While passes take longer than slowPassTime, they take at most slowPassPercent of the owner's
+	// time, so that it has more for messages than for passes; maxSlowPassSpacing replaces
+	// maxPassSpacing. Urgent tasks must start within 3.4 s.
+	slowPassPercent    = 45
 	maxSlowPassSpacing = 1500 * time.Millisecond
 	// passSpacingFactor is the ratio of the time between two passes to the duration of the latest
 	// pass.
@@ -70,7 +72,7 @@
 // whose passes are slow most of its time for the messages that it receives.
 func (p *Planner) passSpacing() time.Duration {
 	if p.passDuration > slowPassTime {
-		return min(maxSlowPassSpacing, passSpacingFactor*p.passDuration)
+		return min(maxSlowPassSpacing, p.passDuration*fullPercent/slowPassPercent)
 	}
 	spacing := min(maxPassSpacing, passSpacingFactor*p.passDuration)
 	if p.backlog <= shortBacklog {
