kqflowrig: long-running tasks under random faults; a restart of all processes renews the wait for a lost machine

What callers saw: with long-running tasks beside random faults, a task whose machine was lost 7.0 s before all processes were killed and started again had no run for 16.2 s, the last 7.6 s of them without a fault and with free capacity. Cause: the new owner counts the lease of the lost machine from its own takeover (kqcontrol/leases.go, priorGrantsUntil): the history of epochs that shortens this wait is kept in memory only, and no process has kept it.

--- a/internal/standin/kqtaskhost/ledger.go
+++ b/internal/standin/kqtaskhost/ledger.go
@@ -79,6 +79,20 @@
 	return out
 }
 
+// Running returns the worker of each running run by task.
+func (l *Ledger) Running() map[string][]kqexecution.Incarnation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string][]kqexecution.Incarnation, len(l.running))
+	for task, runs := range l.running {
+		for k := range runs {
+			_, worker, _ := strings.Cut(k, "@")
+			out[task] = append(out[task], kqexecution.Incarnation(worker))
+		}
+	}
+	return out
+}
+
 // Done reports whether a task has completed on a worker.
 func (l *Ledger) Done(task string) bool {
 	l.mu.Lock()
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -365,3 +365,9 @@
 	}
 	return 0
 }
+
+// Reserved returns the part of a worker's capacity that a task reserves.
+func (r *Rig) Reserved(task string) kqmodel.Resources {
+	resources, _ := r.taskSpec(task)
+	return resources
+}
--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -1,6 +1,7 @@
 package kqflowrig_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -24,8 +25,10 @@
 	rig *kqflowrig.Rig
 }
 
-func newTakeoverRun(seed uint64) *takeoverRun {
-	x := &takeoverRun{kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: 7, Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30}})}
+func newTakeoverRun(seed uint64) *takeoverRun { return newTakeoverRunWithLease(seed, defaultLease) }
+
+func newTakeoverRunWithLease(seed uint64, lease time.Duration) *takeoverRun {
+	x := &takeoverRun{kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: 7, Lease: lease, Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30}})}
 	time.Sleep(3 * time.Second)
 	x.rig.Submit(kqflow.Job{ID: longRunningJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{{Count: 1, LongRunning: true, Estimate: time.Hour,
 		Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}}}})
@@ -115,3 +118,56 @@
 		})
 	}
 }
+
+// restartTime is the time from the kill of all processes until they are started again.
+const restartTime = 300 * time.Millisecond
+
+// A machine is lost, and all other processes are killed and started again before the owner has given
+// the lost one up. Guards against a new owner that has read no earlier epoch and counts the full lease of
+// the lost machine from its own takeover.
+func TestAllProcessesRestartWhileTheLeaseOfALostMachineRuns(t *testing.T) {
+	for _, lease := range []time.Duration{defaultLease, shortLease} {
+		for _, delay := range []time.Duration{0, 2 * time.Second, 5 * time.Second} {
+			for _, loseOwner := range []bool{false, true} {
+				t.Run(fmt.Sprintf("lease %s, restart after %s, owner lost %t", lease, delay, loseOwner), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { loseMachineAndRestart(t, lease, delay, loseOwner) })
+				})
+			}
+		}
+	}
+}
+
+// loseMachineAndRestart loses the machine that runs the task, restarts all other processes after a
+// delay, except that of the owner if its machine is lost too, and checks when the task runs again.
+func loseMachineAndRestart(t *testing.T, lease, delay time.Duration, loseOwner bool) {
+	x := newTakeoverRunWithLease(1, lease)
+	lostAt, lost := time.Now(), []*kqmachine.Machine{x.hostingAgent()}
+	lost[0].Kill()
+	lost[0].Host.Restart(lost[0].Name())
+	time.Sleep(delay)
+	if owner := x.owner(); loseOwner && owner != nil {
+		lost = append(lost, owner)
+	}
+	for _, a := range x.rig.Agents {
+		a.Kill()
+	}
+	time.Sleep(restartTime)
+	for _, a := range x.rig.Agents {
+		if !slices.Contains(lost, a) {
+			restart(a)()
+		}
+	}
+	restartedAt := time.Now()
+	for x.rig.Ledger.RunningCount(longRunningJobID) == 0 && time.Since(lostAt) < time.Minute {
+		time.Sleep(20 * time.Millisecond)
+	}
+	absence, calm := time.Since(lostAt), time.Since(restartedAt)
+	t.Logf("the long-running task runs again after %s, calm for %s", absence, calm)
+	if absence > maxAbsence && calm > calmTime {
+		t.Errorf("the long-running task runs again after %s, of which the last %s were calm; at most %s is allowed", absence, calm, maxAbsence)
+	}
+	x.rig.Stop()
+	if breaches := x.rig.Ledger.Breaches(); len(breaches) > 0 {
+		t.Error(breaches)
+	}
+}
