kqflowrig: workers closed to long-running tasks by a long probe or by hung runs

What callers saw: a long-running task whose machine was lost ran again after 32 s, and after more than a minute, with 13 and 7 of 16 processors free on the other workers. Cause: kqplan/health.go, mayProbe: while a finite run that started after probeAt runs, a quarantined worker takes nothing, also no long-running task; a stalled run moves probeAt on every 200 ms, and moveSlowRun leaves it if it fits nowhere else.

--- a/internal/trial/kqflowrig/absence_test.go
+++ b/internal/trial/kqflowrig/absence_test.go
@@ -133,7 +133,12 @@
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+x.load.IntN(spread)) * time.Millisecond)
 		j := x.rig.RandomJob()
-		if x.load.IntN(3) == 0 {
+		switch x.load.IntN(6) {
+		case 0:
+			for n := range j.Steps {
+				j.Steps[n].Estimate *= 10
+			}
+		case 1, 2:
 			for n := range j.Steps {
 				s := &j.Steps[n]
 				s.Fills, s.Gang, s.Image, s.Estimate = true, false, string(rune('x'+x.load.IntN(3))), s.Estimate*3
@@ -442,7 +447,7 @@
 	x := newAbsenceRun(seed)
 	x.runUnderFaults(seed%3 == 0)
 	for _, a := range x.absences {
-		if a.breach || *nearMiss > 0 && a.inCalm() >= *nearMiss {
+		if a.breach || *nearMiss > 0 && (a.inCalm() >= *nearMiss || a.length() > maxAbsence && a.calm > calmTime) {
 			t.Logf("seed %d: %s\nfaults: %s\n%s", seed, a, strings.Join(x.faultLog, "; "), x.trace(a.task, a.from.Add(-9*time.Second), a.to.Add(time.Second)))
 		}
 		if a.breach {
@@ -450,7 +455,7 @@
 		}
 	}
 	longest := slices.MaxFunc(append(x.absences, absence{}), func(a, b absence) int { return cmp.Compare(a.inCalm(), b.inCalm()) })
-	t.Logf("seed %d: %d absences, longest in calm %s (%s)", seed, len(x.absences), longest.inCalm(), longest)
+	t.Logf("seed %d: %d absences, %d orders refused, longest in calm %s (%s)", seed, len(x.absences), x.events.Counts()["order_refused"], longest.inCalm(), longest)
 	x.rig.Stop()
 	if breaches := x.rig.Ledger.Breaches(); len(breaches) > 0 {
 		t.Errorf("seed %d: %d breaches of the ledger, first %s", seed, len(breaches), breaches[0])
