kqflowrig: the owner's machine is lost during a store outage

What callers saw: the long-running task on the owner's machine ran again after 12.2 and 16.3 s (outages of 4 and 8 s, lease of 7 s), of which the last 8.2 s were calm; after 10.9 and 14.9 s with a lease of 5.76 s, of which 6.9 s were calm. Cause: the new owner counts the lease of the lost machine from its own takeover, which the outage delays (kqcontrol/leases.go, priorGrantsUntil), although the store confirmed no owner during the outage.

--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -371,3 +371,9 @@
 	resources, _ := r.taskSpec(task)
 	return resources
 }
+
+// Estimate returns the run time of a task.
+func (r *Rig) Estimate(task string) time.Duration {
+	_, runTime := r.taskSpec(task)
+	return runTime
+}
--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
 )
@@ -171,3 +172,44 @@
 		t.Error(breaches)
 	}
 }
+
+// The owner's machine is lost with the task at the start of a store outage. Guards against a new owner
+// that counts the full lease of the lost machine from its own takeover, which the outage delays, although
+// the store confirmed no owner meanwhile.
+func TestTheOwnersMachineIsLostDuringAStoreOutage(t *testing.T) {
+	for _, lease := range []time.Duration{defaultLease, shortLease} {
+		for _, outage := range []time.Duration{4 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprintf("lease %s, outage of %s", lease, outage), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { loseOwnerDuringOutage(t, lease, outage) })
+			})
+		}
+	}
+}
+
+func loseOwnerDuringOutage(t *testing.T, lease, outage time.Duration) {
+	x := newTakeoverRunWithLease(1, lease)
+	for x.owner() != x.hostingAgent() {
+		owner := x.owner()
+		x.killOwner()
+		time.Sleep(2 * time.Second)
+		restart(owner)()
+		time.Sleep(10 * time.Second)
+	}
+	x.rig.Store.SetFaults("", kqrowstore.Faults{Refuse: true})
+	time.Sleep(200 * time.Millisecond)
+	lostAt, lost := time.Now(), x.owner()
+	lost.Kill()
+	lost.Host.Restart(lost.Name())
+	time.Sleep(outage)
+	x.rig.Store.ClearFaults()
+	calmAt := time.Now()
+	for x.rig.Ledger.RunningCount(longRunningJobID) == 0 && time.Since(lostAt) < time.Minute {
+		time.Sleep(20 * time.Millisecond)
+	}
+	absence, calm := time.Since(lostAt), time.Since(calmAt)
+	t.Logf("the long-running task runs again after %s, calm for %s", absence, calm)
+	if absence > maxAbsence && calm > calmTime {
+		t.Errorf("the long-running task runs again after %s, of which the last %s were calm; at most %s is allowed", absence, calm, maxAbsence)
+	}
+	x.rig.Stop()
+}
