--- a/internal/trial/kqflowrig/absence_quarantine_test.go
+++ b/internal/trial/kqflowrig/absence_quarantine_test.go
@@ -28,6 +28,14 @@
 	s.LongRunning = true
 	x.rig.Submit(kqflow.Job{ID: longRunningJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}})
 	time.Sleep(3 * time.Second)
+	// A new owner knows no quarantine, so the owner must not be on the machine that is lost.
+	for y := (&takeoverRun{x.rig}); y.owner() == y.hostingAgent(); {
+		owner := y.owner()
+		owner.Shutdown()
+		time.Sleep(2 * time.Second)
+		restart(owner)()
+		time.Sleep(2 * time.Second)
+	}
 	return x
 }
 
@@ -70,12 +78,14 @@
 		x := newQuarantineRun()
 		x.setFaults(kqtaskhost.Faults{FailRuns: true}, true)
 		for range 6 {
-			x.submitFinite(4, 1000, 300*time.Millisecond)
+			x.submitFinite(10, 4000, 300*time.Millisecond)
 			time.Sleep(500 * time.Millisecond)
 		}
+		// All failing jobs end before the fault does: one that completed would end the quarantine.
+		time.Sleep(10 * time.Second)
 		x.setFaults(kqtaskhost.Faults{}, false)
-		time.Sleep(5 * time.Second)
-		x.submitFinite(4, 1000, 40*time.Second)
+		time.Sleep(2 * time.Second)
+		x.submitFinite(10, 1000, 40*time.Second)
 		time.Sleep(8 * time.Second)
 		if away := x.loseMachine(t); away > maxAbsence {
 			t.Errorf("the long-running task runs again after %s, at most %s is allowed", away, maxAbsence)
