kqelect: a report that is out of date does not count against an owner

Callers would have seen a live owner replaced, with the pause of a takeover. ShouldReplace takes the latest report for the present state: if it says that the store has not confirmed the owner, 0.4 s without a heartbeat are enough, which is the interval of heartbeats. Reports come with the grants of leases, so an agent that requests none keeps the last one.

--- a/internal/flow/kqelect/elect_test.go
+++ b/internal/flow/kqelect/elect_test.go
@@ -93,6 +93,16 @@
 		Expect(o.ShouldReplace(at(1200*time.Millisecond), confirmed)).To(BeTrue())
 	})
 
+	It("does not replace a connected owner because of a report that is out of date", func() {
+		owner := kqelect.Owner{Name: "b", Boot: "b1", Version: 3, HeartbeatVersion: 4}
+		unconfirmed := kqelect.OwnerReport{At: begin.Add(-time.Second), ConfirmationAge: 1200 * time.Millisecond}
+		o.Observe(begin, owner, answer)
+		o.Observe(at(450*time.Millisecond), owner, answer)
+		Expect(o.ShouldReplace(at(450*time.Millisecond), unconfirmed)).To(BeFalse())
+		o.Observe(at(1200*time.Millisecond), owner, answer)
+		Expect(o.ShouldReplace(at(1200*time.Millisecond), unconfirmed)).To(BeTrue())
+	})
+
 	It("never acquires a cell without being a candidate", func() {
 		e := kqelect.New(kqelect.Config{Name: "e", Boot: "e1"})
 		e.Observe(begin, kqelect.Owner{}, answer)
