kqexecutor, kqplan, kqcontrol: no lease is granted to a worker that does not answer its agent

Callers saw: a long-running task whose lease had ended on its worker ran again only once that worker answered again, on the same worker, 10.6 s later.

Cause: an agent whose worker did not answer its polls went on requesting leases, and the owner went on granting them. None of them reached the worker, whose runs ended with the last one that had, but each made the owner wait anew for the expiry of the lease before it gave the runs up.

Now an agent requests no lease while it reports its worker as unresponsive, from 0.9 s without an answer on. The owner answers a request for such a worker, from an agent of an earlier version or one that waited for its host to be recorded, with none. LeaseGranted returns what to grant, so that nothing is granted that the planner did not record. The runs are given up 1.03 T + 0.25 s after the last grant.

Why that is safe: the agent passes on only what the owner has granted and recorded. A poll without an answer may have been carried out, but it carried no later end than that, and the owner waits for it. A start that is still being repeated is stopped, as before, ahead of the first grant after the worker answers, since that grant and the stop take the same connection.

--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -144,8 +144,8 @@
 }
 
 // grant answers a lease request. The lease ends at most Config.Lease after the ownership
-// was last confirmed. A host that is not recorded yet gets its answer once it is. mu is
-// held.
+// was last confirmed, and a host whose worker is unresponsive gets none. A host that is not
+// recorded yet gets its answer once it is. mu is held.
 func (x *Session) grant(now time.Time, request uint64) {
 	c := x.controller
 	age := c.confirmation.age(now)
@@ -155,7 +155,7 @@
 		return
 	}
 	if remaining > 0 && x.registered {
-		c.planner.LeaseGranted(now, x.hello.Name, remaining)
+		remaining = c.planner.LeaseGranted(now, x.hello.Name, remaining)
 	} else {
 		remaining = 0
 	}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -311,7 +311,9 @@
 const leaseRequestChecks = 2
 
 // leaseRequester requests a lease from the owner if no report has carried a request for the
-// leaseRequestInterval.
+// leaseRequestInterval. It requests none while the worker is unresponsive: the lease does not reach
+// the worker, and the owner gives the worker's runs up only once the last lease that it granted has
+// expired.
 type leaseRequester struct{ executor *Executor }
 
 func (r *leaseRequester) loop() error {
@@ -331,7 +333,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.config.Now()
-	if x.send == nil || !x.registered || !x.polled || x.awaitsGrant(now) || now.Sub(x.leaseRequestedAt) < leaseRequestInterval {
+	if x.send == nil || !x.registered || !x.polled || x.info.Unresponsive || x.awaitsGrant(now) || now.Sub(x.leaseRequestedAt) < leaseRequestInterval {
 		return
 	}
 	x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.clockLowerBound(now))})
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -126,13 +126,19 @@
 	return d*driftNumerator/driftDenominator + leaseMargin
 }
 
-// LeaseGranted records that a host was granted a lease.
-func (p *Planner) LeaseGranted(now time.Time, name string, lease time.Duration) {
+// LeaseGranted records that a host is granted a lease, and returns the duration to grant: 0 while its
+// worker is unresponsive, since the lease would not reach the worker, and its runs are given up only
+// once every granted lease has expired. A longer lease than the returned one must not be granted.
+func (p *Planner) LeaseGranted(now time.Time, name string, lease time.Duration) time.Duration {
 	h := p.host(name)
+	if h.info.Unresponsive {
+		return 0
+	}
 	wasUsable := h.usable(now)
 	h.lastReportAt = now
 	h.leaseExpiresAt = later(h.leaseExpiresAt, now.Add(p.maxLeaseDuration(lease)))
 	p.passRequested = p.passRequested || !wasUsable && h.usable(now)
+	return lease
 }
 
 // AgentConnected records that the agent of a host connected.
