kqexecutor: a worker that refuses polls counts as unresponsive

Callers would have seen a long-running task stay away as long as its worker refused its agent's polls, as with a worker that does not answer: a refused poll renews no lease, and the runs end there. handlePoll returned from it without handleNoAnswer, so the agent went on requesting leases and the owner on granting them. A worker refuses the polls of an agent that is connected to an earlier owner than one whose token the worker has seen.

A poll that is refused now counts like one without an answer. Once the agent is connected to a later owner the polls are carried out again and the worker registers there as responsive.

--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -20,13 +20,14 @@
 var errNoAnswer = errors.New("no answer")
 
 // fakeWorker answers polls unless pollsUnanswered is true, starts unless startsUnanswered is true, and
-// stops.
+// stops. It refuses polls if pollsFenced is true.
 type fakeWorker struct {
 	mu               sync.Mutex
 	startedAt        time.Time
 	born             time.Time
 	startsUnanswered bool
 	pollsUnanswered  bool
+	pollsFenced      bool
 	delay            time.Duration
 	unhealthy        bool
 	starts           []kqexecution.Start
@@ -72,6 +73,9 @@
 	if w.pollsUnanswered {
 		return kqexecution.Held{}, errNoAnswer
 	}
+	if w.pollsFenced {
+		return kqexecution.Held{Answer: kqexecution.AnswerFenced, Clock: w.clock(), Born: w.born}, nil
+	}
 	w.leaseEnd, w.ackedEnd = max(w.leaseEnd, h.LeaseUntil), max(w.ackedEnd, h.Acknowledged)
 	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock(), Born: w.born}
 	for _, r := range w.running {
--- a/internal/flow/kqexecutor/lease_test.go
+++ b/internal/flow/kqexecutor/lease_test.go
@@ -9,27 +9,39 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 )
 
-// A worker stops answering polls, so leases no longer reach it and its runs end. The agent must not
-// request further leases meanwhile: with each grant the owner waits anew for the expiry of the lease
-// before it places the worker's long-running tasks elsewhere.
+// A worker stops answering polls, or refuses them because it has seen the token of a later owner, so
+// leases no longer reach it and its runs end. The agent must not request further leases meanwhile: with
+// each grant the owner waits anew for the expiry of the lease before it places the worker's
+// long-running tasks elsewhere.
 func TestNoLeaseIsRequestedForAWorkerThatDoesNotAnswer(t *testing.T) {
+	for name, setFault := range map[string]func(w *fakeWorker, on bool){
+		"unanswered": func(w *fakeWorker, on bool) { w.pollsUnanswered = on },
+		"fenced":     func(w *fakeWorker, on bool) { w.pollsFenced = on },
+	} {
+		t.Run(name, func(t *testing.T) { checkLeaseRequests(t, setFault) })
+	}
+}
+
+// checkLeaseRequests checks that no lease is requested while a fault keeps the worker from carrying out
+// polls, and that leases are requested before and after it.
+func checkLeaseRequests(t *testing.T, setFault func(w *fakeWorker, on bool)) {
 	w := &fakeWorker{}
 	var answering, unresponsive, later, answeringAgain uint64
-	setUnanswered := func(on bool) {
+	set := func(on bool) {
 		w.mu.Lock()
-		w.pollsUnanswered = on
+		setFault(w, on)
 		w.mu.Unlock()
 	}
 	withExecutor(t, w, func(_ *WithT, _ *kqexecutor.Executor, o *fakeOwner) {
 		time.Sleep(time.Second)
 		answering = o.lastLeaseRequest()
-		setUnanswered(true)
+		set(true)
 		// The agent reports the worker as unresponsive after 0.9 s.
 		time.Sleep(2 * time.Second)
 		unresponsive = o.lastLeaseRequest()
 		time.Sleep(5 * time.Second)
 		later = o.lastLeaseRequest()
-		setUnanswered(false)
+		set(false)
 		time.Sleep(time.Second)
 		answeringAgain = o.lastLeaseRequest()
 	})
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -92,6 +92,8 @@
 		x.removeWorker(incarnation)
 		return false
 	case h.Answer != kqexecution.AnswerDone:
+		// A refused poll renews no lease.
+		x.handleNoAnswer(now)
 		return false
 	}
 	if !x.isListCurrent(now, incarnation, h.Born) {
@@ -113,8 +115,8 @@
 	return true
 }
 
-// handleNoAnswer reports the worker to the owner as unresponsive once it has not answered for
-// unresponsiveAfter; mu is held.
+// handleNoAnswer reports the worker to the owner as unresponsive once it has not carried out a poll
+// for unresponsiveAfter; mu is held.
 func (x *Executor) handleNoAnswer(now time.Time) {
 	if x.info.Unresponsive || now.Sub(x.answeredAt) < unresponsiveAfter {
 		return
