kqplan: a start that is never carried out is given up

Callers saw: a long-running task stayed away for ten seconds, although it had been placed in time.

Cause: once its start is ordered, a run counts until its end is reported or the lease of its worker has expired. The agent holds a start back while its zones are out of date, and repeats it without a limit while the worker answers late or fence; the worker answers polls meanwhile and gets leases. Its complete reports do not list the run, but checkRunProgress passes over runs that are not reported, and over all long-running ones.

Now the planner counts the complete reports that leave a run out since its start was ordered. A long-running run that at least four have left out over more than 2 s, and none has listed, is stopped, and the task avoids that host. It is placed again only once the end of the stop is reported: until then the start may still be carried out. Four reports rule out an owner that is merely behind: its agents send no further report until it has answered the lease request of the last one.

--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -104,8 +104,8 @@
 	slowPassTime = 100 * time.Millisecond
 )
 
-// checkProgress finds runs that have stalled or are slow: a speculative task gets a second copy, any
-// other task is moved to another host.
+// checkProgress finds runs that are not started, have stalled or are slow: a speculative task gets a
+// second copy, any other task is moved to another host.
 func (p *Planner) checkProgress(now time.Time) {
 	if now.Sub(p.progressCheckedAt) < progressCheckInterval {
 		return
@@ -116,15 +116,51 @@
 		p.movesLeft = 1
 	}
 	for _, h := range p.rotatedHosts() {
-		if !h.usable(now) {
+		usable := h.usable(now)
+		for _, r := range h.runList() {
+			p.stopUnstarted(now, r)
+			if usable {
+				p.checkRunProgress(now, h, r)
+			}
+		}
+	}
+}
+
+const (
+	// maxOmittedTime is how long complete reports may leave out a run whose start was ordered. The
+	// agent repeats a start every 0.03 s, and the worker lists the run once it is carried out.
+	maxOmittedTime = 2 * time.Second
+	// minOmissions is the number of such reports from which a start counts as not carried out: the
+	// owner may be behind with reports that were sent before the order arrived, but an agent sends at
+	// most one report while it waits for the owner.
+	minOmissions = 4
+)
+
+// countOmissions counts a complete report of a worker for the runs that it should have listed.
+func (h *host) countOmissions(now time.Time, worker kqexecution.Incarnation) {
+	for _, r := range h.runs.All() {
+		if r.reported || !r.ordered || r.worker != worker {
 			continue
 		}
-		for _, r := range h.runList() {
-			p.checkRunProgress(now, h, r)
+		if r.omissions == 0 {
+			r.omittedSince = now
 		}
+		r.omissions++
 	}
 }
 
+// stopUnstarted stops a long-running run whose start is not carried out: the agent holds it back, or the
+// worker refuses it for the present. The task is placed again once the agent reports that the run has
+// ended, since until then the worker may still start it.
+func (p *Planner) stopUnstarted(now time.Time, r *run) {
+	if r.stopping || r.reported || !r.task.step.LongRunning || r.task.job.state.Final() || r.omissions < minOmissions || now.Sub(r.omittedSince) <= maxOmittedTime {
+		return
+	}
+	p.logMove(now, r, "its start has not been carried out for %s, %d reports leave it out", now.Sub(r.omittedSince).Round(time.Millisecond), r.omissions)
+	r.task.avoidedHost = r.host.name
+	p.stop(r)
+}
+
 // isOverloaded reports whether scheduling passes take the owner too long. A progress check then
 // searches another host for at most one run, and nothing is relocated.
 func (p *Planner) isOverloaded() bool { return p.fillingPassDuration > slowPassTime }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -231,6 +231,7 @@
 		return
 	}
 	h.updatePaces(r)
+	h.countOmissions(now, r.Worker)
 	p.learnInterference(now, h)
 	for k := range h.orphans {
 		if !slices.ContainsFunc(r.Running, func(x kqexecution.RunStatus) bool { return x.Run == k }) {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -68,7 +68,7 @@
 	// retryAt is the earliest time at which the task is placed again.
 	retryAt time.Time
 	// avoidedHost is the host where a run of the task last failed, was refused, or was stopped
-	// because it stalled or was slow or throttled.
+	// because it was not started, stalled or was slow or throttled.
 	avoidedHost string
 	// waitLogged is true if it was logged why the task waits.
 	waitLogged bool
@@ -93,6 +93,10 @@
 	startedAt time.Time
 	// reported is true once a report has listed the run.
 	reported bool
+	// omissions is the number of complete reports that left the run out since its start was ordered,
+	// while none has listed it; omittedSince is when the first of them arrived.
+	omissions    int
+	omittedSince time.Time
 	// percent is the reported progress, which last changed at progressedAt.
 	percent       float64
 	progressedAt  time.Time
