--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -307,7 +307,9 @@
 }
 
 // leaseRequester requests a lease from the owner if no report has carried a request for the
-// leaseRequestInterval.
+// leaseRequestInterval. It requests none while the worker is unresponsive: the lease does not reach
+// the worker, and the owner gives the worker's runs up only once the last lease that it granted has
+// expired.
 type leaseRequester struct{ executor *Executor }
 
 func (r *leaseRequester) loop() error {
@@ -332,7 +334,7 @@
 	if age := now.Sub(x.leaseRequestedAt); age < leaseRequestInterval {
 		return leaseRequestInterval - age
 	}
-	if x.send != nil && x.registered && x.polled && !x.awaitsGrant(now) {
+	if x.send != nil && x.registered && x.polled && !x.info.Unresponsive && !x.awaitsGrant(now) {
 		x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.clockLowerBound(now))})
 	}
 	return leaseRequestInterval
