kqelect: a connected owner is replaced once its heartbeat has stood still for 0.9 s

One rule again: the latest reported confirmation is over the heartbeat timeout old, and the heartbeat has stood still for two of its intervals and a read, 0.9 s, instead of one interval. Late reports alone do not count any more, since a living owner writes its heartbeat in that time, and a report that is out of date needs no limit of its own.

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -147,15 +147,13 @@
 }
 
 const (
-	// stallTime is how long the heartbeat must have been observed without a change.
-	stallTime = 400 * time.Millisecond
+	// stallTime is how long the heartbeat of a connected owner must have been observed without a
+	// change: two heartbeat intervals and a read. One that is short of processor time writes it
+	// late.
+	stallTime = 900 * time.Millisecond
 	// stallResponseTimes is the same in response times of the store: while the store is slow an
 	// owner has one write in flight, and the next one waits for its answer.
 	stallResponseTimes = 3
-	// maxReportAge is the age from which a report no longer speaks against an owner. An agent gets one
-	// with each grant, every 0.5 s, and none while its worker is unresponsive: the store may have
-	// confirmed the owner again meanwhile.
-	maxReportAge = time.Second
 )
 
 // OwnerReport is what an owner has told a connected process about its ownership.
@@ -170,16 +168,11 @@
 // ConfirmedAt returns when the store confirmed the owner by the latest report.
 func (r OwnerReport) ConfirmedAt() time.Time { return r.At.Add(-r.ConfirmationAge) }
 
-// ShouldReplace reports whether to replace an owner although it is connected. One that has
-// reported within maxReportAge that the store has not confirmed it for the heartbeat timeout is
-// replaced once its heartbeat is stalled. Otherwise the heartbeat must be missing for the whole
-// timeout: reports that are late do not count against an owner, because one that is short of
-// processor time sends them late.
+// ShouldReplace reports whether to replace an owner although it is connected: the latest
+// confirmation that it has reported is older than the heartbeat timeout, and its heartbeat is
+// stalled. The report alone says little, because an owner that is short of processor time sends
+// reports late, and an agent whose worker is unresponsive gets none.
 func (o *Observer) ShouldReplace(now time.Time, r OwnerReport) bool {
-	timeout := o.timeout(HeartbeatTimeout, heartbeatResponseTimes)
-	missing := timeout
-	if r.ConfirmationAge >= timeout && now.Sub(r.At) < maxReportAge {
-		missing = max(stallTime, stallResponseTimes*o.storeLatency)
-	}
-	return o.config.Candidate && now.Sub(o.changedAt) >= missing
+	return o.config.Candidate && now.Sub(r.ConfirmedAt()) >= o.timeout(HeartbeatTimeout, heartbeatResponseTimes) &&
+		now.Sub(o.changedAt) >= max(stallTime, stallResponseTimes*o.storeLatency)
 }
