kqexecutor: ends that wait for the owner are reported before the worker leaves

The ends go out before the message that the worker has gone. AnEndThatWaitsForTheOwnerIsLostWithItsWorker failed before.

--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -279,3 +279,22 @@
 		g.Expect(o.lastLeaseRequest()).To(BeNumerically(">", unanswered))
 	})
 }
+
+// A run ends while the owner is behind, and the worker leaves before the owner has caught up. Guards
+// against an end that is never reported, after which the owner runs the finished task again.
+func TestAnEndThatWaitsForTheOwnerIsLostWithItsWorker(t *testing.T) {
+	end := kqexecution.RunEnd{Number: 1, Run: run, Reason: kqexecution.EndDone}
+	w := &fakeWorker{}
+	withExecutor(t, w, func(g *WithT, x *kqexecutor.Executor, o *fakeOwner) {
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.ended = []kqexecution.RunEnd{end}
+		w.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		x.Departed("w")
+		time.Sleep(3 * time.Second)
+		x.Stop()
+		time.Sleep(time.Second)
+		g.Expect(o.ends()).To(ContainElement(end))
+	})
+}
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -98,6 +98,7 @@
 	x.recordUnlistedStarts(now)
 	x.recordIncarnation(now, later)
 	if x.send != nil {
+		x.reportEnds()
 		x.send(kqmessage.ToOwner{Worker: &kqplan.WorkerInfo{}})
 	}
 	x.setWorker(kqplan.WorkerInfo{}, 0)
@@ -183,6 +184,7 @@
 		return
 	}
 	if x.send != nil {
+		x.reportEnds()
 		x.send(kqmessage.ToOwner{Departed: worker})
 	}
 	x.setWorker(kqplan.WorkerInfo{}, 0)
