--- a/internal/flow/kqcontrol/confirmation.go
+++ b/internal/flow/kqcontrol/confirmation.go
@@ -16,6 +16,8 @@
 	heartbeatAt time.Time
 	// writesInFlight is the number of writes of any kind without an answer.
 	writesInFlight int
+	// progressAt is when the scheduling loop last finished a step; zero before its first one.
+	progressAt time.Time
 }
 
 // confirmed records that the store has confirmed the ownership by a request that was sent at sent.
@@ -81,3 +83,17 @@
 	defer f.mu.Unlock()
 	return now.Sub(f.heartbeatAt) >= HeartbeatInterval/2
 }
+
+// progressed records that the scheduling loop has finished a step.
+func (f *confirmation) progressed(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.progressAt = now
+}
+
+// isHung reports whether the scheduling loop has not finished a step for a given time.
+func (f *confirmation) isHung(now time.Time, limit time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.progressAt.IsZero() && now.Sub(f.progressAt) > limit
+}
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -306,6 +306,7 @@
 		c.disconnectEntries()
 	}
 	ended := c.config.Now()
+	c.confirmation.progressed(ended)
 	c.stats.passDone(now, ended)
 	return ended.Sub(now)
 }
--- a/internal/flow/kqcontrol/heartbeat.go
+++ b/internal/flow/kqcontrol/heartbeat.go
@@ -8,6 +8,11 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
+// hungLeaseShare is the share of a lease, as its denominator, after which an owner whose scheduling loop
+// finishes no step writes no heartbeats any more: it grants no leases either, and a successor needs the
+// rest of the lease.
+const hungLeaseShare = 2
+
 // heartbeater writes heartbeats, which also confirm the ownership.
 type heartbeater struct{ controller *Controller }
 
@@ -17,7 +22,7 @@
 	defer t.Stop()
 	for {
 		now := c.config.Now()
-		if c.confirmation.heartbeatDue(now) && c.confirmation.takeSlot(c.config.TimedStore.Latency.IsSlow(now)) {
+		if c.confirmation.heartbeatDue(now) && !c.confirmation.isHung(now, c.config.Lease/hungLeaseShare) && c.confirmation.takeSlot(c.config.TimedStore.Latency.IsSlow(now)) {
 			c.tomb.Go((&heartbeat{c}).run)
 		}
 		select {
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -148,7 +148,7 @@
 // recorded yet gets its answer once it is. mu is held.
 func (x *Session) grant(now time.Time, request uint64) {
 	c := x.controller
-	age := c.confirmation.age(now)
+	age := max(0, c.confirmation.age(now))
 	remaining := max(0, c.config.Lease-age)
 	if remaining > 0 && x.registered && !c.ensureRecorded(x.hello.Name) {
 		c.leases.pendingRequests[x] = request
