kqnode: streams to a loading owner and to the process itself

Only the latest connection of a host that waits is served now (StreamsGivenUpWhileTheOwnerLoads failed 5 of 5). - The pipe of the owner's own agent has no buffer, so a message that waited for the lock for 1.6 s ended the stream by its write deadline, which TCP outlasts. Its ends have no write deadline now (AnOwnersOwnAgentIsCutOff failed 3 of 3). - Kill stops a controller that has just acquired the cell without handing it over, as its comment says.

--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -94,7 +94,12 @@
 	report kqelect.OwnerReport
 	// agentCount is the number of connected agents that the owner last reported.
 	agentCount int
-	isStopping bool
+	// stopController stops a controller that is still acquiring the cell when the node is
+	// stopped; nil while the node is running.
+	stopController func(*kqcontrol.Controller)
+	// waiting holds, by host, the latest peer that waits until this process has acquired the
+	// cell.
+	waiting map[string]*peer
 	// acquired is closed when the acquisition in progress has ended; nil if there is none.
 	acquired chan struct{}
 }
@@ -131,7 +136,7 @@
 // Shutdown hands the cell over, if this process owns it, and stops the node.
 func (n *Node) Shutdown() {
 	n.mu.Lock()
-	n.isStopping = true
+	n.stopController = (*kqcontrol.Controller).HandOver
 	c := n.controller
 	n.mu.Unlock()
 	if c != nil {
@@ -146,7 +151,7 @@
 // Kill stops the node without handing the cell over, as the death of its process would.
 func (n *Node) Kill() {
 	n.mu.Lock()
-	n.isStopping = true
+	n.stopController = (*kqcontrol.Controller).Abandon
 	c := n.controller
 	n.mu.Unlock()
 	n.tomb.Kill(nil)
@@ -177,19 +182,26 @@
 	}
 }
 
-// awaitController returns the controller of the cell. If this process is acquiring the cell, it
-// waits until that has succeeded or failed. It returns nil if this process does not own the cell.
-func (n *Node) awaitController() *kqcontrol.Controller {
+// awaitController returns the controller of the cell for a peer on a host, nil if this process does
+// not own the cell. If this process is acquiring the cell, it waits until that has succeeded or failed.
+// isLatest is false if the host has connected again meanwhile.
+func (n *Node) awaitController(p *peer, host string) (c *kqcontrol.Controller, isLatest bool) {
 	n.mu.Lock()
 	acquired := n.acquired
+	if acquired == nil {
+		n.mu.Unlock()
+		return n.activeController(), true
+	}
+	n.waiting[host] = p
 	n.mu.Unlock()
-	if acquired != nil {
-		select {
-		case <-acquired:
-		case <-n.tomb.Dying():
-		}
+	select {
+	case <-acquired:
+	case <-n.tomb.Dying():
 	}
-	return n.activeController()
+	n.mu.Lock()
+	isLatest = n.waiting[host] == p
+	n.mu.Unlock()
+	return n.activeController(), isLatest
 }
 
 // OwnerStats returns the latest statistics of the controller. Ok is false if this process
@@ -337,13 +349,13 @@
 // acquire tries to acquire the ownership and starts the controller.
 func (n *Node) acquire(ctx context.Context) {
 	n.mu.Lock()
-	owner, version, isStopping := n.owner, n.version, n.isStopping
-	if isStopping {
+	owner, version := n.owner, n.version
+	if n.stopController != nil {
 		n.mu.Unlock()
 		return
 	}
 	acquired := make(chan struct{})
-	n.acquired = acquired
+	n.acquired, n.waiting = acquired, map[string]*peer{}
 	n.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
@@ -351,16 +363,16 @@
 	n.mu.Lock()
 	n.acquired = nil
 	close(acquired)
-	isStopping = n.isStopping
-	if err == nil && !isStopping {
+	stop := n.stopController
+	if err == nil && stop == nil {
 		n.controller = c
 	}
 	n.mu.Unlock()
 	switch {
 	case err != nil:
 		return
-	case isStopping:
-		c.HandOver()
+	case stop != nil:
+		stop(c)
 		return
 	}
 	c.Start()
@@ -396,10 +408,17 @@
 		return n.config.Network.Dial(ctx, owner.Address)
 	}
 	near, far := net.Pipe()
-	n.accept(far)
-	return near, nil
+	n.accept(localConn{far})
+	return localConn{near}, nil
 }
 
+// localConn is one end of a pipe in this process. Its writes have no deadline: the pipe has no
+// buffer, so they wait while the peer handles a message.
+type localConn struct{ net.Conn }
+
+// SetWriteDeadline sets no deadline.
+func (localConn) SetWriteDeadline(time.Time) error { return nil }
+
 // accept serves a peer on a connection.
 func (n *Node) accept(conn net.Conn) {
 	p := &peer{node: n}
--- a/internal/flow/kqnode/peer.go
+++ b/internal/flow/kqnode/peer.go
@@ -37,7 +37,8 @@
 
 // receive passes a message to the session. The first message must be a Hello; it starts the
 // session if this process owns the cell, with an epoch not below the one that the peer
-// expects. A process that is still loading the cell keeps the peer waiting. Entries are also turned away if the store has not confirmed the ownership recently.
+// expects. A process that is still loading the cell keeps the peer waiting. Entries are also
+// turned away if the store has not confirmed the ownership recently.
 func (p *peer) receive(s *kqstream.Stream, body []byte) {
 	if p.session != nil {
 		p.session.Receive(body)
@@ -48,7 +49,11 @@
 		s.Close()
 		return
 	}
-	c := p.node.awaitController()
+	c, isLatest := p.node.awaitController(p, m.Hello.Name)
+	if !isLatest {
+		s.Close()
+		return
+	}
 	stale := c != nil && m.Hello.Role == kqmessage.RoleEntry && c.Stale(p.node.config.Control.Now())
 	if c == nil || stale || c.Epoch() < m.Hello.Epoch {
 		s.Send(kqmessage.FromOwner{NotOwner: true})
