kqplan: state how far behind an owner may be before it gives up a start

It sends another one after 2 s without an answer, so four reports allow for an owner that is up to some 6 s behind, not for any. Comment only; the 6 s are reckoned from leaseRequestTimeout, not measured.

--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -131,8 +131,8 @@
 	// agent repeats a start every 0.03 s, and the worker lists the run once it is carried out.
 	maxOmittedTime = 2 * time.Second
 	// minOmissions is the number of such reports from which a start counts as not carried out: the
-	// owner may be behind with reports that were sent before the order arrived, but an agent sends at
-	// most one report while it waits for the owner.
+	// owner may be behind with reports that were sent before the order arrived, but an agent that waits
+	// for the answer to a lease request sends at most about one in 2 s.
 	minOmissions = 4
 )
 
