kqnode, kqelect: agents look at the ownership after 0.8 s without a confirmation

Grants come with reports now, 0.4 to 0.5 s apart, and can stay in step with the heartbeats each 0.4 s, so the latest reported confirmation grows up to 0.79 s old.

Rig: Stop waits for calls that occupy a processor.

--- a/internal/flow/kqelect/elect.go
+++ b/internal/flow/kqelect/elect.go
@@ -150,7 +150,7 @@
 	// stallTime is how long the heartbeat of a connected owner must have been observed without a
 	// change: two heartbeat intervals and a read. One that is short of processor time writes it
 	// late.
-	stallTime = 900 * time.Millisecond
+	stallTime = 850 * time.Millisecond
 	// stallResponseTimes is the same in response times of the store: while the store is slow an
 	// owner has one write in flight, and the next one waits for its answer.
 	stallResponseTimes = 3
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -53,7 +53,7 @@
 	acquireTimeout = 6 * time.Second
 	// suspectAge is the time since the latest confirmation of the owner after which a
 	// connected agent checks whether to replace it.
-	suspectAge    = 700 * time.Millisecond
+	suspectAge    = 800 * time.Millisecond
 	watchInterval = 250 * time.Millisecond
 	// delayReadInterval is the time between two reads of the ownership during the random
 	// delay before a process acquires the cell.
--- a/internal/trial/kqflowrig/network.go
+++ b/internal/trial/kqflowrig/network.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,6 +42,8 @@
 // a time.
 type processor struct {
 	idle chan struct{}
+	// calls are the calls that occupy the processor or wait for it.
+	calls sync.WaitGroup
 	// timePerCall is how long one of them takes, in nanoseconds.
 	timePerCall atomic.Int64
 }
@@ -49,6 +53,8 @@
 	if p.timePerCall.Load() == 0 {
 		return
 	}
+	p.calls.Add(1)
+	defer p.calls.Done()
 	<-p.idle
 	time.Sleep(time.Duration(p.timePerCall.Load()))
 	p.idle <- struct{}{}
@@ -67,6 +73,16 @@
 	return p
 }
 
+// waitIdle waits until no call occupies a processor.
+func (n *Network) waitIdle() {
+	n.mu.Lock()
+	processors := slices.Collect(maps.Values(n.processors))
+	n.mu.Unlock()
+	for _, p := range processors {
+		p.calls.Wait()
+	}
+}
+
 // SetTimePerCall sets how long the processor of a machine takes for each read of a connection,
 // except for heartbeats, and each call of the store; 0 is no time.
 func (n *Network) SetTimePerCall(name string, d time.Duration) {
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -164,6 +164,7 @@
 		e.Kill()
 	}
 	r.Store.WaitIdle()
+	r.Network.waitIdle()
 }
 
 // RestartEntry kills the process of an entry, which loses its state in memory, and starts a new
