--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -19,12 +19,14 @@
 
 var errNoAnswer = errors.New("no answer")
 
-// fakeWorker answers polls and stops, and starts unless startsUnanswered is true.
+// fakeWorker answers polls unless pollsUnanswered is true, starts unless startsUnanswered is true, and
+// stops.
 type fakeWorker struct {
 	mu               sync.Mutex
 	startedAt        time.Time
 	born             time.Time
 	startsUnanswered bool
+	pollsUnanswered  bool
 	delay            time.Duration
 	unhealthy        bool
 	starts           []kqexecution.Start
@@ -67,6 +69,9 @@
 	time.Sleep(min(h.Wait, 50*time.Millisecond))
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.pollsUnanswered {
+		return kqexecution.Held{}, errNoAnswer
+	}
 	w.leaseEnd, w.ackedEnd = max(w.leaseEnd, h.LeaseUntil), max(w.ackedEnd, h.Acknowledged)
 	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock(), Born: w.born}
 	for _, r := range w.running {
