kqplan: a test for a queue of one attempt whose long-running tasks never probe a worker

Callers saw: a long-running task stayed away for ten seconds although workers had enough capacity.

Cause: mayRun lets a task probe a quarantined worker only if its queue's attempts less its failed runs exceed one. Long-running tasks have no limit of attempts (taskFailed does not count their failures), but a queue that gives them one attempt closes all quarantined workers to them until some other run there ends done.

--- a/internal/flow/kqplan/quarantine_test.go
+++ b/internal/flow/kqplan/quarantine_test.go
@@ -116,3 +116,12 @@
 	f := quarantinedFleet(g, time.Minute)
 	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A queue of long-running tasks allows one failed run. Such tasks are restarted however often they
+// fail, but mayRun counts the attempts that are left and never lets one probe a quarantined worker.
+func TestALongRunningTaskOfAQueueWithOneAttemptNeverProbes(t *testing.T) {
+	g := NewWithT(t)
+	f := quarantinedFleet(g, time.Minute)
+	f.SetPolicy(&kqflow.Policy{Version: 2, Queues: map[string]kqflow.Queue{"urgent": {Name: "urgent", Service: "s", MaxAttempts: 1, Stretch: 1.5, Target: 250 * time.Millisecond}}})
+	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
+}
