kqplan: a test for a stalled run that quarantines its worker again and again

Callers saw: a long-running task stayed away for ten seconds although a worker had enough capacity.

Cause: checkRunProgress sets probeAt to 1.5 s ahead every 200 ms while a run on the worker is stalled. If moveSlowRun finds no other host, the run stays and the quarantine never ends.

--- a/internal/flow/kqplan/quarantine_test.go
+++ b/internal/flow/kqplan/quarantine_test.go
@@ -125,3 +125,53 @@
 	f.SetPolicy(&kqflow.Policy{Version: 2, Queues: map[string]kqflow.Queue{"urgent": {Name: "urgent", Service: "s", MaxAttempts: 1, Stretch: 1.5, Target: 250 * time.Millisecond}}})
 	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A finite run makes no progress on the only worker that is left, and there is no other worker to
+// move it to. Each progress check quarantines the worker anew, so a long-running task is never placed
+// there.
+func TestAStalledRunQuarantinesItsWorkerAgainAndAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }, runTime: func(kqplan.Order) time.Duration { return 0 }}
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30})
+	f.Submit(f.now, job("standing", "urgent", f.now, standingStep()), nil, 0)
+	f.advance(time.Second, nil)
+	f.addWorker("h2", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64 << 30})
+	f.Submit(f.now, job("stuck", "urgent", f.now, newStep(1, 4)), nil, 0)
+	f.advance(3*time.Second, nil)
+	g.Expect(f.workers[1].runs).To(HaveLen(1))
+	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
+}
+
+// Long-running tasks that fail shortly after each start count as failures of their worker. They keep
+// it quarantined, and keep another long-running task away from it.
+func TestLongRunningTasksThatFailKeepAnotherAway(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }, runTime: func(kqplan.Order) time.Duration { return 0 }}
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30})
+	f.Submit(f.now, job("standing", "urgent", f.now, standingStep()), nil, 0)
+	f.advance(time.Second, nil)
+	f.addWorker("h2", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64 << 30})
+	failing := standingStep()
+	failing.Count = 3
+	f.Submit(f.now, job("failing", "urgent", f.now, failing), nil, 0)
+	failSoon := func(kqplan.Order) {
+		for _, x := range f.workers[len(f.workers)-1].runs {
+			if x.order.Run.Task != standingTask && x.endsAt.IsZero() {
+				x.endsAt, x.reason = f.now.Add(time.Second), kqexecution.EndFailed
+			}
+		}
+	}
+	f.advance(4*time.Second, failSoon)
+	g.Expect(f.workers[0].runs).To(HaveLen(1))
+	f.AgentDisconnected(f.now, "h1")
+	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.workers = f.workers[1:]
+	departedAt, delay := f.now, maxDowntime
+	f.advance(maxDowntime, func(o kqplan.Order) {
+		failSoon(o)
+		if o.Run.Task == standingTask {
+			delay = min(delay, f.now.Sub(departedAt))
+		}
+	})
+	g.Expect(delay).To(BeNumerically("<=", maxPlacementDelay))
+}
