kqplan: a test for preemption that waits for stops that do not end

Callers saw: a long-running task stayed away for ten seconds although runs of lower priority could have been stopped for it.

Cause: preempt picks the host with the fewest further runs to stop. A host whose stopping runs would free enough needs none, so each pass picks it again and stops nothing elsewhere, also if those stops take long or never end.

Evidence: go test -p 1 -cpu 2 ./internal/flow/kqplan -run PreemptionWaits fails: not ordered within 9 s.

--- /dev/null
+++ b/internal/flow/kqplan/capacity_test.go
@@ -0,0 +1,43 @@
+package kqplan_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+)
+
+// standingFleet returns a fleet in which the standing task runs on h1.
+func standingFleet(g *WithT) *fleet {
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }}
+	f.runTime = func(kqplan.Order) time.Duration { return 0 }
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
+	f.Submit(f.now, job("standing", "urgent", f.now, standingStep()), nil, 0)
+	f.advance(time.Second, nil)
+	g.Expect(f.workers[0].runs).To(HaveLen(1))
+	return f
+}
+
+// Runs on h2 that are being stopped never end. Preemption picks the host with the fewest further runs
+// to stop, which is always h2, so it waits for them and stops no run on h3.
+func TestPreemptionWaitsForStopsThatDoNotEnd(t *testing.T) {
+	g := NewWithT(t)
+	f := standingFleet(g)
+	f.addWorker("h2", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
+	f.Submit(f.now, fillingJob("filling-h2", f.now, 40), nil, 0)
+	f.advance(time.Second, nil)
+	g.Expect(len(f.workers[1].runs)).To(BeNumerically(">=", 9))
+	f.stopTime = func() time.Duration { return time.Hour }
+	f.Submit(f.now, kqflow.Submission{Job: kqflow.Job{ID: "filling-h2"}, Cancelled: true}, nil, 0)
+	f.advance(time.Second, nil)
+	f.stopTime = func() time.Duration { return 200 * time.Millisecond }
+	f.addWorker("h3", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
+	f.Submit(f.now, fillingJob("filling-h3", f.now, 40), nil, 0)
+	f.advance(time.Second, nil)
+	g.Expect(len(f.workers[2].runs)).To(BeNumerically(">=", 9))
+	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
+}
