kqplan: a test for workers that warm up and keep a long-running task waiting

Callers saw: a long-running task stayed away for ten seconds although workers had enough capacity.

Cause: withinWarmUpLimit lets only half to all of a worker's capacity be assigned while it warms up, as soon as the service has one warm worker, whether or not that worker has capacity for the task.

Evidence: go test -p 1 -cpu 2 ./internal/flow/kqplan -run WarmUpKeeps fails: not ordered within 9 s on either of two workers with 18 processors free and a warm-up of 20 s.

--- a/internal/flow/kqplan/capacity_test.go
+++ b/internal/flow/kqplan/capacity_test.go
@@ -41,3 +41,28 @@
 	g.Expect(len(f.workers[2].runs)).To(BeNumerically(">=", 9))
 	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A service has one warm worker, which is full, and workers that warm up for 20 s. The limit on
+// what workers may have assigned during their warm-up keeps a long-running task waiting although each
+// of them has enough capacity.
+func TestWarmUpKeepsLongRunningTasksAway(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCellWith(kqplan.Config{Epoch: 1, LimitWarmUp: true}), stopTime: func() time.Duration { return 200 * time.Millisecond }}
+	f.runTime = func(kqplan.Order) time.Duration { return 0 }
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64400 << 20})
+	f.Submit(f.now, job("standing", "urgent", f.now, standingStep()), nil, 0)
+	f.advance(time.Second, nil)
+	f.addWorker("warm", kqmodel.Resources{MilliProcessors: 6000, MemoryBytes: 64400 << 20})
+	large := newStep(1, 14)
+	large.LongRunning = true
+	for _, h := range []string{"cold1", "cold2"} {
+		capacity := kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20}
+		f.addWorker(h, capacity)
+		w := f.workers[len(f.workers)-1]
+		f.UpdateWorker(f.now, h, kqplan.WorkerInfo{Worker: w.worker, Service: "s", Capacity: capacity, WarmUpLeft: 20 * time.Second})
+		f.Submit(f.now, job("on-"+h, "urgent", f.now, large), nil, 0)
+		f.advance(time.Second, nil)
+		g.Expect(w.runs).To(HaveLen(1))
+	}
+	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
+}
