kqplan: a test for a task with tickets only for workers that its siblings are on

Callers saw: a long-running task stayed away until the tickets of its step expired.

Cause: missingWorkers counts each worker with a valid ticket and free capacity as a place, without the runs of the step that are there already (MaxPerWorker), a quarantine or the warm-up limit. It finds no worker missing, and no further approval is requested.

Evidence: go test -p 1 -cpu 2 ./internal/flow/kqplan -run NoApproval fails: not ordered within 9 s, although two workers without a ticket are free.

--- a/internal/flow/kqplan/capacity_test.go
+++ b/internal/flow/kqplan/capacity_test.go
@@ -9,6 +9,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
 )
 
 // standingFleet returns a fleet in which the standing task runs on h1.
@@ -66,3 +67,48 @@
 	}
 	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A queue needs approved workers, and a step may have one task per worker. The tickets of workers
+// that already run a task of the step count as if a second one could run there, so no further
+// approval is requested and a task waits until a ticket expires.
+func TestNoApprovalIsRequestedForATaskThatMayNotRunBesideItsSiblings(t *testing.T) {
+	g := NewWithT(t)
+	const validFor = time.Minute
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }}
+	f.runTime = func(kqplan.Order) time.Duration { return 0 }
+	f.SetPolicy(&kqflow.Policy{Version: 2, Queues: map[string]kqflow.Queue{"urgent": {Name: "urgent", Service: "s", MaxAttempts: 2, Stretch: 1.5, Target: 250 * time.Millisecond,
+		Approval: kqflow.Approval{Required: true, DecisionTime: 200 * time.Millisecond, DecisionTimePerWorker: 10 * time.Millisecond, ValidFor: validFor}}}})
+	capacity := kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20}
+	f.addWorker("h1", capacity)
+	f.addWorker("h2", capacity)
+	s := standingStep()
+	s.Count, s.MaxPerWorker = 2, 1
+	f.Submit(f.now, job("standing", "urgent", f.now, s), nil, 0)
+	approveAll := func() {
+		for _, e := range f.approvalRequests {
+			x := kqplan.ApprovalResponse{Step: e.ApprovalRequest.Step, Workers: e.ApprovalRequest.Workers, Answered: true, Answer: kqapproval.Response{ValidFor: validFor}}
+			for _, w := range e.ApprovalRequest.Workers {
+				x.Answer.Tickets = append(x.Answer.Tickets, kqapproval.Ticket{Worker: w.ID(), Ticket: "t"})
+			}
+			f.RecordApproval(f.now, e.Host, x)
+		}
+		f.approvalRequests = nil
+	}
+	for range 40 {
+		f.advance(fleetStep, nil)
+		approveAll()
+	}
+	g.Expect(f.workers[0].runs).To(HaveLen(1))
+	g.Expect(f.workers[1].runs).To(HaveLen(1))
+	f.addWorker("h3", capacity)
+	f.addWorker("h4", capacity)
+	f.AgentDisconnected(f.now, "h1")
+	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.workers = f.workers[1:]
+	departedAt, delay := f.now, maxDowntime
+	for f.now.Sub(departedAt) < maxDowntime {
+		f.advance(fleetStep, func(kqplan.Order) { delay = min(delay, f.now.Sub(departedAt)) })
+		approveAll()
+	}
+	g.Expect(delay).To(BeNumerically("<=", maxPlacementDelay))
+}
