kqplan: a test for the reserve for the top priority and long-running tasks that have run

Callers saw: a long-running task of a lower priority stayed away although workers had enough capacity.

Cause: hasCapacity adds 6 % of the worker's processors to what a task of a lower priority needs, also for a long-running task that has run before and must run again in time.

Evidence: go test -p 1 -cpu 2 ./internal/flow/kqplan -run TheReserve fails: not ordered within 9 s on either of two workers that fit the task.

--- a/internal/flow/kqplan/capacity_test.go
+++ b/internal/flow/kqplan/capacity_test.go
@@ -112,3 +112,19 @@
 	}
 	g.Expect(delay).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A queue of a lower priority leaves 6 % of each worker's processors to the top priority. A
+// long-running task that ran on a larger worker waits although two workers have enough processors
+// free.
+func TestTheReserveForTheTopPriorityKeepsLongRunningTasksAway(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }}
+	f.runTime = func(kqplan.Order) time.Duration { return 0 }
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
+	f.Submit(f.now, job("standing", "batch", f.now, standingStep()), nil, 0)
+	f.advance(5*time.Second, nil)
+	g.Expect(f.workers[0].runs).To(HaveLen(1))
+	f.addWorker("h2", kqmodel.Resources{MilliProcessors: 6500, MemoryBytes: 64400 << 20})
+	f.addWorker("h3", kqmodel.Resources{MilliProcessors: 6500, MemoryBytes: 64400 << 20})
+	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
+}
