kqplan: a test for a worker that refuses a task and is chosen again and again

Callers saw: a long-running task stayed away for ten seconds although workers had enough capacity.

Cause: after a refusal the task avoids the host at a cost of 0.8 (avoidedHostCost), while an empty host saves a serving task up to 1.0 for each other image that serves on the alternatives (imageMixCost). The refusing host stays the cheapest, and 100 ms later it is chosen again (recordEnd and applyEnd, EndRefused), without a limit.

--- a/internal/flow/kqplan/downtime_test.go
+++ b/internal/flow/kqplan/downtime_test.go
@@ -23,9 +23,13 @@
 // run.
 type fleet struct {
 	*cell
-	workers  []*fleetWorker
+	workers []*fleetWorker
+	// updates counts the updates.
+	updates  int
 	runTime  func(kqplan.Order) time.Duration
 	stopTime func() time.Duration
+	// refuses reports whether a worker refuses a start; nil means that none does.
+	refuses func(*fleetWorker, kqplan.Order) bool
 }
 
 // fleetWorker is a worker of a fleet with the runs at work on it.
@@ -40,17 +44,28 @@
 }
 
 type fleetRun struct {
-	order kqplan.Order
+	order     kqplan.Order
+	startedAt time.Time
 	// endsAt is zero for a run that does not end by itself.
 	endsAt time.Time
 	reason kqexecution.EndReason
 }
 
+// percent returns the progress of the run. A run that does not end by itself makes none.
+func (x *fleetRun) percent(now time.Time) float64 {
+	if x.endsAt.IsZero() {
+		return 50
+	}
+	return 100 * float64(now.Sub(x.startedAt)) / float64(x.endsAt.Sub(x.startedAt))
+}
+
 // fleetStep is the simulated time between two updates of a fleet, reportSteps the number of updates
 // between two complete reports.
 const (
 	fleetStep   = 50 * time.Millisecond
 	reportSteps = 8
+	// servingMeasurement is the tail latency of serving runs, in milliseconds.
+	servingMeasurement = 40
 )
 
 func (f *fleet) addWorker(host string, capacity kqmodel.Resources) {
@@ -63,10 +78,11 @@
 
 // advance simulates a time and calls onOrder for each start that is carried out.
 func (f *fleet) advance(d time.Duration, onOrder func(kqplan.Order)) {
-	for n := range int(d / fleetStep) {
+	for range int(d / fleetStep) {
 		f.now = f.now.Add(fleetStep)
-		for _, w := range f.workers {
-			f.advanceWorker(w, n%reportSteps == 0)
+		f.updates++
+		for n, w := range f.workers {
+			f.advanceWorker(w, (f.updates+n)%reportSteps == 0)
 		}
 		f.Tick(f.now)
 		f.version++
@@ -94,7 +110,11 @@
 		}
 		left = append(left, k)
 		if complete {
-			r.Running = append(r.Running, kqexecution.RunStatus{Run: k, Percent: 50})
+			s := kqexecution.RunStatus{Run: k, Percent: x.percent(f.now)}
+			if x.order.TailTarget > 0 {
+				s.Measurement = servingMeasurement
+			}
+			r.Running = append(r.Running, s)
 		}
 	}
 	w.startOrder = left
@@ -117,8 +137,10 @@
 			if at := f.now.Add(f.stopTime()); x.endsAt.IsZero() || at.Before(x.endsAt) {
 				x.endsAt, x.reason = at, kqexecution.EndStopped
 			}
+		case !o.Stop && x == nil && f.refuses != nil && f.refuses(w, o):
+			f.ApplyReport(f.now, w.host, kqplan.Report{Worker: w.worker, Ended: []kqexecution.RunEnd{{Run: o.Run, Reason: kqexecution.EndRefused}}})
 		case !o.Stop && x == nil:
-			x = &fleetRun{order: o, reason: kqexecution.EndDone}
+			x = &fleetRun{order: o, startedAt: f.now, reason: kqexecution.EndDone}
 			if d := f.runTime(o); d > 0 {
 				x.endsAt = f.now.Add(d)
 			}
