kqplan: a replay in which tasks of departed workers wait behind filling tasks

Callers saw: long-running tasks stayed away for seconds although only filling tasks of lower priority held the memory that they needed.

Cause: as in TestMemoryFreedByPreemptionGoesToTheNextFillingTask, at the load of the incident: memory that preemption frees goes to the next filling task.

--- a/internal/flow/kqplan/standing_replay_test.go
+++ b/internal/flow/kqplan/standing_replay_test.go
@@ -217,3 +217,32 @@
 		}
 	}
 }
+
+// depart returns a disturbance in which a number of workers depart at once.
+func (r *standingReplay) depart(count int) func(time.Duration) {
+	return func(at time.Duration) {
+		if at != disturbedAt {
+			return
+		}
+		for _, w := range r.workers[:count] {
+			r.AgentDisconnected(r.now, w.host)
+			r.WorkerDeparted(r.now, w.host, w.worker)
+		}
+		r.workers = r.workers[count:]
+	}
+}
+
+// Two workers of a service that long-running tasks fill to 80 % depart after jobs have stopped
+// arriving, while filling tasks hold most of the memory that is left. The memory that preemption
+// frees goes to further filling tasks, so long-running tasks wait for it.
+func TestStandingTasksOfADepartedWorkerWaitBehindFillingTasks(t *testing.T) {
+	g := NewWithT(t)
+	longest := time.Duration(0)
+	for seed := range uint64(4) {
+		r := newStandingReplay(seed)
+		d := r.run(disturbedAt-5*time.Second, r.depart(2))
+		t.Logf("seed %d: %d standing tasks ran, longest wait with capacity twice over %s", seed, len(r.ran), d)
+		longest = max(longest, d)
+	}
+	g.Expect(longest).To(BeNumerically("<=", maxPlacementDelay))
+}
