kqplan: memory that is freed for a long-running task is kept for it

Callers saw: a long-running task whose worker was gone stayed away for up to 9 s, although only filling tasks of lower priority held the memory that it needed.

Cause: a pass preempts filling tasks for it, which stop one after the other. What a waiting task will use (pass.claimed) was read by preempt alone, so the memory of the first run to stop went to the next filling task of the backlog, and the next pass preempted again.

Fix: a host keeps what the long-running tasks of a pass will use there once runs have stopped, and another task fits only if that is left from what is free or being freed. So the memory adds up until the task fits.

--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -98,6 +98,10 @@
 	// pendingApprovals is the number of approval requests in progress through the agent.
 	pendingApprovals int
 
+	// longRunningClaims holds the resources that long-running tasks of the latest pass will use
+	// once preempted runs have stopped. Without it, each run that stops makes way for the next
+	// filling task.
+	longRunningClaims kqmodel.Resources
 	// warmUpUntil is the end of the time for which the worker is slow after its start.
 	warmUpUntil time.Time
 }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -108,6 +108,9 @@
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
 	}
+	for _, h := range p.hosts.All() {
+		h.longRunningClaims = kqmodel.Resources{}
+	}
 	waiting := 0
 	for _, j := range p.orderedJobs(now, ps.includesFilling) {
 		for _, t := range j.tasks {
@@ -292,14 +295,16 @@
 	return h.hasCapacity(t) && p.mayRun(now, t, h) && p.isApproved(now, t, h) && (!t.step.Fills || p.acceptsFilling(now, t, h))
 }
 
-// hasCapacity reports whether the resources that a task reserves are free on a host. The reserve for
-// the top priority must stay free too, unless the task has that priority or fills.
+// hasCapacity reports whether the resources that a task reserves are free on a host, and whether
+// those that are free or about to be freed suffice for the long-running tasks that wait there too. The
+// reserve for the top priority must stay free as well, unless the task has that priority or fills.
 func (h *host) hasCapacity(t *task) bool {
 	need := t.step.Reserved()
 	if t.job.queue.Priority > 0 && !t.step.Fills {
 		need.MilliProcessors += h.info.Capacity.MilliProcessors * topPriorityReserve / 100
 	}
-	return need.FitsIn(h.free())
+	free := h.free()
+	return need.FitsIn(free) && (h.longRunningClaims.IsZero() || need.Add(h.longRunningClaims).FitsIn(free.Add(h.usage.stoppingReserved)))
 }
 
 // mayRun reports whether a host may run a task, regardless of the host's free capacity.
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -11,8 +11,8 @@
 )
 
 // preempt stops runs of lower priority on one host so that a task fits there, unless the runs that
-// are being stopped free enough already. It adds the task's resources to claimed and reports
-// whether the task will fit.
+// are being stopped free enough already. It adds the task's resources to claimed, and to the
+// longRunningClaims of the host if the task is long-running, and reports whether the task will fit.
 func (p *Planner) preempt(now time.Time, t *task, claimed map[*host]kqmodel.Resources) bool {
 	need := t.step.Reserved()
 	var best *host
@@ -30,6 +30,9 @@
 		return false
 	}
 	claimed[best] = claimed[best].Add(need)
+	if t.step.LongRunning {
+		best.longRunningClaims = best.longRunningClaims.Add(need)
+	}
 	for _, r := range victims {
 		p.config.Events.EmitFields(now, kqevent.FlowRunPreempted, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
 			"run %d on %s is preempted for task %s", r.number, r.worker, t.id)
