kqplan: quarantine does not keep long-running tasks away

Callers saw: a long-running task whose worker was gone stayed away for 9 s and more although a worker had capacity, because all workers with capacity were quarantined.

Cause: a quarantined worker accepts one probe at a time, and only tasks with two attempts left. A throttled filling task or a long finite task as the probe holds off all others until it ends; a queue of one attempt never probes, although long-running tasks have no limit of attempts; a stalled run that cannot be moved renews the quarantine at each progress check; preemption skips quarantined workers.

Fix: for a long-running task that has had a run, quarantine is a cost (quarantineCost) and not a bar. It goes to another worker if one has capacity, and preempts on others first. For 1.5 s after a run of it has failed the old rules apply to it, so it is not restarted at once on a worker on which it fails. Shortlists and the records of what fits nowhere are kept apart for such tasks, since hosts accept them that reject others of their step. A running task is not moved to a quarantined worker. Finite tasks are placed as before.

Evidence: go test -p 1 -cpu 2 ./internal/flow/kqplan -run 'Quarantine|Probe|KeepsFailing' -v Time until the order: filling probe, long finite probe, one attempt and stalled run 9 s each (the tests' limit), now 50 ms each; no probe under way 1.05 s, now 50 ms.

--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -72,6 +72,23 @@
 // run has completed on it since.
 func (x *health) isQuarantined() bool { return !x.probeAt.IsZero() }
 
+// rank orders workers for preemption: 0 for a worker that is not quarantined, otherwise 1.
+func (x *health) rank() int {
+	if x.isQuarantined() {
+		return 1
+	}
+	return 0
+}
+
+// mayUseQuarantined reports whether a task may be placed on a quarantined worker like on any other,
+// though at quarantineCost. This applies to a long-running task that has run before: it serves nobody
+// while it waits for a probe, whose end may take as long as a throttled filling task. A task that has
+// just failed waits, so that it does not fail again and again on quarantined workers.
+func (t *task) mayUseQuarantined(now time.Time) bool {
+	hasEndedRun := t.lastRun > uint64(len(t.runs))
+	return t.step.LongRunning && hasEndedRun && now.Sub(t.failedAt) >= quarantineTime
+}
+
 // mayProbe reports whether a quarantined worker may get one task as a probe.
 func (h *host) mayProbe(now time.Time) bool {
 	if now.Before(h.health.probeAt) {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -384,6 +384,7 @@
 	case kqexecution.EndDone:
 		p.taskDone(now, t)
 	case kqexecution.EndFailed:
+		t.failedAt = now
 		p.taskFailed(now, t, h, e.Run.Number)
 	case kqexecution.EndRefused:
 		t.avoidedHost = h.name
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -70,6 +70,8 @@
 	// avoidedHost is the host where a run of the task last failed, was refused, or was stopped
 	// because it stalled or was slow or throttled.
 	avoidedHost string
+	// failedAt is when a run of the task last failed.
+	failedAt time.Time
 	// waitLogged is true if it was logged why the task waits.
 	waitLogged bool
 	// waitingSince is when the gang of the task began to wait for capacity.
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -20,6 +20,16 @@
 
 func (t *task) stepKey() stepKey { return stepKey{t.job.spec.ID, t.id.Occurrence, t.id.Step} }
 
+// placementKey identifies tasks of a step that the same hosts accept.
+type placementKey struct {
+	step              stepKey
+	mayUseQuarantined bool
+}
+
+func (t *task) placementKey(now time.Time) placementKey {
+	return placementKey{t.stepKey(), t.mayUseQuarantined(now)}
+}
+
 // pass is the state of one scheduling pass over all waiting tasks. Free capacity only shrinks
 // during a pass, so once one task of a step cannot be placed, no other task of the step can.
 type pass struct {
@@ -27,10 +37,10 @@
 	includesFilling bool
 	// claimed holds the resources that tasks waiting for preempted runs to stop will use on a host.
 	claimed map[*host]kqmodel.Resources
-	// unplaceable holds the steps for which no host has capacity; unpreemptable holds those for
+	// unplaceable holds the tasks for which no host has capacity; unpreemptable holds those for
 	// which preemption cannot free any either.
-	unplaceable   map[stepKey]bool
-	unpreemptable map[stepKey]bool
+	unplaceable   map[placementKey]bool
+	unpreemptable map[placementKey]bool
 	// withheld holds the long-running steps that have to leave the free capacity to finite jobs.
 	withheld map[stepKey]bool
 	// fillingMisses counts the steps of filling tasks that no host accepts.
@@ -103,7 +113,7 @@
 // placeAll runs a scheduling pass: it starts, in the order of orderedJobs, every task that is due and
 // for which there is capacity.
 func (p *Planner) placeAll(now time.Time) {
-	ps := &pass{claimed: map[*host]kqmodel.Resources{}, unplaceable: map[stepKey]bool{}, unpreemptable: map[stepKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
+	ps := &pass{claimed: map[*host]kqmodel.Resources{}, unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
@@ -177,13 +187,14 @@
 		p.logWaiting(now, t, "the service keeps its free processors for finite jobs")
 		return false
 	}
-	if !ps.unplaceable[t.stepKey()] && (!t.step.Fills || ps.fillingMisses < p.fillingMissLimit) {
+	key := t.placementKey(now)
+	if !ps.unplaceable[key] && (!t.step.Fills || ps.fillingMisses < p.fillingMissLimit) {
 		if h := p.chooseInPass(now, t, ps); h != nil {
 			p.start(now, t, h)
 			ps.shortlist.rescore(p, now, t, h)
 			return true
 		}
-		ps.unplaceable[t.stepKey()] = true
+		ps.unplaceable[key] = true
 		if t.step.Fills {
 			ps.fillingMisses++
 		}
@@ -214,8 +225,8 @@
 // in time, runs of lower priority are preempted for it.
 func (p *Planner) waitOrPreempt(now time.Time, t *task, ps *pass) {
 	p.logWaiting(now, t, p.noCapacityReason())
-	if !ps.unpreemptable[t.stepKey()] && t.job.phase(now) == phaseInTime {
-		ps.unpreemptable[t.stepKey()] = !p.preempt(now, t, ps.claimed)
+	if key := t.placementKey(now); !ps.unpreemptable[key] && t.job.phase(now) == phaseInTime {
+		ps.unpreemptable[key] = !p.preempt(now, t, ps.claimed)
 	}
 }
 
@@ -319,7 +330,7 @@
 		return false
 	case !p.withinWarmUpLimit(now, t, h):
 		return false
-	case h.health.isQuarantined() && !(h.mayProbe(now) && t.job.queue.MaxAttempts-len(t.failedRuns) > 1):
+	case h.health.isQuarantined() && !t.mayUseQuarantined(now) && !(h.mayProbe(now) && t.job.queue.MaxAttempts-len(t.failedRuns) > 1):
 		return false
 	}
 	return true
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -18,11 +18,11 @@
 	var best *host
 	var victims []*run
 	for _, h := range p.hosts.All() {
-		if !h.mayPreemptFor(t) || h.health.isQuarantined() || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) {
+		if !h.mayPreemptFor(t) || h.health.isQuarantined() && !t.mayUseQuarantined(now) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) {
 			continue
 		}
 		v, ok := h.victims(t, need.Add(claimed[h]))
-		if ok && (best == nil || len(v) < len(victims) || len(v) == len(victims) && h.name < best.name) {
+		if ok && (best == nil || cmp.Or(cmp.Compare(h.health.rank(), best.health.rank()), cmp.Compare(len(v), len(victims)), strings.Compare(h.name, best.name)) < 0) {
 			best, victims = h, v
 		}
 	}
--- a/internal/flow/kqplan/quarantine_test.go
+++ b/internal/flow/kqplan/quarantine_test.go
@@ -175,3 +175,21 @@
 	})
 	g.Expect(delay).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A long-running task fails 100 ms after each start on the only worker. Quarantine does not bar a
+// long-running task that has run, so without a wait after a failure it would be restarted at once.
+func TestALongRunningTaskThatKeepsFailingIsRestartedWithoutPause(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }, runTime: func(kqplan.Order) time.Duration { return 0 }}
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30})
+	f.Submit(f.now, job("standing", "urgent", f.now, standingStep()), nil, 0)
+	starts := 0
+	f.advance(maxDowntime, func(kqplan.Order) {
+		starts++
+		for _, x := range f.workers[0].runs {
+			x.endsAt, x.reason = f.now.Add(100*time.Millisecond), kqexecution.EndFailed
+		}
+	})
+	// The second failure quarantines the worker, for at least 1.5 s after each failure.
+	g.Expect(starts).To(BeNumerically("~", 2+int(maxDowntime/(1500*time.Millisecond)), 2))
+}
--- a/internal/flow/kqplan/relocate.go
+++ b/internal/flow/kqplan/relocate.go
@@ -150,7 +150,12 @@
 // other zones keep capacity free for finite jobs.
 func (p *Planner) hasPlaceElsewhere(now time.Time, t *task) bool {
 	if !t.step.Gang {
-		return p.keepsCapacityFree(now, t, 1) && p.chooseHost(now, t) != nil
+		if !p.keepsCapacityFree(now, t, 1) {
+			return false
+		}
+		// A long-running task that runs is not stopped to move it to a quarantined worker.
+		h := p.chooseHost(now, t)
+		return h != nil && !(t.step.LongRunning && h.health.isQuarantined())
 	}
 	members := t.stepTasks()
 	return p.keepsCapacityFree(now, t, len(members)) && p.chooseGangHosts(now, t, members) != nil
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// shortlist holds the hosts that have capacity for the tasks of one step, with their costs. A start
+// shortlist holds the hosts that have capacity for tasks with the same placementKey, with their costs. A start
 // changes only its own host, so the hosts are scored once per step and not once per task.
 type shortlist struct {
-	step stepKey
+	key placementKey
 	// jobIdle is true if the list was made while the job accepted any host, see maxJobIdleTime.
 	jobIdle    bool
 	fleet      fleetView
@@ -19,7 +19,7 @@
 }
 
 // chooseInPass returns the host with the lowest cost for a task of the pass, or nil. It uses the
-// pass's shortlist, or makes a new one if that is of another step.
+// pass's shortlist, or makes a new one if that is for other tasks.
 func (p *Planner) chooseInPass(now time.Time, t *task, ps *pass) *host {
 	if len(t.failedRuns) > 0 {
 		// A task that has failed may have too few attempts left to probe a quarantined host, unlike
@@ -30,15 +30,15 @@
 		return nil
 	}
 	jobIdle := t.step.Fills && t.job.idleTime(now) >= maxJobIdleTime
-	if l := ps.shortlist; l == nil || l.step != t.stepKey() || l.jobIdle != jobIdle {
+	if l := ps.shortlist; l == nil || l.key != t.placementKey(now) || l.jobIdle != jobIdle {
 		ps.shortlist = p.newShortlist(now, t, jobIdle)
 	}
 	return ps.shortlist.cheapest(t)
 }
 
-// newShortlist scores all hosts for the tasks of a step.
+// newShortlist scores all hosts for a task.
 func (p *Planner) newShortlist(now time.Time, t *task, jobIdle bool) *shortlist {
-	l := &shortlist{step: t.stepKey(), jobIdle: jobIdle}
+	l := &shortlist{key: t.placementKey(now), jobIdle: jobIdle}
 	for _, h := range p.hosts.All() {
 		if !h.hasCapacity(t) {
 			continue
@@ -72,7 +72,7 @@
 // rescore updates the cost of the host on which a task of the step was started, or removes the host
 // if it is no longer eligible.
 func (l *shortlist) rescore(p *Planner, now time.Time, t *task, h *host) {
-	if l == nil || l.step != t.stepKey() {
+	if l == nil || l.key != t.placementKey(now) {
 		return
 	}
 	for i := range l.candidates {
