--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -72,6 +72,9 @@
 	avoidedHost string
 	// failedAt is when a run of the task last failed.
 	failedAt time.Time
+	// barredUntil holds, by name, the hosts that have refused the task, with the end of refusalBar.
+	// It is empty for finite tasks.
+	barredUntil map[string]time.Time
 	// waitLogged is true if it was logged why the task waits.
 	waitLogged bool
 	// waitingSince is when the gang of the task began to wait for capacity.
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -194,7 +194,8 @@
 			ps.shortlist.rescore(p, now, t, h)
 			return true
 		}
-		ps.unplaceable[key] = true
+		// A host that is barred for this task may have capacity for the others of its step.
+		ps.unplaceable[key] = !t.hasBarredHosts(now)
 		if t.step.Fills {
 			ps.fillingMisses++
 		}
@@ -226,7 +227,7 @@
 func (p *Planner) waitOrPreempt(now time.Time, t *task, ps *pass) {
 	p.logWaiting(now, t, p.noCapacityReason())
 	if key := t.placementKey(now); !ps.unpreemptable[key] && t.job.phase(now) == phaseInTime {
-		ps.unpreemptable[key] = !p.preempt(now, t, ps.claimed)
+		ps.unpreemptable[key] = !p.preempt(now, t, ps.claimed) && !t.hasBarredHosts(now)
 	}
 }
 
@@ -324,6 +325,8 @@
 	switch {
 	case !h.usable(now), h.info.Service != t.job.queue.Service, p.inEvacuatedZone(h):
 		return false
+	case now.Before(t.barredUntil[h.name]):
+		return false
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
 		return false
 	case s.MaxPerWorker > 0 && h.countSameStep(t) >= s.MaxPerWorker:
--- a/internal/flow/kqplan/refusal_test.go
+++ b/internal/flow/kqplan/refusal_test.go
@@ -65,3 +65,31 @@
 	t.Logf("%d refusals", refused)
 	g.Expect(delay).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// A worker refuses all starts and is the only one with free capacity, while filling tasks hold the
+// memory of the other one. Nothing is preempted as long as a worker has capacity, so the task is sent to
+// the refusing worker again and again.
+func TestARefusingWorkerIsChosenInsteadOfPreemption(t *testing.T) {
+	g := NewWithT(t)
+	f := standingFleet(g)
+	f.addWorker("h2", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
+	f.Submit(f.now, fillingJob("filling", f.now, 40), nil, 0)
+	f.advance(time.Second, nil)
+	g.Expect(len(f.workers[1].runs)).To(BeNumerically(">=", 9))
+	f.addWorker("refusing", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
+	f.refuses = func(w *fleetWorker, _ kqplan.Order) bool { return w.host == "refusing" }
+	f.AgentDisconnected(f.now, "h1")
+	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.workers = f.workers[1:]
+	departedAt, delay := f.now, maxDowntime
+	for f.now.Sub(departedAt) < maxDowntime {
+		f.advance(fleetStep, nil)
+		for k := range f.workers[0].runs {
+			if k.Task == standingTask {
+				delay = min(delay, f.now.Sub(departedAt))
+			}
+		}
+	}
+	t.Log("placed after ", delay)
+	g.Expect(delay).To(BeNumerically("<=", maxPlacementDelay))
+}
