kqplan: a long-running task does not wait for stops that do not end

Callers saw: a long-running task stayed away while a worker did not carry out the stops of its runs, although runs of lower priority on another worker could have been stopped.

Cause: preemption chooses the host with the fewest further runs to stop, and counts what is being stopped there as free. A worker that hangs needs no further stops, so it is chosen in each pass.

Fix: once a stop has been under way for maxStopTime, preemption for a long-running task no longer counts on it, and the claims of such tasks do not rely on it. Finite tasks are placed as before.

--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -103,6 +103,8 @@
 	// once preempted runs have stopped. Without it, each run that stops makes way for the next
 	// filling task.
 	longRunningClaims kqmodel.Resources
+	// overdueStops holds the resources of the runs whose stop was overdue in the latest pass.
+	overdueStops kqmodel.Resources
 	// warmUpUntil is the end of the time for which the worker is slow after its start.
 	warmUpUntil time.Time
 }
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -88,7 +88,9 @@
 	host     *host
 	worker   kqexecution.Incarnation
 	stopping bool
-	ordered  bool
+	// stoppingSince is the time of the first pass in which the run was being stopped.
+	stoppingSince time.Time
+	ordered       bool
 	// transferred is true if the run was ordered from an earlier incarnation of its worker than
 	// the one in worker.
 	transferred bool
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -120,6 +120,7 @@
 	}
 	for _, h := range p.hosts.All() {
 		h.longRunningClaims = kqmodel.Resources{}
+		h.updateOverdueStops(now)
 	}
 	waiting := 0
 	for _, j := range p.orderedJobs(now, ps.includesFilling) {
@@ -316,7 +317,7 @@
 		need.MilliProcessors += h.info.Capacity.MilliProcessors * topPriorityReserve / 100
 	}
 	free := h.free()
-	return need.FitsIn(free) && (h.longRunningClaims.IsZero() || need.Add(h.longRunningClaims).FitsIn(free.Add(h.usage.stoppingReserved)))
+	return need.FitsIn(free) && (h.longRunningClaims.IsZero() || need.Add(h.longRunningClaims).FitsIn(free.Add(h.usage.stoppingReserved).Sub(h.overdueStops)))
 }
 
 // mayRun reports whether a host may run a task, regardless of the host's free capacity.
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -21,7 +21,7 @@
 		if !h.mayPreemptFor(t) || h.health.isQuarantined() && !t.mayUseQuarantined(now) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) {
 			continue
 		}
-		v, ok := h.victims(t, need.Add(claimed[h]))
+		v, ok := h.victims(now, t, need.Add(claimed[h]))
 		if ok && (best == nil || cmp.Or(cmp.Compare(h.health.rank(), best.health.rank()), cmp.Compare(len(v), len(victims)), strings.Compare(h.name, best.name)) < 0) {
 			best, victims = h, v
 		}
@@ -49,15 +49,41 @@
 	return (h.usage.stoppingRuns > 0 || h.hasLowerPriority(priority)) && need.FitsIn(h.maxFree(priority)) && !(t.step.Fills && need.FitsIn(h.free()))
 }
 
-// victims returns the runs to stop so that need fits, in addition to those that are being stopped;
-// ok is false if stopping all permitted runs does not free enough. Runs with checkpoints come
+// maxStopTime is the time after which a stop is overdue: more than restartOverhead, which covers a stop
+// and the start elsewhere. A worker that hangs never carries a stop out.
+const maxStopTime = time.Second
+
+func (r *run) isStopOverdue(now time.Time) bool {
+	return r.stopping && !r.stoppingSince.IsZero() && now.Sub(r.stoppingSince) > maxStopTime
+}
+
+// updateOverdueStops brings stoppingSince and overdueStops up to date.
+func (h *host) updateOverdueStops(now time.Time) {
+	h.overdueStops = kqmodel.Resources{}
+	if h.usage.stoppingRuns == 0 {
+		return
+	}
+	for _, r := range h.runs.All() {
+		if r.stopping && r.stoppingSince.IsZero() {
+			r.stoppingSince = now
+		}
+		if r.isStopOverdue(now) {
+			h.overdueStops = h.overdueStops.Add(r.reserved())
+		}
+	}
+}
+
+// victims returns the runs to stop so that need fits, in addition to those that are being stopped. A
+// long-running task does not count on stops that are overdue, since it would wait for them although
+// runs on another host could be stopped. ok is false if stopping all permitted runs does not free enough. Runs with checkpoints come
 // first, then those with the least progress.
-func (h *host) victims(t *task, need kqmodel.Resources) (out []*run, ok bool) {
+func (h *host) victims(now time.Time, t *task, need kqmodel.Resources) (out []*run, ok bool) {
 	free := h.free()
 	maxFree := free
 	var preemptible []*run
 	for _, r := range h.runs.All() {
 		switch {
+		case t.step.LongRunning && r.isStopOverdue(now):
 		case r.stopping:
 			free, maxFree = free.Add(r.reserved()), maxFree.Add(r.reserved())
 		case r.task.job.queue.Priority > t.job.queue.Priority && !r.task.step.LongRunning && !r.task.step.Gang:
