kqplan: the warm-up limit does not keep long-running tasks away

Callers saw: a long-running task stayed away while workers with enough free capacity were warming up.

Cause: a worker that warms up gets only part of its capacity assigned as long as the service has a warm worker, even if the warm ones are full.

Fix: for a long-running task that has had a run (isRestart) the limit is a cost of lastResortCost, as quarantine is, and not a bar. A running task is not relocated beyond the limit. Other tasks are placed as before.

--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -28,9 +28,9 @@
 	presentImageMixCost = 0.2
 	// firstServingCost applies to a serving task on a host without serving tasks.
 	firstServingCost = 0.3
-	// quarantineCost applies to a long-running task on a quarantined worker. It exceeds what two other
-	// serving images and an empty host cost together, so that such a worker is a last resort.
-	quarantineCost = 3.0
+	// lastResortCost applies to a long-running task on a quarantined worker, or on one that is warming up
+	// and has its share assigned. It exceeds what two other serving images and an empty host cost together.
+	lastResortCost = 3.0
 	// defaultServingUsePercent is the share of its processors that a serving task is assumed to
 	// use, in percent, since its actual use is not measured.
 	defaultServingUsePercent = 50
@@ -89,7 +89,7 @@
 		c = 1 + (c-1)/4
 	}
 	if s.LongRunning && h.health.isQuarantined() {
-		c += quarantineCost
+		c += lastResortCost
 	}
 	if s.Rack != "" && !slices.Contains(h.info.Labels, s.Rack) {
 		c *= max(1, p.config.CrossRackSlowdown)
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -81,14 +81,17 @@
 }
 
 // mayUseQuarantined reports whether a task may be placed on a quarantined worker like on any other,
-// though at quarantineCost. This applies to a long-running task that has run before: it serves nobody
-// while it waits for a probe, whose end may take as long as a throttled filling task. A task that has
+// though at lastResortCost. This applies to a restart, which would otherwise wait for a
+// probe, whose end may take as long as a throttled filling task. A task that has
 // just failed waits, so that it does not fail again and again on quarantined workers.
 func (t *task) mayUseQuarantined(now time.Time) bool {
-	hasEndedRun := t.lastRun > uint64(len(t.runs))
-	return t.step.LongRunning && hasEndedRun && now.Sub(t.failedAt) >= quarantineTime
+	return t.isRestart() && now.Sub(t.failedAt) >= quarantineTime
 }
 
+// isRestart reports whether a task is long-running and a run of it has ended. Such a task serves nobody
+// while it waits, so rules that keep capacity for others or wait for a better worker do not bar it.
+func (t *task) isRestart() bool { return t.step.LongRunning && t.lastRun > uint64(len(t.runs)) }
+
 // mayProbe reports whether a quarantined worker may get one task as a probe.
 func (h *host) mayProbe(now time.Time) bool {
 	if now.Before(h.health.probeAt) {
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -23,11 +23,12 @@
 // placementKey identifies tasks of a step that the same hosts accept.
 type placementKey struct {
 	step              stepKey
+	isRestart         bool
 	mayUseQuarantined bool
 }
 
 func (t *task) placementKey(now time.Time) placementKey {
-	return placementKey{t.stepKey(), t.mayUseQuarantined(now)}
+	return placementKey{t.stepKey(), t.isRestart(), t.mayUseQuarantined(now)}
 }
 
 // pass is the state of one scheduling pass over all waiting tasks. Free capacity only shrinks
@@ -295,7 +296,7 @@
 		if best == nil {
 			fleet = p.fleetViewFor(t.step)
 		}
-		c := p.cost(t, h, fleet) + warmUpCost(now, t, h)
+		c := p.cost(t, h, fleet) + p.warmUpCost(now, t, h)
 		if best == nil || c < bestCost || c == bestCost && h.name < best.name {
 			best, bestCost = h, c
 		}
@@ -332,7 +333,7 @@
 		return false
 	case s.MaxPerWorker > 0 && h.countSameStep(t) >= s.MaxPerWorker:
 		return false
-	case !p.withinWarmUpLimit(now, t, h):
+	case !t.isRestart() && !p.withinWarmUpLimit(now, t, h):
 		return false
 	case h.health.isQuarantined() && !t.mayUseQuarantined(now) && !(h.mayProbe(now) && t.job.queue.MaxAttempts-len(t.failedRuns) > 1):
 		return false
--- a/internal/flow/kqplan/relocate.go
+++ b/internal/flow/kqplan/relocate.go
@@ -150,12 +150,11 @@
 // other zones keep capacity free for finite jobs.
 func (p *Planner) hasPlaceElsewhere(now time.Time, t *task) bool {
 	if !t.step.Gang {
-		if !p.keepsCapacityFree(now, t, 1) {
-			return false
+		// A long-running task is not stopped to move it to a worker that is its last resort.
+		permitted := func(h *host) bool {
+			return !t.step.LongRunning || !h.health.isQuarantined() && p.withinWarmUpLimit(now, t, h)
 		}
-		// A long-running task that runs is not stopped to move it to a quarantined worker.
-		h := p.chooseHost(now, t)
-		return h != nil && !(t.step.LongRunning && h.health.isQuarantined())
+		return p.keepsCapacityFree(now, t, 1) && p.chooseHostAmong(now, t, permitted) != nil
 	}
 	members := t.stepTasks()
 	return p.keepsCapacityFree(now, t, len(members)) && p.chooseGangHosts(now, t, members) != nil
--- a/internal/flow/kqplan/warmup.go
+++ b/internal/flow/kqplan/warmup.go
@@ -39,12 +39,15 @@
 func (h *host) warmUpLeft(now time.Time) time.Duration { return max(0, h.warmUpUntil.Sub(now)) }
 
 // warmUpCost returns the expected delay of a task by the warm-up of a worker, as a share of the
-// task's estimate.
-func warmUpCost(now time.Time, t *task, h *host) float64 {
+// task's estimate. Beyond the limit, where only a restart is placed, it is lastResortCost.
+func (p *Planner) warmUpCost(now time.Time, t *task, h *host) float64 {
 	left := h.warmUpLeft(now)
 	if left <= 0 {
 		return 0
 	}
+	if !p.withinWarmUpLimit(now, t, h) {
+		return lastResortCost
+	}
 	return (warmUpSlowdown - 1) * min(1, float64(left)/float64(max(time.Millisecond, t.step.Estimate)))
 }
 
