kqplan: a ticket for a worker that is full of siblings does not replace a request for another

Callers saw: a task of a queue that needs approval stayed away until a ticket expired, although workers that were not asked about had capacity.

Cause: the number of workers to ask about counts the tasks that fit into the free capacity of workers with tickets. Tasks of the step that run there already were not counted against its limit per worker.

Fix: countPlaceable takes them off. This holds for finite tasks too, which waited in the same way.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -166,7 +166,7 @@
 	}
 	for _, h := range p.hosts.All() {
 		if tk, ok := a.tickets[h.info.Worker]; ok && now.Before(tk.validUntil) && h.usable(now) && !p.inEvacuatedZone(h) {
-			waiting -= t.countFitting(h.free())
+			waiting -= t.countPlaceable(h)
 		}
 	}
 	if waiting <= 0 {
@@ -175,7 +175,7 @@
 	// A worker may run several tasks: the one with the most free capacity determines how many.
 	perWorker := 1
 	for _, h := range p.hosts.All() {
-		perWorker = max(perWorker, t.countFitting(h.free()))
+		perWorker = max(perWorker, t.countPlaceable(h))
 	}
 	return (waiting + perWorker - 1) / perWorker
 }
@@ -190,6 +190,15 @@
 	return n
 }
 
+// countPlaceable returns how many more tasks of the step a host may run at once.
+func (t *task) countPlaceable(h *host) int {
+	n := t.countFitting(h.free())
+	if t.step.MaxPerWorker > 0 {
+		n = min(n, max(0, t.step.MaxPerWorker-h.countSameStep(t)))
+	}
+	return n
+}
+
 // approvalCandidates returns workers that may run a task, were not denied and have no valid ticket,
 // those on which the most tasks fit first. At most limit workers are returned, but up to
 // minRequestedWorkers if limit is lower.
