kqplan: the reserve for the top priority does not keep long-running tasks away

Callers saw: a long-running task of a queue of lower priority stayed away although workers had enough processors free.

Cause: 6 % of the processors of each worker stay free for the top priority, also from a task that fits nowhere else.

Fix: for a long-running task that has had a run, the reserve is a cost of lastResortCost and not a bar, so it uses the reserve only if no other host has capacity. A running task is not relocated into it. Other tasks are placed as before.

--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -28,8 +28,8 @@
 	presentImageMixCost = 0.2
 	// firstServingCost applies to a serving task on a host without serving tasks.
 	firstServingCost = 0.3
-	// lastResortCost applies to a long-running task on a quarantined worker, or on one that is warming up
-	// and has its share assigned. It exceeds what two other serving images and an empty host cost together.
+	// lastResortCost applies to a long-running task on a quarantined worker, on one that is warming up and
+	// has its share assigned, or in the reserve for the top priority. It exceeds what two other serving images and an empty host cost together.
 	lastResortCost = 3.0
 	// defaultServingUsePercent is the share of its processors that a serving task is assumed to
 	// use, in percent, since its actual use is not measured.
@@ -72,6 +72,15 @@
 	return fleetView{}
 }
 
+// reserveCost returns the cost of a restart that uses the reserve for the top priority, which only
+// restarts may do.
+func (t *task) reserveCost(h *host) float64 {
+	if t.job.queue.Priority > 0 && t.step.LongRunning && !h.withTopPriorityReserve(t.step.Reserved()).FitsIn(h.free()) {
+		return lastResortCost
+	}
+	return 0
+}
+
 // cost returns the cost of placing a task on a host: about how long it takes there, relative to its
 // estimate.
 func (p *Planner) cost(t *task, h *host, fleet fleetView) float64 {
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -296,7 +296,7 @@
 		if best == nil {
 			fleet = p.fleetViewFor(t.step)
 		}
-		c := p.cost(t, h, fleet) + p.warmUpCost(now, t, h)
+		c := p.cost(t, h, fleet) + p.warmUpCost(now, t, h) + t.reserveCost(h)
 		if best == nil || c < bestCost || c == bestCost && h.name < best.name {
 			best, bestCost = h, c
 		}
@@ -311,16 +311,22 @@
 
 // hasCapacity reports whether the resources that a task reserves are free on a host, and whether
 // those that are free or about to be freed suffice for the long-running tasks that wait there too. The
-// reserve for the top priority must stay free as well, unless the task has that priority or fills.
+// reserve for the top priority must stay free as well, unless the task has that priority, fills or is a
+// restart.
 func (h *host) hasCapacity(t *task) bool {
-	need := t.step.Reserved()
-	if t.job.queue.Priority > 0 && !t.step.Fills {
-		need.MilliProcessors += h.info.Capacity.MilliProcessors * topPriorityReserve / 100
+	need, free := t.step.Reserved(), h.free()
+	if t.job.queue.Priority > 0 && !t.step.Fills && !t.isRestart() {
+		need = h.withTopPriorityReserve(need)
 	}
-	free := h.free()
 	return need.FitsIn(free) && (h.longRunningClaims.IsZero() || need.Add(h.longRunningClaims).FitsIn(free.Add(h.usage.stoppingReserved).Sub(h.overdueStops)))
 }
 
+// withTopPriorityReserve adds the reserve of a host for the top priority to what a task needs.
+func (h *host) withTopPriorityReserve(need kqmodel.Resources) kqmodel.Resources {
+	need.MilliProcessors += h.info.Capacity.MilliProcessors * topPriorityReserve / 100
+	return need
+}
+
 // mayRun reports whether a host may run a task, regardless of the host's free capacity.
 func (p *Planner) mayRun(now time.Time, t *task, h *host) bool {
 	s := t.step
--- a/internal/flow/kqplan/relocate.go
+++ b/internal/flow/kqplan/relocate.go
@@ -152,7 +152,7 @@
 	if !t.step.Gang {
 		// A long-running task is not stopped to move it to a worker that is its last resort.
 		permitted := func(h *host) bool {
-			return !t.step.LongRunning || !h.health.isQuarantined() && p.withinWarmUpLimit(now, t, h)
+			return !t.step.LongRunning || !h.health.isQuarantined() && p.withinWarmUpLimit(now, t, h) && t.reserveCost(h) == 0
 		}
 		return p.keepsCapacityFree(now, t, 1) && p.chooseHostAmong(now, t, permitted) != nil
 	}
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -51,7 +51,7 @@
 		if len(l.candidates) == 0 {
 			l.fleet = p.fleetViewFor(t.step)
 		}
-		l.candidates = append(l.candidates, candidate{h, p.stepCost(t.step, h, l.fleet) + p.warmUpCost(now, t, h)})
+		l.candidates = append(l.candidates, candidate{h, p.stepCost(t.step, h, l.fleet) + p.warmUpCost(now, t, h) + t.reserveCost(h)})
 	}
 	return l
 }
@@ -82,7 +82,7 @@
 		}
 		p.scored++
 		if p.eligible(now, t, h) {
-			l.candidates[i].cost = p.stepCost(t.step, h, l.fleet) + p.warmUpCost(now, t, h)
+			l.candidates[i].cost = p.stepCost(t.step, h, l.fleet) + p.warmUpCost(now, t, h) + t.reserveCost(h)
 		} else {
 			l.candidates = append(l.candidates[:i], l.candidates[i+1:]...)
 		}
