kqplan: the replays of long-running tasks do less per update

failPoisoned sets the outcome when a run starts, instead of parsing the IDs of all runs in each update, and measure looks for capacity only while a long-running task is down. What is checked stays the same.

--- a/internal/flow/kqplan/standing_replay_test.go
+++ b/internal/flow/kqplan/standing_replay_test.go
@@ -130,19 +130,24 @@
 			r.arrive()
 		}
 		disturb(at)
-		for _, w := range r.workers {
-			for _, x := range w.runs {
-				if id, _ := kqflow.ParseTaskID(x.order.Run.Task); r.poison[id.Job] && x.reason == kqexecution.EndDone {
-					x.reason = kqexecution.EndFailed
-				}
-			}
-		}
-		r.advance(fleetStep, nil)
+		r.advance(fleetStep, r.failPoisoned)
 		r.measure()
 	}
 	return r.longest
 }
 
+// failPoisoned lets the run that an order has started fail at its end if its job always fails.
+func (r *standingReplay) failPoisoned(o kqplan.Order) {
+	if id, _ := kqflow.ParseTaskID(o.Run.Task); !r.poison[id.Job] {
+		return
+	}
+	for _, w := range r.workers {
+		if x := w.runs[o.Run]; w.worker == o.Worker && x != nil && x.reason == kqexecution.EndDone {
+			x.reason = kqexecution.EndFailed
+		}
+	}
+}
+
 // lapseWithin returns a disturbance in which the leases of all workers expire within a span.
 func (r *standingReplay) lapseWithin(span time.Duration) func(time.Duration) {
 	lapsesAt := make([]time.Duration, len(r.workers))
@@ -160,7 +165,19 @@
 
 // measure updates freeFor. Filling tasks are preempted, so what they hold counts as free.
 func (r *standingReplay) measure() {
-	running, free, perWorker := map[string]bool{}, make([]kqmodel.Resources, len(r.workers)), make([]map[string]int, len(r.workers))
+	running := map[string]bool{}
+	for _, w := range r.workers {
+		for _, x := range w.runs {
+			if r.steps[x.order.Run.Task].LongRunning {
+				running[x.order.Run.Task], r.ran[x.order.Run.Task] = true, true
+			}
+		}
+	}
+	if len(running) == len(r.ran) {
+		clear(r.freeFor)
+		return
+	}
+	free, perWorker := make([]kqmodel.Resources, len(r.workers)), make([]map[string]int, len(r.workers))
 	for i, w := range r.workers {
 		info, _ := r.KnownWorker(w.host)
 		free[i], perWorker[i] = info.Capacity, map[string]int{}
@@ -173,7 +190,6 @@
 			if s.LongRunning {
 				id, _ := kqflow.ParseTaskID(x.order.Run.Task)
 				perWorker[i][id.Job]++
-				running[x.order.Run.Task], r.ran[x.order.Run.Task] = true, true
 			}
 		}
 	}
