--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -1,6 +1,7 @@
 package kqplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -98,6 +99,12 @@
 	// pendingApprovals is the number of approval requests in progress through the agent.
 	pendingApprovals int
 
+	// longRunningClaims holds the resources that long-running tasks of the latest pass will use
+	// once preempted runs have stopped. Without it, each run that stops makes way for the next
+	// filling task.
+	longRunningClaims kqmodel.Resources
+	// overdueStops holds the resources of the runs whose stop was overdue in the latest pass.
+	overdueStops kqmodel.Resources
 	// warmUpUntil is the end of the time for which the worker is slow after its start.
 	warmUpUntil time.Time
 }
@@ -387,10 +394,12 @@
 	case kqexecution.EndDone:
 		p.taskDone(now, t)
 	case kqexecution.EndFailed:
+		t.failedAt = now
 		p.taskFailed(now, t, h, e.Run.Number)
 	case kqexecution.EndRefused:
 		t.avoidedHost = h.name
 		t.retryAt = now.Add(refusedRetryDelay)
+		t.barHost(now, h)
 		p.dropTicket(t, h)
 	}
 	p.stopGang(t)
@@ -400,6 +409,30 @@
 // to start.
 const refusedRetryDelay = 100 * time.Millisecond
 
+// refusalBar is the time for which a long-running task is not placed on a host again whose worker has
+// refused it. Otherwise a worker that refuses all starts but costs the least, or is the only one with
+// free capacity, is chosen each time. It is long enough for preempted runs on another host to stop, and
+// short because the only worker may refuse for a moment.
+const refusalBar = 2 * time.Second
+
+// barHost bars a host for a long-running task for refusalBar. Finite tasks are not barred: they are
+// short, and a wait for the only worker costs them more.
+func (t *task) barHost(now time.Time, h *host) {
+	if !t.step.LongRunning {
+		return
+	}
+	if t.barredUntil == nil {
+		t.barredUntil = map[string]time.Time{}
+	}
+	t.barredUntil[h.name] = now.Add(refusalBar)
+}
+
+// hasBarredHosts reports whether a host is barred for the task. It removes the bars that have ended.
+func (t *task) hasBarredHosts(now time.Time) bool {
+	maps.DeleteFunc(t.barredUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	return len(t.barredUntil) > 0
+}
+
 // taskDone marks a task, or its whole gang, as done and stops the other copies. The job is
 // completed with its last task.
 func (p *Planner) taskDone(now time.Time, t *task) {
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -70,6 +70,11 @@
 	// avoidedHost is the host where a run of the task last failed, was refused, or was stopped
 	// because it was not started, stalled or was slow or throttled.
 	avoidedHost string
+	// failedAt is when a run of the task last failed.
+	failedAt time.Time
+	// barredUntil holds, by name, the hosts that have refused the task, with the end of refusalBar.
+	// It is empty for finite tasks.
+	barredUntil map[string]time.Time
 	// waitLogged is true if it was logged why the task waits.
 	waitLogged bool
 	// waitingSince is when the gang of the task began to wait for capacity.
@@ -83,7 +88,9 @@
 	host     *host
 	worker   kqexecution.Incarnation
 	stopping bool
-	ordered  bool
+	// stoppingSince is the time of the first pass in which the run was being stopped.
+	stoppingSince time.Time
+	ordered       bool
 	// transferred is true if the run was ordered from an earlier incarnation of its worker than
 	// the one in worker.
 	transferred bool
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -20,6 +20,17 @@
 
 func (t *task) stepKey() stepKey { return stepKey{t.job.spec.ID, t.id.Occurrence, t.id.Step} }
 
+// placementKey identifies tasks of a step that the same hosts accept.
+type placementKey struct {
+	step              stepKey
+	isRestart         bool
+	mayUseQuarantined bool
+}
+
+func (t *task) placementKey(now time.Time) placementKey {
+	return placementKey{t.stepKey(), t.isRestart(), t.mayUseQuarantined(now)}
+}
+
 // pass is the state of one scheduling pass over all waiting tasks. Free capacity only shrinks
 // during a pass, so once one task of a step cannot be placed, no other task of the step can.
 type pass struct {
@@ -27,10 +38,10 @@
 	includesFilling bool
 	// claimed holds the resources that tasks waiting for preempted runs to stop will use on a host.
 	claimed map[*host]kqmodel.Resources
-	// unplaceable holds the steps for which no host has capacity; unpreemptable holds those for
+	// unplaceable holds the tasks for which no host has capacity; unpreemptable holds those for
 	// which preemption cannot free any either.
-	unplaceable   map[stepKey]bool
-	unpreemptable map[stepKey]bool
+	unplaceable   map[placementKey]bool
+	unpreemptable map[placementKey]bool
 	// withheld holds the long-running steps that have to leave the free capacity to finite jobs.
 	withheld map[stepKey]bool
 	// fillingMisses counts the steps of filling tasks that no host accepts.
@@ -105,11 +116,15 @@
 // placeAll runs a scheduling pass: it starts, in the order of orderedJobs, every task that is due and
 // for which there is capacity.
 func (p *Planner) placeAll(now time.Time) {
-	ps := &pass{claimed: map[*host]kqmodel.Resources{}, unplaceable: map[stepKey]bool{}, unpreemptable: map[stepKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
+	ps := &pass{claimed: map[*host]kqmodel.Resources{}, unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
 	}
+	for _, h := range p.hosts.All() {
+		h.longRunningClaims = kqmodel.Resources{}
+		h.updateOverdueStops(now)
+	}
 	waiting := 0
 	for _, j := range p.orderedJobs(now, ps.includesFilling) {
 		for _, t := range j.tasks {
@@ -176,13 +191,15 @@
 		p.logWaiting(now, t, "the service keeps its free processors for finite jobs")
 		return false
 	}
-	if !ps.unplaceable[t.stepKey()] && (!t.step.Fills || ps.fillingMisses < p.fillingMissLimit) {
+	key := t.placementKey(now)
+	if !ps.unplaceable[key] && (!t.step.Fills || ps.fillingMisses < p.fillingMissLimit) {
 		if h := p.chooseInPass(now, t, ps); h != nil {
 			p.start(now, t, h)
 			ps.shortlist.rescore(p, now, t, h)
 			return true
 		}
-		ps.unplaceable[t.stepKey()] = true
+		// A host that is barred for this task may have capacity for the others of its step.
+		ps.unplaceable[key] = !t.hasBarredHosts(now)
 		if t.step.Fills {
 			ps.fillingMisses++
 		}
@@ -213,8 +230,8 @@
 // in time, runs of lower priority are preempted for it.
 func (p *Planner) waitOrPreempt(now time.Time, t *task, ps *pass) {
 	p.logWaiting(now, t, p.noCapacityReason())
-	if !ps.unpreemptable[t.stepKey()] && t.job.phase(now) == phaseInTime {
-		ps.unpreemptable[t.stepKey()] = !p.preempt(now, t, ps.claimed)
+	if key := t.placementKey(now); !ps.unpreemptable[key] && t.job.phase(now) == phaseInTime {
+		ps.unpreemptable[key] = !p.preempt(now, t, ps.claimed) && !t.hasBarredHosts(now)
 	}
 }
 
@@ -281,7 +298,7 @@
 		if best == nil {
 			fleet = p.fleetViewFor(t.step)
 		}
-		c := p.cost(t, h, fleet) + warmUpCost(now, t, h)
+		c := p.cost(t, h, fleet) + p.warmUpCost(now, t, h) + t.reserveCost(h)
 		if best == nil || c < bestCost || c == bestCost && h.name < best.name {
 			best, bestCost = h, c
 		}
@@ -294,14 +311,22 @@
 	return h.hasCapacity(t) && p.mayRun(now, t, h) && p.isApproved(now, t, h) && (!t.step.Fills || p.acceptsFilling(now, t, h))
 }
 
-// hasCapacity reports whether the resources that a task reserves are free on a host. The reserve for
-// the top priority must stay free too, unless the task has that priority or fills.
+// hasCapacity reports whether the resources that a task reserves are free on a host, and whether
+// those that are free or about to be freed suffice for the long-running tasks that wait there too. The
+// reserve for the top priority must stay free as well, unless the task has that priority, fills or is a
+// restart.
 func (h *host) hasCapacity(t *task) bool {
-	need := t.step.Reserved()
-	if t.job.queue.Priority > 0 && !t.step.Fills {
-		need.MilliProcessors += h.info.Capacity.MilliProcessors * topPriorityReserve / 100
+	need, free := t.step.Reserved(), h.free()
+	if t.job.queue.Priority > 0 && !t.step.Fills && !t.isRestart() {
+		need = h.withTopPriorityReserve(need)
 	}
-	return need.FitsIn(h.free())
+	return need.FitsIn(free) && (h.longRunningClaims.IsZero() || need.Add(h.longRunningClaims).FitsIn(free.Add(h.usage.stoppingReserved).Sub(h.overdueStops)))
+}
+
+// withTopPriorityReserve adds the reserve of a host for the top priority to what a task needs.
+func (h *host) withTopPriorityReserve(need kqmodel.Resources) kqmodel.Resources {
+	need.MilliProcessors += h.info.Capacity.MilliProcessors * topPriorityReserve / 100
+	return need
 }
 
 // mayRun reports whether a host may run a task, regardless of the host's free capacity.
@@ -310,13 +335,15 @@
 	switch {
 	case !h.usable(now), h.info.Service != t.job.queue.Service, p.inEvacuatedZone(h):
 		return false
+	case now.Before(t.barredUntil[h.name]):
+		return false
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
 		return false
 	case s.MaxPerWorker > 0 && h.countSameStep(t) >= s.MaxPerWorker:
 		return false
-	case !p.withinWarmUpLimit(now, t, h):
+	case !t.isRestart() && !p.withinWarmUpLimit(now, t, h):
 		return false
-	case h.health.isQuarantined() && !(h.mayProbe(now) && t.job.queue.MaxAttempts-len(t.failedRuns) > 1):
+	case h.health.isQuarantined() && !t.mayUseQuarantined(now) && !(h.mayProbe(now) && t.job.queue.MaxAttempts-len(t.failedRuns) > 1):
 		return false
 	}
 	return true
