--- a/internal/flow/kqplan/cost.go
+++ b/internal/flow/kqplan/cost.go
@@ -28,8 +28,9 @@
 	presentImageMixCost = 0.2
 	// firstServingCost applies to a serving task on a host without serving tasks.
 	firstServingCost = 0.3
-	// lastResortCost applies to a long-running task on a quarantined worker, on one that is warming up and
-	// has its share assigned, or in the reserve for the top priority. It exceeds what two other serving images and an empty host cost together.
+	// lastResortCost applies to a long-running task on a quarantined worker, on one that is warming up
+	// and has its share assigned, or in the reserve for the top priority. It exceeds what two other
+	// serving images and an empty host cost together.
 	lastResortCost = 3.0
 	// defaultServingUsePercent is the share of its processors that a serving task is assumed to
 	// use, in percent, since its actual use is not measured.
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -75,7 +75,8 @@
 
 // victims returns the runs to stop so that need fits, in addition to those that are being stopped. A
 // long-running task does not count on stops that are overdue, since it would wait for them although
-// runs on another host could be stopped. ok is false if stopping all permitted runs does not free enough. Runs with checkpoints come
+// runs on another host could be stopped. ok is false if stopping all permitted runs does not free
+// enough. Runs with checkpoints come
 // first, then those with the least progress.
 func (h *host) victims(now time.Time, t *task, need kqmodel.Resources) (out []*run, ok bool) {
 	free := h.free()
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// shortlist holds the hosts that have capacity for tasks with the same placementKey, with their costs. A start
+// shortlist holds the hosts that have capacity for tasks with the same placementKey, with their
+// costs. A start
 // changes only its own host, so the hosts are scored once per step and not once per task.
 type shortlist struct {
 	key placementKey
