kqflowrig: an owner whose answers take longer than its time limits is never confirmed

What callers saw: while each answer of the store takes 1.3 s (a busy machine), the owner is never confirmed, all leases end and no other agent can take the cell; tasks are away for as long as it lasts. A lease would bridge such answers.

Cause: heartbeats (1.2 s), confirming reads (1 s) and kqnode.readOwnership (0.7 s) are given up before their answers, and a call that is given up lengthens no time limit.

The code is not changed yet.

--- a/internal/trial/kqflowrig/slow_read_test.go
+++ b/internal/trial/kqflowrig/slow_read_test.go
@@ -36,3 +36,29 @@
 		})
 	}
 }
+
+// Answers of the store take longer than the time limits of heartbeats and confirming reads, as on a
+// busy machine, and shorter than a lease. Guards against an owner that gives up each call before its
+// answer, so that nothing confirms it and all leases end.
+func TestAnOwnerWhoseAnswersAreLateIsNeverConfirmed(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			x := newTakeoverRun(seed)
+			x.rig.Store.SetFaults("", kqrowstore.Faults{Delay: 1300 * time.Millisecond})
+			var lapsedAt time.Time
+			for began := time.Now(); time.Since(began) < time.Minute; time.Sleep(20 * time.Millisecond) {
+				switch {
+				case x.rig.Ledger.RunningCount(longRunningJobID) > 0:
+					lapsedAt = time.Time{}
+				case lapsedAt.IsZero():
+					lapsedAt = time.Now()
+				case time.Since(lapsedAt) > maxAbsence:
+					t.Errorf("seed %d: the long-running task is away for more than %s", seed, maxAbsence)
+					began = time.Time{}
+				}
+			}
+			x.rig.Store.ClearFaults()
+			x.rig.Stop()
+		})
+	}
+}
