--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -182,28 +181,6 @@
 	}
 }
 
-// awaitController returns the controller of the cell for a peer on a host, nil if this process does
-// not own the cell. If this process is acquiring the cell, it waits until that has succeeded or failed.
-// isLatest is false if the host has connected again meanwhile.
-func (n *Node) awaitController(p *peer, host string) (c *kqcontrol.Controller, isLatest bool) {
-	n.mu.Lock()
-	acquired := n.acquired
-	if acquired == nil {
-		n.mu.Unlock()
-		return n.activeController(), true
-	}
-	n.waiting[host] = p
-	n.mu.Unlock()
-	select {
-	case <-acquired:
-	case <-n.tomb.Dying():
-	}
-	n.mu.Lock()
-	isLatest = n.waiting[host] == p
-	n.mu.Unlock()
-	return n.activeController(), isLatest
-}
-
 // OwnerStats returns the latest statistics of the controller. Ok is false if this process
 // does not own the cell.
 func (n *Node) OwnerStats() (stats kqcontrol.Stats, ok bool) {
@@ -329,59 +306,6 @@
 	return true
 }
 
-// replace logs why the present owner is to be replaced, and tries to acquire the ownership.
-func (n *Node) replace(ctx context.Context) {
-	c := n.config.Control
-	now := c.Now()
-	owner, report := n.ownerState()
-	if owner.Name != "" {
-		e := n.observer.Evidence(now)
-		reported := "has not reported"
-		if !report.At.IsZero() {
-			reported = fmt.Sprintf("reported %s ago that it was confirmed %s before", now.Sub(report.At).Round(time.Millisecond), report.ConfirmationAge.Round(time.Millisecond))
-		}
-		c.Events.Emit(now, kqevent.OwnerUnresponsive, kqevent.Process(owner.Name), "cell %s, epoch %d: heartbeat unchanged for %s, unreachable %t, owner %s; the store responds within %s",
-			c.Cell, owner.Epoch, e.HeartbeatAge.Round(time.Millisecond), e.Unreachable, reported, e.StoreLatency.Round(time.Millisecond))
-	}
-	n.acquire(ctx)
-}
-
-// acquire tries to acquire the ownership and starts the controller.
-func (n *Node) acquire(ctx context.Context) {
-	n.mu.Lock()
-	owner, version := n.owner, n.version
-	if n.stopController != nil {
-		n.mu.Unlock()
-		return
-	}
-	acquired := make(chan struct{})
-	n.acquired, n.waiting = acquired, map[string]*peer{}
-	n.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, acquireTimeout)
-	defer cancel()
-	c, err := kqcontrol.Acquire(call, n.config.Control, owner, version, n.epochs)
-	n.mu.Lock()
-	n.acquired = nil
-	close(acquired)
-	stop := n.stopController
-	if err == nil && stop == nil {
-		n.controller = c
-	}
-	n.mu.Unlock()
-	switch {
-	case err != nil:
-		return
-	case stop != nil:
-		stop(c)
-		return
-	}
-	c.Start()
-	// SetZones had no controller to pass zones to while the cell was being acquired.
-	if f := n.config.Control.Evacuation.Zones; f != nil {
-		c.SetZones(f())
-	}
-}
-
 // dial connects to the owner and returns when the stream has ended. It returns false if the
 // owner could not be reached at its address.
 func (n *Node) dial(ctx context.Context) bool {
@@ -400,31 +324,6 @@
 	return o.monitor(ctx, s)
 }
 
-// connect returns a connection to the owner. If this process is the owner, the connection does not
-// go through the network: otherwise, while the process is short of processor time, its own agent's
-// messages would wait twice as long as those of others.
-func (n *Node) connect(ctx context.Context, owner kqcontrol.OwnerRow) (net.Conn, error) {
-	if c := n.activeController(); c == nil || c.Epoch() != owner.Epoch {
-		return n.config.Network.Dial(ctx, owner.Address)
-	}
-	near, far := net.Pipe()
-	n.accept(localConn{far})
-	return localConn{near}, nil
-}
-
-// localConn is one end of a pipe in this process. Its writes have no deadline: the pipe has no
-// buffer, so they wait while the peer handles a message.
-type localConn struct{ net.Conn }
-
-// SetWriteDeadline sets no deadline.
-func (localConn) SetWriteDeadline(time.Time) error { return nil }
-
-// accept serves a peer on a connection.
-func (n *Node) accept(conn net.Conn) {
-	p := &peer{node: n}
-	kqstream.New(conn, kqstream.Config{OnMessage: p.receive, OnClose: p.closed})
-}
-
 // setReport records what the owner reports and how many agents are connected to it.
 func (n *Node) setReport(r kqelect.OwnerReport, agents int) {
 	n.mu.Lock()
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -1,7 +1,6 @@
 package kqplan
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -409,30 +408,6 @@
 // to start.
 const refusedRetryDelay = 100 * time.Millisecond
 
-// refusalBar is the time for which a long-running task is not placed on a host again whose worker has
-// refused it. Otherwise a worker that refuses all starts but costs the least, or is the only one with
-// free capacity, is chosen each time. It is long enough for preempted runs on another host to stop, and
-// short because the only worker may refuse for a moment.
-const refusalBar = 2 * time.Second
-
-// barHost bars a host for a long-running task for refusalBar. Finite tasks are not barred: they are
-// short, and a wait for the only worker costs them more.
-func (t *task) barHost(now time.Time, h *host) {
-	if !t.step.LongRunning {
-		return
-	}
-	if t.barredUntil == nil {
-		t.barredUntil = map[string]time.Time{}
-	}
-	t.barredUntil[h.name] = now.Add(refusalBar)
-}
-
-// hasBarredHosts reports whether a host is barred for the task. It removes the bars that have ended.
-func (t *task) hasBarredHosts(now time.Time) bool {
-	maps.DeleteFunc(t.barredUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
-	return len(t.barredUntil) > 0
-}
-
 // taskDone marks a task, or its whole gang, as done and stops the other copies. The job is
 // completed with its last task.
 func (p *Planner) taskDone(now time.Time, t *task) {
