kqplan: a host gets nothing until the runs that were given up there have ended

Cause: since runs are given up with the lease of a worker that does not answer its connected agent. When it answers again, the owner places new runs at once, while the agent is still stopping the old ones, whose start may have reached the worker: together they ask for more than its capacity. The agent refuses what does not fit, so no worker was over its capacity, but the starts were in vain.

--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -83,6 +83,10 @@
 	// orphans holds the reported runs that the planner does not know, with the time of their
 	// first report. The host gets no new work until they have ended.
 	orphans map[kqexecution.Run]time.Time
+	// givenUp holds the runs that were given up with their lease while the agent was connected. The
+	// host gets no new work until their ends are reported: the agent still stops them, and what it
+	// stops uses capacity.
+	givenUp map[kqexecution.Run]bool
 	removed removedRuns
 	// pendingEnds holds the ends that are not acknowledged yet, in order of their numbers;
 	// lastEnd is the number of the last end that was applied, and acknowledged that of the last
@@ -151,6 +155,7 @@
 func (p *Planner) AgentConnected(now time.Time, name string) {
 	h := p.host(name)
 	h.connected, h.lastReportAt = true, now
+	h.givenUp = nil
 }
 
 // AgentDisconnected records that the agent of a host disconnected.
@@ -168,6 +173,7 @@
 	if w.Worker != h.info.Worker {
 		h.pendingEnds, h.lastEnd, h.acknowledged = nil, 0, 0
 		h.orphans = map[kqexecution.Run]time.Time{}
+		h.givenUp = nil
 		h.health, h.paces = health{}, nil
 		p.interference.ForgetWorker(name)
 		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(string(w.Worker)), "host %s, capacity %s, draining %t", name, w.Capacity, w.Draining)
@@ -323,6 +329,10 @@
 // handleEnd applies the reported end of a run. The end is acknowledged once the job that it
 // changes is committed, or at once if it changes no job.
 func (p *Planner) handleEnd(now time.Time, h *host, e kqexecution.RunEnd) {
+	if h.givenUp[e.Run] {
+		delete(h.givenUp, e.Run)
+		p.passRequested = true
+	}
 	if e.Number != 0 {
 		if e.Number <= h.lastEnd {
 			return
@@ -486,6 +496,10 @@
 		}
 		for _, r := range h.runList() {
 			if r.ordered && h.connected {
+				if h.givenUp == nil {
+					h.givenUp = map[kqexecution.Run]bool{}
+				}
+				h.givenUp[r.key()] = true
 				p.effects = append(p.effects, Effect{Host: h.name, Order: r.stopOrder()})
 			}
 			p.markLost(now, r, "the lease of its worker has expired")
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -266,7 +266,7 @@
 // usable reports whether the worker of a host may get new work.
 func (h *host) usable(now time.Time) bool {
 	return h.connected && h.info.Worker != "" && !h.info.Draining && !h.info.Unresponsive &&
-		h.leaseExpiresAt.Sub(now) > minLeaseLeft && now.Sub(h.lastReportAt) < reportTimeout && len(h.orphans) == 0
+		h.leaseExpiresAt.Sub(now) > minLeaseLeft && now.Sub(h.lastReportAt) < reportTimeout && len(h.orphans) == 0 && len(h.givenUp) == 0
 }
 
 // topPriorityReserve is the share of a worker's processors, in percent, that is kept free for tasks
