kqexecutor, kqplan: agents report how each incarnation of their worker ended

A crash left no trace: the owner learned that a worker had "departed" or "was replaced", the same words as for one that leaves, and not which runs had been started on it or for how long they had been at work. An agent now records the end of each incarnation (left, drained or crashed, when it stopped answering, the runs that may have been started), reports it, and repeats it to an owner that connects later; the owner logs worker_crashed (507). No decision depends on it yet.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -56,6 +56,7 @@
 	WorkerRegistered      Number = 504
 	WorkerLeasesExpired   Number = 505
 	CommitOutcomeUnknown  Number = 506
+	WorkerCrashed         Number = 507
 	ClassAccepted         Number = 601
 	ConfigApplied         Number = 602
 	QuotaAccepted         Number = 603
@@ -158,6 +159,7 @@
 	{WorkerRegistered, "worker_registered", "A worker has registered with the owner and reported its inventory."},
 	{WorkerLeasesExpired, "worker_given_up", "The leases of an unresponsive worker have expired."},
 	{CommitOutcomeUnknown, "commit_unknown", "The response to a write was lost; the outcome is being read back."},
+	{WorkerCrashed, "worker_crashed", "A worker of a host ended without leaving; the runs that may have been at work are counted."},
 	{ClassAccepted, "class_accepted", "A change of a class was accepted."},
 	{ConfigApplied, "config_in_force", "This process has applied a configuration sequence."},
 	{QuotaAccepted, "quota_accepted", "A change of a team's quota was accepted."},
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -110,12 +110,15 @@
 // needsDecision reports whether a message should trigger a pass of the scheduling loop.
 // Reports on running tasks alone wait for the next tick.
 func needsDecision(m kqmessage.ToOwner) bool {
-	return m.Worker != nil || m.Departed != "" || m.Registered || m.ApprovalResponse != nil || m.Report != nil && len(m.Report.Ended) > 0
+	return m.Worker != nil || len(m.WorkerEnds) > 0 || m.Departed != "" || m.Registered || m.ApprovalResponse != nil || m.Report != nil && len(m.Report.Ended) > 0
 }
 
 // handle applies a message to the planner and answers it; mu is held.
 func (x *Session) handle(now time.Time, m kqmessage.ToOwner) {
 	c, name := x.controller, x.hello.Name
+	for _, e := range m.WorkerEnds {
+		c.planner.WorkerEnded(now, name, e)
+	}
 	if m.Worker != nil {
 		c.planner.UpdateWorker(now, name, *m.Worker)
 	}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -107,6 +107,11 @@
 	clockReadAt time.Time
 	// answeredAt is when the worker last answered a poll.
 	answeredAt time.Time
+	// calls records whether the current incarnation answers, workerEnds how earlier ones ended.
+	calls      callHealth
+	workerEnds []workerEnd
+	// pollBeganAt is when the latest poll was sent.
+	pollBeganAt time.Time
 	// workerClock is the latest reading of the worker's clock.
 	workerClock kqexecution.Clock
 	// leaseEnd is the end of the lease on the worker's clock.
@@ -170,6 +175,8 @@
 	// run it; zero if it is not.
 	orderedAt time.Time
 	startedAt time.Time
+	// attemptedAt is when the first call to start the run was sent.
+	attemptedAt time.Time
 	// utilization is the share of its size that a filling run uses, deadline is when its
 	// job is to end.
 	utilization float64
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -120,6 +120,7 @@
 func (x *Executor) setWorker(w kqplan.WorkerInfo, sequence uint64) {
 	now := x.config.Now()
 	if x.info.Worker != "" {
+		x.recordWorkerEnd(now, false)
 		x.departed[x.info.Worker] = true
 	}
 	w.Unresponsive = false
@@ -131,6 +132,7 @@
 	x.workerClock, x.leaseEnd = 0, 0
 	// The clock of a running worker reads at least 0 now.
 	x.clockReadAt, x.answeredAt = now, now
+	x.calls = callHealth{lastAnswerAt: now}
 	x.runs = map[kqexecution.Run]*execution{}
 	x.listed = map[kqexecution.Run]bool{}
 	x.ends, x.lastEnd, x.acked, x.reportedEnds = map[uint64]kqexecution.RunEnd{}, 0, 0, 0
@@ -173,16 +175,17 @@
 		// The owner may have runs of an earlier incarnation, which has ended as well.
 		x.send(kqmessage.ToOwner{Departed: worker})
 	}
-	x.removeWorker(worker)
+	x.removeWorker(now, worker, true)
 }
 
-// removeWorker records that an incarnation has departed. If it is the current one, it is not
-// driven any more and the owner is notified. mu is held.
-func (x *Executor) removeWorker(worker kqexecution.Incarnation) {
+// removeWorker records that an incarnation has ended; left is true if it announced that. If it is the
+// current one, it is not driven any more and the owner is notified. mu is held.
+func (x *Executor) removeWorker(now time.Time, worker kqexecution.Incarnation, left bool) {
 	x.departed[worker] = true
 	if x.info.Worker != worker {
 		return
 	}
+	x.recordWorkerEnd(now, left)
 	if x.send != nil {
 		x.reportEnds()
 		x.send(kqmessage.ToOwner{Departed: worker})
--- a/internal/flow/kqexecutor/ordersender.go
+++ b/internal/flow/kqexecutor/ordersender.go
@@ -148,8 +148,10 @@
 // start tries once to start the run.
 func (s *orderSender) start(start kqexecution.Start) {
 	x := s.executor
+	began := s.recordAttempt()
 	ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), orderTimeout)
 	answer, clock, err := s.worker.Start(ctx, start)
+	timedOut := ctx.Err() != nil
 	cancel()
 	s.attempts++
 	now := x.config.Now()
@@ -157,6 +159,9 @@
 	defer x.mu.Unlock()
 	x.recordStartResult(now, s, err)
 	if err != nil {
+		if x.info.Worker == s.incarnation {
+			x.calls.recordFailure(now, began, timedOut)
+		}
 		if bits.OnesCount(uint(s.attempts)) == 1 {
 			x.config.Events.Emit(now, kqevent.OrderUnanswered, kqevent.Task(s.run.Task), "start of run %d on %s is unanswered, attempt %d", s.run.Number, s.incarnation, s.attempts)
 		}
@@ -165,6 +170,9 @@
 	if x.info.Worker != s.incarnation {
 		return
 	}
+	if answer != kqexecution.AnswerOtherIncarnation {
+		x.calls.recordAnswer(now)
+	}
 	if clock > x.workerClock {
 		x.workerClock, x.clockReadAt = clock, now
 	}
@@ -179,13 +187,25 @@
 	case kqexecution.AnswerLeaseExpired, kqexecution.AnswerFenced:
 		return
 	case kqexecution.AnswerOtherIncarnation:
-		x.removeWorker(s.incarnation)
+		x.removeWorker(now, s.incarnation, false)
 		return
 	}
 	x.config.Events.Emit(now, kqevent.OrderRefused, kqevent.Task(s.run.Task), "start of run %d on %s refused: %s", s.run.Number, s.incarnation, answer)
 	s.refusal = answer
 }
 
+// recordAttempt records a call to start the run and returns the present time.
+func (s *orderSender) recordAttempt() time.Time {
+	x := s.executor
+	now := x.config.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if s.execution.attemptedAt.IsZero() {
+		s.execution.attemptedAt = now
+	}
+	return now
+}
+
 // stop tries once to stop the run, or to keep it from starting.
 func (s *orderSender) stop() {
 	x := s.executor
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -29,8 +29,9 @@
 		}
 		ctx, cancel := context.WithTimeout(x.tomb.Context(context.Background()), h.Wait+pollSlack)
 		held, err := worker.Hold(ctx, h)
+		timedOut := ctx.Err() != nil
 		cancel()
-		if !x.handlePoll(incarnation, held, err) {
+		if !x.handlePoll(incarnation, held, err, timedOut) {
 			x.pause(pollRetryDelay)
 		}
 	}
@@ -53,6 +54,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.polls++
+	x.pollBeganAt = x.config.Now()
 	h = kqexecution.Hold{Token: x.epoch, Acknowledged: x.ackNumber(), Wait: pollWait}
 	if x.colocated {
 		h.Wait = colocatedPollWait
@@ -69,9 +71,9 @@
 	return h, x.worker, x.info.Worker, wait
 }
 
-// handlePoll applies the result of a poll of an incarnation. It returns false if the next poll
-// must be delayed.
-func (x *Executor) handlePoll(incarnation kqexecution.Incarnation, h kqexecution.Held, err error) bool {
+// handlePoll applies the result of a poll of an incarnation; timedOut is true if its time limit had
+// passed. It returns false if the next poll must be delayed.
+func (x *Executor) handlePoll(incarnation kqexecution.Incarnation, h kqexecution.Held, err error, timedOut bool) bool {
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -86,10 +88,11 @@
 		return false
 	case err != nil:
 		x.pollUnanswered = true
+		x.calls.recordFailure(now, x.pollBeganAt, timedOut)
 		x.handleNoAnswer(now)
 		return false
 	case h.Answer == kqexecution.AnswerOtherIncarnation:
-		x.removeWorker(incarnation)
+		x.removeWorker(now, incarnation, false)
 		return false
 	case h.Answer != kqexecution.AnswerDone:
 		// A refused poll renews no lease.
@@ -100,6 +103,7 @@
 		return false
 	}
 	x.answeredAt = now
+	x.calls.recordAnswer(now)
 	if h.Clock > x.workerClock {
 		x.workerClock, x.clockReadAt = h.Clock, now
 	}
@@ -200,7 +204,7 @@
 	slices.SortFunc(ended, func(a, b kqexecution.RunEnd) int { return int(a.Number) - int(b.Number) })
 	r := kqplan.Report{Worker: w.Worker, Complete: true, Running: h.Running, Ended: ended}
 	r.Paces, r.Slowed = x.paces()
-	x.send(kqmessage.ToOwner{Worker: &w, Report: &r, Registered: true})
+	x.send(kqmessage.ToOwner{Worker: &w, Report: &r, Registered: true, WorkerEnds: x.workerEndsAt(now)})
 	x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.workerClock)})
 }
 
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -46,6 +46,9 @@
 	Worker *kqplan.WorkerInfo `json:"worker,omitempty"`
 	// Departed is an incarnation of the worker that has ended.
 	Departed kqexecution.Incarnation `json:"gone,omitempty"`
+	// WorkerEnds are the ends of earlier incarnations of the worker. An agent repeats them when it
+	// registers; they are to be applied before Worker and Departed.
+	WorkerEnds []kqplan.WorkerEnd `json:"worker_ends,omitempty"`
 	// Report lists the runs on the worker.
 	Report *kqplan.Report `json:"report,omitempty"`
 	// Registered is true once an agent has sent its first complete report on this stream.
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -105,6 +105,8 @@
 	scoredLogged int64
 
 	queueStats map[string]*queueStats
+	// workerEnds holds the incarnations whose end was recorded, with the time of that.
+	workerEnds map[kqexecution.Incarnation]time.Time
 	evacuation
 	warmUp warmUp
 	// admission holds the data from which entries accept or reject jobs.
@@ -113,7 +115,7 @@
 
 // New returns a Planner without jobs, hosts or queues.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, queueStats: map[string]*queueStats{}, fillingMissLimit: maxFillingMisses, admission: newAdmission(c.AcquiredAt)}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, queueStats: map[string]*queueStats{}, workerEnds: map[kqexecution.Incarnation]time.Time{}, fillingMissLimit: maxFillingMisses, admission: newAdmission(c.AcquiredAt)}
 }
 
 // Epoch returns the owner's epoch.
