kqflowrig: a task that crashes each worker is started without limit

The stand-in of a worker can crash, alone or by a task that it starts, and its ledger counts the starts of a task after three crashes.

--- a/internal/standin/kqtaskhost/host.go
+++ b/internal/standin/kqtaskhost/host.go
@@ -65,6 +65,11 @@
 	// SendsBirthTime makes a restarted worker keep its id and report its time of birth.
 	// Otherwise it restarts under a new id and reports none.
 	SendsBirthTime bool
+	// CrashAfter returns how long after its start a task crashes its worker; crashes is false if it does
+	// not. May be nil.
+	CrashAfter func(task string) (after time.Duration, crashes bool)
+	// GuardsCapacity makes a worker refuse the starts that do not fit its capacity.
+	GuardsCapacity bool
 	// MaxLease bounds the lease that a worker accepts, measured from its own clock; 0 means
 	// no bound.
 	MaxLease time.Duration
@@ -72,6 +77,7 @@
 
 // Host is a machine that runs one incarnation of a worker at a time.
 type Host struct {
+	name   string
 	config Config
 
 	mu           sync.Mutex
@@ -79,6 +85,9 @@
 	faults       Faults
 	incarnations int // number of incarnations so far
 	worker       *worker
+	// isDown is true from a crash until the next incarnation starts.
+	isDown   bool
+	capacity capacity
 }
 
 // worker is one incarnation of the host's worker. Its lease times are durations since start.
@@ -108,7 +117,7 @@
 
 // New returns a Host that runs the first incarnation of a worker.
 func New(name string, c Config) *Host {
-	h := &Host{config: c, rng: rand.New(rand.NewPCG(c.Seed, 5))}
+	h := &Host{name: name, config: c, rng: rand.New(rand.NewPCG(c.Seed, 5)), capacity: capacity{current: c.Capacity}}
 	h.Restart(name)
 	return h
 }
@@ -118,13 +127,15 @@
 func (h *Host) Restart(name string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.worker != nil {
-		h.worker.advance(time.Now())
-		h.worker.replaced = true
-		for k := range h.worker.running {
-			h.config.Ledger.workerReplaced(k, h.worker.incarnation)
-		}
+	h.restart(name)
+}
+
+// restart is Restart with mu held.
+func (h *Host) restart(name string) {
+	if h.worker != nil && !h.isDown {
+		h.endIncarnation()
 	}
+	h.isDown = false
 	h.incarnations++
 	h.worker = &worker{host: h, incarnation: h.nextIncarnation(name), start: time.Now(), running: map[kqexecution.Run]*run{}, highestRun: map[string]uint64{}}
 }
@@ -207,6 +218,9 @@
 	h := c.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.isDown {
+		return "", 0, ErrNoAnswer
+	}
 	if h.faults.Down {
 		h.mu.Unlock()
 		<-ctx.Done()
@@ -234,7 +248,7 @@
 	c.host.mu.Lock()
 	defer c.host.mu.Unlock()
 	w := c.host.worker
-	if w.incarnation.ID() == c.id && (o.isStart || o.sentTo == w) {
+	if !c.host.isDown && w.incarnation.ID() == c.id && (o.isStart || o.sentTo == w) {
 		w.advance(time.Now())
 		o.apply(w, o.sentTo != w)
 	}
@@ -329,14 +343,15 @@
 		case time.Duration(s.LeaseUntil) <= now.Sub(w.start):
 			return kqexecution.AnswerLeaseExpired
 		}
-		w.leaseUntil = max(w.leaseUntil, w.boundLease(now, s.LeaseUntil))
 		resources, duration := w.host.config.TaskSpec(s.Task)
-		w.running[s.Run] = &run{startedAt: now, duration: duration, resources: resources, hangs: w.host.faults.HangRuns}
-		used := kqmodel.Resources{}
-		for _, r := range w.running {
-			used = used.Add(r.resources)
+		used := w.used().Add(resources)
+		if w.host.config.GuardsCapacity && !used.FitsIn(w.host.capacity.current) {
+			return kqexecution.AnswerNoCapacity
 		}
-		w.host.config.Ledger.started(s.Run, w.incarnation, used.FitsIn(w.host.config.Capacity), sentToEarlier)
+		w.leaseUntil = max(w.leaseUntil, w.boundLease(now, s.LeaseUntil))
+		w.running[s.Run] = &run{startedAt: now, duration: duration, resources: resources, hangs: w.host.faults.HangRuns}
+		w.host.config.Ledger.started(s.Run, w.incarnation, w.host.capacity.allows(now, used), sentToEarlier)
+		w.crashIfDeadly(s.Run)
 		w.advanceAfter(duration)
 		w.watchLease(now)
 		return kqexecution.AnswerDone
--- a/internal/standin/kqtaskhost/ledger.go
+++ b/internal/standin/kqtaskhost/ledger.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -28,6 +30,9 @@
 	acknowledgedDone     map[string]bool            // by task
 	acknowledgedFailures map[string]int             // by task
 	startsForbidden      map[string]bool            // by job
+	crashesBy            map[string]int             // by task that crashed its worker
+	startsAfterCrashes   map[string]int             // by task, after maxCrashes crashes
+	crashTimes           []time.Time                // of all workers
 	breaches             []string
 	starts               int
 }
@@ -35,7 +40,7 @@
 // NewLedger returns an empty Ledger. The function rules returns the rules of a task.
 func NewLedger(rules func(task string) Rules) *Ledger {
 	return &Ledger{rules: rules, running: map[string]map[string]bool{}, succeeded: map[string]bool{}, acknowledgedDone: map[string]bool{},
-		acknowledgedFailures: map[string]int{}, startsForbidden: map[string]bool{}}
+		acknowledgedFailures: map[string]int{}, startsForbidden: map[string]bool{}, crashesBy: map[string]int{}, startsAfterCrashes: map[string]int{}}
 }
 
 // Breaches returns a description of each breach so far.
@@ -149,11 +154,45 @@
 			l.addBreach("dependency order: %s started before %s completed", r.Task, a)
 		}
 	}
+	if l.crashesBy[r.Task] >= maxCrashes {
+		l.startsAfterCrashes[r.Task]++
+		if n := l.startsAfterCrashes[r.Task]; n >= maxStartsAfterCrashes {
+			l.addBreach("started %d times more after %d crashes: %s run %d", n, maxCrashes, r.Task, r.Number)
+		}
+	}
 	if l.startsForbidden[jobOf(r.Task)] {
 		l.addBreach("started after its job was cancelled: %s", r.Task)
 	}
 }
 
+// A task that crashes its workers must not start maxStartsAfterCrashes times more after it has crashed
+// maxCrashes of them.
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+)
+
+// crashedBy records that a task has crashed its worker.
+func (l *Ledger) crashedBy(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashesBy[task]++
+}
+
+// workerCrashed records the crash of a worker.
+func (l *Ledger) workerCrashed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashTimes = append(l.crashTimes, time.Now())
+}
+
+// CrashTimes returns when a worker crashed, for each crash.
+func (l *Ledger) CrashTimes() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.crashTimes)
+}
+
 // ended records the end of a run on its worker.
 func (l *Ledger) ended(r kqexecution.Run, worker kqexecution.Incarnation, reason kqexecution.EndReason) {
 	l.mu.Lock()
--- a/internal/trial/kqflowdemo/cell.go
+++ b/internal/trial/kqflowdemo/cell.go
@@ -212,7 +212,7 @@
 	var m *kqmachine.Machine
 	var policies *kqgate.PolicyWatcher
 	var zones *kqgate.ZoneWatcher
-	m = kqmachine.New(kqmachine.Config{Name: name, Service: x.config.Service, Zone: zoneOf(number), Capacity: x.config.Capacity, CheckInInterval: checkInInterval,
+	m = kqmachine.New(kqmachine.Config{Name: name, Service: x.config.Service, Zone: zoneOf(number), CheckInInterval: checkInInterval,
 		Host: kqtaskhost.New(name, kqtaskhost.Config{Seed: seed, Capacity: x.config.Capacity, TaskSpec: x.taskSpec, Ledger: x.Ledger, TimeToReady: x.timeToReady}),
 		ControlConfig: func(boot int) kqcontrol.Config {
 			policies = kqgate.NewPolicyWatcher(kqgate.PolicyWatcherConfig{Store: x.Store.Client(name), Now: time.Now, Events: x.config.Events, OnChange: m.SetPolicy})
--- /dev/null
+++ b/internal/trial/kqflowrig/deadly_test.go
@@ -0,0 +1,166 @@
+package kqflowrig_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
+)
+
+const (
+	deadlyJobID = "00000000deadface"
+	// crashDelay is how long after its start a deadly task crashes its worker.
+	crashDelay = 10 * time.Millisecond
+	// loadInterval is the time between two innocent jobs.
+	loadInterval = 200 * time.Millisecond
+	// giveUpTime bounds the time until a job with a deadly task is failed: five runs, each of which is
+	// known to have crashed its worker after at most 5 s.
+	giveUpTime = 25 * time.Second
+)
+
+// crashRun is a rig under a load of innocent jobs, in which workers crash.
+type crashRun struct{ rig *kqflowrig.Rig }
+
+func newCrashRun(config kqflowrig.Config) *crashRun {
+	config.Agents, config.Capacity = 6, kqmodel.Resources{MilliProcessors: 16000, MemoryBytes: 64 << 30}
+	x := &crashRun{rig: kqflowrig.New(config)}
+	time.Sleep(3 * time.Second)
+	return x
+}
+
+// load submits innocent jobs of four tasks, five a second.
+func (x *crashRun) load(d time.Duration) {
+	for n := 1; n <= int(d/loadInterval); n++ {
+		time.Sleep(loadInterval)
+		j := kqflow.Job{ID: fmt.Sprintf("%016x", n), Queue: "urgent", Payload: "p", Steps: []kqflow.Step{{Count: 4, Estimate: 800 * time.Millisecond, Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}}}}
+		go x.rig.Submit(j)
+	}
+}
+
+// submitDeadly submits a job in which the listed tasks of the first step crash each worker that starts
+// them, all of them if none is listed.
+func (x *crashRun) submitDeadly(s kqflow.Step, after time.Duration, indices ...int) {
+	if len(indices) == 0 {
+		for i := range s.Count {
+			indices = append(indices, i)
+		}
+	}
+	for _, i := range indices {
+		x.rig.SetDeadly(kqflow.TaskID{Job: deadlyJobID, Index: i}.String(), after)
+	}
+	x.rig.Submit(kqflow.Job{ID: deadlyJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}})
+}
+
+func (x *crashRun) restartAgents(only func(i int) bool) {
+	for i, a := range x.rig.Agents {
+		if only(i) {
+			a.Kill()
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, a := range x.rig.Agents {
+		restart(a)()
+	}
+}
+
+// check waits until the innocent jobs have ended, and expects that all of them have completed and that
+// no rule was broken.
+func (x *crashRun) check(t *testing.T) {
+	t.Helper()
+	time.Sleep(10 * time.Second)
+	for _, id := range x.rig.Accepted() {
+		if s := x.rig.State(id); id != deadlyJobID && s != kqflow.StateCompleted {
+			t.Errorf("innocent job %s is %s", id, s)
+		}
+	}
+	for _, b := range x.rig.Ledger.Breaches() {
+		t.Error(b)
+	}
+	for _, b := range x.rig.Counter.Breaches() {
+		t.Error(b)
+	}
+}
+
+// smallStep returns a step of small tasks.
+func smallStep(count int) kqflow.Step {
+	return kqflow.Step{Count: count, Estimate: 800 * time.Millisecond, Resources: kqmodel.Resources{MilliProcessors: 500, MemoryBytes: 1 << 30}}
+}
+
+// A task crashes each worker that starts it. Guards against a scheduler that starts it again without
+// limit, and against one that loses count of the crashes in another fault.
+func TestATaskThatCrashesEachWorkerIsStartedWithoutLimit(t *testing.T) {
+	gang, copies, filling, longRunning := smallStep(4), smallStep(4), smallStep(4), smallStep(3)
+	gang.Gang = true
+	copies.Speculative = true
+	filling.Fills = true
+	longRunning.LongRunning, longRunning.Estimate = true, time.Hour
+	for name, c := range map[string]struct {
+		config  kqflowrig.Config
+		step    kqflow.Step
+		after   time.Duration
+		indices []int
+		// fault happens while the task is being tried.
+		fault func(x *crashRun)
+		// maxCrashes bounds how many workers crash.
+		maxCrashes int
+	}{
+		"one of a step":                   {step: smallStep(6), indices: []int{0}},
+		"with workers that keep their id": {step: smallStep(6), indices: []int{2}, config: kqflowrig.Config{SendsBirthTime: true}},
+		"a second after its start":        {step: smallStep(1), after: 700 * time.Millisecond},
+		"all of a step":                   {step: smallStep(6), maxCrashes: 11},
+		"a member of a gang":              {step: gang, indices: []int{1}},
+		"with copies":                     {step: copies, indices: []int{0}},
+		"that fills":                      {step: filling, indices: []int{3}},
+		"long-running":                    {step: longRunning, indices: []int{1}},
+		"the owner is killed twice": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
+			for range 2 {
+				x.restartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() })
+				time.Sleep(4 * time.Second)
+			}
+		}},
+		"all agents restart": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) { x.restartAgents(func(int) bool { return true }) }},
+		"the store refuses all calls": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
+			x.rig.Store.SetFaults("", kqrowstore.Faults{Refuse: true})
+			time.Sleep(4 * time.Second)
+			x.rig.Store.ClearFaults()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				synctest.Test(t, func(t *testing.T) {
+					c.config.Seed = seed
+					x := newCrashRun(c.config)
+					defer x.rig.Stop()
+					if c.after == 0 {
+						c.after = crashDelay
+					}
+					go x.load(20 * time.Second)
+					time.Sleep(2 * time.Second)
+					x.submitDeadly(c.step, c.after, c.indices...)
+					submittedAt := time.Now()
+					time.Sleep(2500 * time.Millisecond)
+					if c.fault != nil {
+						c.fault(x)
+					}
+					for x.rig.State(deadlyJobID) != kqflow.StateFailed && time.Since(submittedAt) < giveUpTime {
+						time.Sleep(100 * time.Millisecond)
+					}
+					if s := x.rig.State(deadlyJobID); s != kqflow.StateFailed {
+						t.Errorf("seed %d: the job is %q after %s", seed, s, giveUpTime)
+					}
+					t.Logf("seed %d: %s after %s, %d crashes", seed, x.rig.State(deadlyJobID), time.Since(submittedAt).Round(100*time.Millisecond), len(x.rig.Ledger.CrashTimes()))
+					time.Sleep(max(0, 20*time.Second-time.Since(submittedAt)))
+					x.check(t)
+					if n := len(x.rig.Ledger.CrashTimes()); c.maxCrashes > 0 && n > c.maxCrashes {
+						t.Errorf("seed %d: %d workers have crashed, at most %d may", seed, n, c.maxCrashes)
+					}
+				})
+			}
+		})
+	}
+}
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -73,6 +73,8 @@
 	// SendsBirthTime is true if a restarted worker keeps its id and reports its time of birth, which
 	// tells its incarnations apart.
 	SendsBirthTime bool
+	// GuardsCapacity is true if workers refuse the starts that do not fit their capacity.
+	GuardsCapacity bool
 }
 
 // Rig is a cell with its entries, and offers the operations of a caller and of an operator.
@@ -100,14 +102,16 @@
 	mu       sync.Mutex
 	jobs     map[string]kqflow.Job
 	accepted []string
-	policy   *kqflow.Policy
+	// deadly holds how long after their start tasks crash their workers, by task.
+	deadly map[string]time.Duration
+	policy *kqflow.Policy
 	evacuations
 }
 
 // New returns a Rig with all processes started. It panics if one fails to start.
 func New(c Config) *Rig {
 	r := &Rig{config: c, rng: rand.New(rand.NewPCG(c.Seed, 11)), Store: kqrowstore.New(c.Seed), Network: newNetwork(), Counter: &kqinvariant.Counter{},
-		jobs: map[string]kqflow.Job{}}
+		jobs: map[string]kqflow.Job{}, deadly: map[string]time.Duration{}}
 	if c.Partitions > 0 {
 		r.Store.EnablePartitions(map[string]int{kqcontrol.SubmissionTable: c.Partitions})
 	}
@@ -129,11 +133,11 @@
 func (r *Rig) startAgent(i int) *kqmachine.Machine {
 	name := fmt.Sprintf("10.0.0.%d", i+1)
 	host := kqtaskhost.New(name, kqtaskhost.Config{Seed: r.config.Seed + uint64(i), Capacity: r.config.Capacity, TaskSpec: r.taskSpec, Ledger: r.Ledger, TimeToReady: r.timeToReady,
-		SendsBirthTime: r.config.SendsBirthTime, MaxLease: maxWorkerLease,
+		SendsBirthTime: r.config.SendsBirthTime, CrashAfter: r.crashAfter, GuardsCapacity: r.config.GuardsCapacity, MaxLease: maxWorkerLease,
 		OnStartSent: func(run kqexecution.Run) { r.checkStart(i, run) }})
 	var machine *kqmachine.Machine
 	var watcher *kqgate.ZoneWatcher
-	machine = kqmachine.New(kqmachine.Config{Name: name, Host: host, Service: service, Zone: r.Zone(i), Capacity: r.config.Capacity, CheckInInterval: checkInInterval,
+	machine = kqmachine.New(kqmachine.Config{Name: name, Host: host, Service: service, Zone: r.Zone(i), CheckInInterval: checkInInterval,
 		Network: r.Network.forMachine(name), ControlConfig: func(boot int) kqcontrol.Config {
 			watcher = kqgate.NewZoneWatcher(kqgate.ZoneWatcherConfig{Process: name, Store: r.Store.Client(name), Now: time.Now, OnChange: machine.SetZones})
 			c := r.controlConfig(name, boot)
@@ -243,6 +247,20 @@
 	return step.Reserved(), step.Estimate
 }
 
+// SetDeadly makes a task crash each worker that starts it, a time after the start.
+func (r *Rig) SetDeadly(task string, after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deadly[task] = after
+}
+
+func (r *Rig) crashAfter(task string) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	after, ok := r.deadly[task]
+	return after, ok
+}
+
 // longRunningTimeToReady is the time from the start of a long-running task until it serves.
 const longRunningTimeToReady = 500 * time.Millisecond
 
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -8,7 +8,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
@@ -26,9 +25,8 @@
 	Name string
 	// Host is the stand-in for the machine that the worker runs on.
 	Host *kqtaskhost.Host
-	// Service names the pool that the worker belongs to, Capacity is the worker's capacity.
-	Service  string
-	Capacity kqmodel.Resources
+	// Service names the pool that the worker belongs to.
+	Service string
 	// Zone is the worker's availability zone.
 	Zone string
 	// CheckInInterval is the time between check-ins of the worker with its agent.
@@ -50,9 +48,11 @@
 	config    Config
 	bootCount int
 	running   bool
-	node      atomic.Pointer[kqnode.Node]
-	executor  atomic.Pointer[kqexecutor.Executor]
-	checkIns  *checkInLoop
+	// isDraining is true while the worker says that it is about to leave.
+	isDraining atomic.Bool
+	node       atomic.Pointer[kqnode.Node]
+	executor   atomic.Pointer[kqexecutor.Executor]
+	checkIns   *checkInLoop
 }
 
 // New returns a Machine whose agent has not been started.
@@ -124,6 +124,16 @@
 	}
 }
 
+// ReplaceWorker drains the worker for a time; it then leaves, and another one starts.
+func (m *Machine) ReplaceWorker(drainTime time.Duration) {
+	m.isDraining.Store(true)
+	time.Sleep(drainTime)
+	m.isDraining.Store(false)
+	left := m.Host.Incarnation()
+	m.Host.Restart(m.Name())
+	m.executor.Load().Departed(left)
+}
+
 // Name returns the agent's name.
 func (m *Machine) Name() string { return m.config.Name }
 
@@ -145,11 +155,16 @@
 	var last kqexecution.Incarnation
 	for sequence := uint64(1); ; sequence++ {
 		worker := m.Host.Incarnation()
+		if !m.Host.IsUp() {
+			worker = ""
+		}
 		if worker != last {
 			// Each incarnation numbers its check-ins from 1.
 			last, sequence = worker, 1
 		}
-		c.executor.CheckIn(kqplan.WorkerInfo{Worker: worker, Service: m.config.Service, Zone: m.config.Zone, Capacity: m.config.Capacity}, sequence)
+		if worker != "" {
+			c.executor.CheckIn(kqplan.WorkerInfo{Worker: worker, Service: m.config.Service, Zone: m.config.Zone, Capacity: m.Host.Capacity(), Draining: m.isDraining.Load()}, sequence)
+		}
 		select {
 		case <-c.tomb.Dying():
 			return nil
