kqplan: a task that crashes each worker that starts it is given up

Cause: the loss of a run with its worker left no trace. It is no failed attempt, since most runs that are lost are innocent, so nothing bounded the restarts of the one that was not; and it went back at once, beside others. A crash loop without isolation.

Fix: the crash of a worker is counted under the tasks that were at work there, once per task and incarnation, in the job's stored record. It is blamed on those that had just started (agents say for how long each had been at work), and their next run is a trial: all suspects of a step on one host, where nothing else starts until they have been at work for 0.3 s. A task is given up after two crashes for which only its job can be the cause, or five that all followed the start after the same time; its job is failed with the list of workers. Crashes of several workers at one moment, and those that no agent has reported, count without making anyone a suspect.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -84,6 +84,8 @@
 	FlowPacing            Number = 719
 	FlowExpired           Number = 720
 	FlowContention        Number = 721
+	FlowSuspected         Number = 722
+	FlowTrial             Number = 723
 	FlowRejected          Number = 731
 	FlowResubmitted       Number = 732
 	PeerConnected         Number = 801
@@ -173,7 +175,7 @@
 	{FlowPlanned, "flow_taken", "The owner has added a job of steps to its plan."},
 	{FlowCancelled, "flow_cancelled", "The owner stops a job of steps because its caller has cancelled it."},
 	{FlowCompleted, "flow_completed", "All tasks of a job of steps have succeeded."},
-	{FlowFailed, "flow_failed", "A task of a job of steps has failed and has no attempts left."},
+	{FlowFailed, "flow_failed", "A task of a job of steps has failed and has no attempts left, or has crashed its workers."},
 	{FlowWaiting, "flow_waiting", "There is not enough free capacity for a task of a job of steps."},
 	{FlowRunPlaced, "flow_run_placed", "A run of a task was assigned to a worker."},
 	{FlowRunEnded, "flow_run_ended", "A run of a task has ended."},
@@ -187,6 +189,8 @@
 	{FlowPacing, "flow_paced", "Statistics of a worker over the last interval: its serving tasks, the filling tasks that interfere with them, and the processor shares of the filling tasks."},
 	{FlowExpired, "flow_too_late", "An unfinished job of steps has passed the last time at which its result has any value."},
 	{FlowContention, "flow_crowded", "Tasks wait for free capacity: which tasks hold the processors of the cell and which wait for them."},
+	{FlowSuspected, "flow_suspected", "A worker has crashed under a task; if further workers do while nothing else can be the cause, the task is given up and its job fails."},
+	{FlowTrial, "flow_trial", "The tasks of a step under which a worker has crashed are tried on a host where nothing else starts meanwhile."},
 	{FlowRejected, "flow_rejected", "An entry has rejected a job of steps, which will not run, because it cannot end while its result has any value."},
 	{FlowResubmitted, "flow_returned", "A job of steps that was rejected before was submitted again and accepted; it is scheduled by the time of its first submission."},
 	{PeerConnected, "peer_linked", "A process of the system has connected."},
@@ -215,7 +219,7 @@
 // decisions holds the events that record a decision on a request, a task or a run.
 var decisions = map[Number]bool{
 	FlowAccepted: true, FlowRefused: true, FlowRejected: true, FlowResubmitted: true, FlowUnresolved: true, FlowPlanned: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true, FlowExpired: true,
-	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true,
+	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true, FlowSuspected: true, FlowTrial: true,
 }
 
 // isDecision reports whether n records a decision on a request, a task or a run.
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	x.answeredAt = now
-	x.calls.recordAnswer(now)
+	x.calls.recordPoll(now)
 	if h.Clock > x.workerClock {
 		x.workerClock, x.clockReadAt = h.Clock, now
 	}
@@ -127,6 +127,9 @@
 	}
 	x.info.Unresponsive = true
 	w := x.info
+	if since := x.calls.failingSince; !since.IsZero() {
+		w.SilentFor = now.Sub(since)
+	}
 	if x.registered {
 		x.send(kqmessage.ToOwner{Worker: &w})
 	}
--- a/internal/flow/kqexecutor/workerend.go
+++ b/internal/flow/kqexecutor/workerend.go
@@ -30,8 +30,16 @@
 	failingSince time.Time
 }
 
-// recordAnswer records an answered call.
-func (c *callHealth) recordAnswer(now time.Time) { c.lastAnswerAt, c.failingSince = now, time.Time{} }
+// recordPoll records an answered poll.
+func (c *callHealth) recordPoll(now time.Time) { c.lastAnswerAt, c.failingSince = now, time.Time{} }
+
+// recordAnswer records another answered call. After calls have failed it may be the answer of a later
+// incarnation under the same id, which only a poll can tell apart.
+func (c *callHealth) recordAnswer(now time.Time) {
+	if c.failingSince.IsZero() {
+		c.lastAnswerAt = now
+	}
+}
 
 // recordFailure records a call that began at a time and was not answered. A broken connection shows
 // when the worker failed; a call that timed out only shows that it may have failed since the call began.
@@ -78,10 +86,11 @@
 	var out []kqplan.StartedRun
 	for k, e := range x.runs {
 		switch {
-		case !e.startedAt.IsZero():
-			out = append(out, kqplan.StartedRun{Run: k, RunTime: max(0, silentSince.Sub(e.startedAt))})
-		case !e.attemptedAt.IsZero() && !e.attemptedAt.After(silentSince):
+		case e.attemptedAt.After(silentSince) || e.attemptedAt.IsZero() && e.startedAt.IsZero():
+		case e.startedAt.IsZero():
 			out = append(out, kqplan.StartedRun{Run: k})
+		default:
+			out = append(out, kqplan.StartedRun{Run: k, RunTime: max(0, silentSince.Sub(e.startedAt))})
 		}
 	}
 	slices.SortFunc(out, func(a, b kqplan.StartedRun) int {
--- a/internal/flow/kqflow/record.go
+++ b/internal/flow/kqflow/record.go
@@ -1,6 +1,10 @@
 package kqflow
 
-import "github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+import (
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+)
 
 // State is the state of a job as callers see it.
 type State string
@@ -38,6 +42,19 @@
 	Stopping bool `json:"stopping,omitempty"`
 }
 
+// CrashRecord is the stored form of the crash of a worker under a task.
+type CrashRecord struct {
+	// Worker is the incarnation that crashed, Host its machine.
+	Worker kqexecution.Incarnation `json:"worker"`
+	Host   string                  `json:"host,omitempty"`
+	// RunTime is how long the run had been at work.
+	RunTime time.Duration `json:"ran,omitempty"`
+	// Suspected is true if the start of the run may have caused the crash, and Isolated if only its job
+	// can have done so.
+	Suspected bool `json:"suspected,omitempty"`
+	Isolated  bool `json:"isolated,omitempty"`
+}
+
 // TaskRecord is the stored progress of a task.
 type TaskRecord struct {
 	// Done is true once a run has succeeded.
@@ -48,6 +65,8 @@
 	LastRun uint64 `json:"last_run,omitempty"`
 	// Checkpoint names the checkpoint from which the next run resumes.
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Crashes holds the crashes of workers under the task since a run of it was last at work for long.
+	Crashes []CrashRecord `json:"crashes,omitempty"`
 	// Runs holds the runs that have not ended.
 	Runs []RunRecord `json:"runs,omitempty"`
 }
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -105,6 +105,9 @@
 		return false
 	}
 	hosts := p.chooseGangHosts(now, t, members)
+	if x := p.trials[t.stepKey()]; x != nil {
+		hosts = p.chooseTrialGangHosts(now, x, members)
+	}
 	if hosts == nil {
 		if t.waitingSince.IsZero() {
 			t.waitingSince = now
@@ -132,11 +135,12 @@
 // A gang that runs slower over several racks waits for a single rack for as long as running over
 // several racks is expected to delay it.
 func (p *Planner) chooseGangHosts(now time.Time, t *task, members []*task) []*host {
+	anywhere := func(*host) bool { return true }
 	if !t.step.SameRack {
-		return p.chooseHosts(now, members, "")
+		return p.chooseHosts(now, members, anywhere)
 	}
 	for _, rack := range p.racksByFree() {
-		if out := p.chooseHosts(now, members, rack); out != nil {
+		if out := p.chooseHosts(now, members, func(h *host) bool { return h.info.Rack == rack }); out != nil {
 			return out
 		}
 	}
@@ -144,7 +148,7 @@
 	if t.waitingSince.IsZero() || now.Sub(t.waitingSince) < maxWait {
 		return nil
 	}
-	return p.chooseHosts(now, members, "")
+	return p.chooseHosts(now, members, anywhere)
 }
 
 // racksByFree returns the racks outside the evacuated zones, those with the most free processors
@@ -166,9 +170,9 @@
 	return out
 }
 
-// chooseHosts returns a host for each member, or nil; all are in the given rack unless it is empty.
+// chooseHosts returns a permitted host for each member, or nil.
 // The resources of the members that have a host are reserved while hosts for the others are chosen.
-func (p *Planner) chooseHosts(now time.Time, members []*task, rack string) []*host {
+func (p *Planner) chooseHosts(now time.Time, members []*task, permitted func(*host) bool) []*host {
 	if p.onHold {
 		return nil
 	}
@@ -183,7 +187,7 @@
 	out := make([]*host, 0, len(members))
 	for _, m := range members {
 		h := p.chooseHostAmong(now, m, func(h *host) bool {
-			return (rack == "" || h.info.Rack == rack) && (m.step.MaxPerWorker == 0 || chosen[h]+h.countSameStep(m) < m.step.MaxPerWorker)
+			return permitted(h) && (m.step.MaxPerWorker == 0 || chosen[h]+h.countSameStep(m) < m.step.MaxPerWorker)
 		})
 		if h == nil {
 			return nil
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -285,7 +285,7 @@
 		p.stop(r)
 		return
 	}
-	if len(t.runs) > 1 || (!stalled && remaining < time.Duration(minMoveGain*float64(t.step.Estimate))) {
+	if len(t.runs) > 1 || p.trials[t.stepKey()] != nil || (!stalled && remaining < time.Duration(minMoveGain*float64(t.step.Estimate))) {
 		return
 	}
 	if h := p.chooseHost(now, t); h != nil && h != r.host {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -33,6 +33,9 @@
 	Remaining time.Duration `json:"remaining,omitempty"`
 	// Unresponsive is true if the worker does not answer its agent.
 	Unresponsive bool `json:"unwell,omitempty"`
+	// SilentFor is the time since an unresponsive worker stopped answering, as of the time at which the
+	// agent sent it.
+	SilentFor time.Duration `json:"silent,omitempty"`
 	// WarmUpLeft is the remaining time for which the worker is slow after its start, as of the
 	// time at which the agent sent it.
 	WarmUpLeft time.Duration `json:"cold,omitempty"`
@@ -110,6 +113,10 @@
 	overdueStops kqmodel.Resources
 	// warmUpUntil is the end of the time for which the worker is slow after its start.
 	warmUpUntil time.Time
+	// silentSince is when the unresponsive worker stopped answering.
+	silentSince time.Time
+	// trial is the trial that keeps other work from the host, or nil.
+	trial *trial
 }
 
 // host returns the host with a name; it is added if missing.
@@ -152,10 +159,12 @@
 	if p.config.LimitWarmUp {
 		h.warmUpUntil = now.Add(w.WarmUpLeft)
 	}
-	drainBegins := w.Draining && !h.info.Draining
+	h.silentSince = now.Add(-w.SilentFor)
+	previous := h.info
+	drainBegins := w.Draining && !previous.Draining
 	h.info = w
 	if w.Worker != "" {
-		p.handleIncarnation(now, h, w.Worker)
+		p.handleIncarnation(now, h, w.Worker, previous)
 	}
 	if drainBegins {
 		p.drain(now, h)
@@ -292,6 +301,7 @@
 		r.percent, r.progressedAt = x.Percent, now
 	}
 	r.measurement, r.lastReportAt = x.Measurement, now
+	p.clearSuspect(now, r)
 	if x.Checkpoint != "" && !r.stopping {
 		r.task.saveCheckpoint(x.Checkpoint)
 	}
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -65,6 +65,8 @@
 	lastRun    uint64
 	checkpoint string
 	runs       []*run
+	// crashes holds the crashes of workers under the task, see kqflow.TaskRecord.
+	crashes []kqflow.CrashRecord
 	// retryAt is the earliest time at which the task is placed again.
 	retryAt time.Time
 	// avoidedHost is the host where a run of the task last failed, was refused, or was stopped
@@ -199,15 +201,21 @@
 		j.addTasks(k)
 	}
 	j.occurrences = r.Occurrences
+	var suspects []crashedRun
 	for i, t := range j.tasks {
-		if i < len(r.Tasks) {
-			p.restoreTask(now, t, r.Tasks[i])
+		if i >= len(r.Tasks) {
+			break
+		}
+		p.restoreTask(now, t, r.Tasks[i])
+		if n := len(t.crashes); !t.done && n > 0 && t.crashes[n-1].Suspected {
+			suspects = append(suspects, crashedRun{task: t})
 		}
 	}
+	p.requireTrials(now, suspects)
 }
 
 func (p *Planner) restoreTask(now time.Time, t *task, r kqflow.TaskRecord) {
-	t.failedRuns, t.lastRun, t.checkpoint = r.FailedRuns, r.LastRun, r.Checkpoint
+	t.failedRuns, t.lastRun, t.checkpoint, t.crashes = r.FailedRuns, r.LastRun, r.Checkpoint, r.Crashes
 	if r.Done {
 		t.markDone()
 	}
@@ -261,7 +269,7 @@
 func (t *task) record() kqflow.TaskRecord {
 	r := kqflow.TaskRecord{Done: t.done, FailedRuns: slices.Clone(t.failedRuns), LastRun: t.lastRun}
 	if !t.done {
-		r.Checkpoint = t.checkpoint
+		r.Checkpoint, r.Crashes = t.checkpoint, slices.Clone(t.crashes)
 	}
 	for _, x := range t.runs {
 		r.Runs = append(r.Runs, kqflow.RunRecord{Number: x.number, Host: x.host.name, Worker: x.worker, Stopping: x.stopping})
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -125,6 +125,7 @@
 		h.longRunningClaims = kqmodel.Resources{}
 		h.updateOverdueStops(now)
 	}
+	p.placeTrials(now, ps)
 	waiting := 0
 	for _, j := range p.orderedJobs(now, ps.includesFilling) {
 		for _, t := range j.tasks {
@@ -191,6 +192,11 @@
 		p.logWaiting(now, t, "the service keeps its free processors for finite jobs")
 		return false
 	}
+	if x := p.trials[t.stepKey()]; x != nil {
+		if started, isFree := p.placeInTrial(now, t, x, ps); started || !isFree {
+			return started
+		}
+	}
 	key := t.placementKey(now)
 	if !ps.unplaceable[key] && (!t.step.Fills || ps.fillingMisses < p.fillingMissLimit) {
 		if h := p.chooseInPass(now, t, ps); h != nil {
@@ -335,6 +341,8 @@
 	switch {
 	case !h.usable(now), h.info.Service != t.job.queue.Service, p.inEvacuatedZone(h):
 		return false
+	case h.trial != nil && h.trial.keepsOut(t):
+		return false
 	case now.Before(t.barredUntil[h.name]):
 		return false
 	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -107,6 +107,9 @@
 	queueStats map[string]*queueStats
 	// workerEnds holds the incarnations whose end was recorded, with the time of that.
 	workerEnds map[kqexecution.Incarnation]time.Time
+	// crashes holds the recent crashes of workers, trials the trials that are required or in progress.
+	crashes []workerCrash
+	trials  map[stepKey]*trial
 	evacuation
 	warmUp warmUp
 	// admission holds the data from which entries accept or reject jobs.
@@ -115,7 +118,7 @@
 
 // New returns a Planner without jobs, hosts or queues.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, queueStats: map[string]*queueStats{}, workerEnds: map[kqexecution.Incarnation]time.Time{}, fillingMissLimit: maxFillingMisses, admission: newAdmission(c.AcquiredAt)}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, queueStats: map[string]*queueStats{}, workerEnds: map[kqexecution.Incarnation]time.Time{}, trials: map[stepKey]*trial{}, fillingMissLimit: maxFillingMisses, admission: newAdmission(c.AcquiredAt)}
 }
 
 // Epoch returns the owner's epoch.
@@ -326,6 +329,7 @@
 	p.expireLeases(now)
 	p.updateWarmServices(now)
 	p.addDueOccurrences(now)
+	p.updateTrials(now)
 	p.checkProgress(now)
 	p.relocateFromEvacuated(now)
 	p.updateInterference(now)
--- a/internal/flow/kqplan/workerend.go
+++ b/internal/flow/kqplan/workerend.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
@@ -17,6 +16,9 @@
 	SilentFor time.Duration `json:"silent,omitempty"`
 	// Runs lists the runs that a crashed incarnation may have started.
 	Runs []StartedRun `json:"runs,omitempty"`
+	// inferred is true if the owner has inferred the end: no agent has reported it, so it is unknown
+	// which of the runs had started, and when the incarnation ended.
+	inferred bool
 }
 
 // StartedRun is a run that a worker may have started before it crashed.
@@ -47,8 +49,22 @@
 	}
 }
 
-// workerCrashed logs the crash of a worker.
-func (p *Planner) workerCrashed(now time.Time, h *host, e WorkerEnd) {
-	p.config.Events.EmitFields(now, kqevent.WorkerCrashed, kqevent.Worker(string(e.Worker)), []kqevent.Field{kqevent.Millis("silent_ms", e.SilentFor), kqevent.Value("runs", len(e.Runs))},
-		"host %s: ended without leaving, silent for %s, %d runs were at work", h.name, e.SilentFor.Round(time.Millisecond), len(e.Runs))
+// inferWorkerEnds records the ends of earlier incarnations with runs on a host that no agent has
+// reported, because the agent has restarted meanwhile. previous describes the worker that the host had.
+func (p *Planner) inferWorkerEnds(now time.Time, h *host, worker kqexecution.Incarnation, previous WorkerInfo) {
+	ends := map[kqexecution.Incarnation]*WorkerEnd{}
+	for _, r := range h.runs.All() {
+		if r.worker == worker || !r.ordered || r.transferred {
+			continue
+		}
+		e := ends[r.worker]
+		if e == nil {
+			e = &WorkerEnd{Worker: r.worker, inferred: true, Crashed: r.worker != previous.Worker || !previous.Draining}
+			ends[r.worker] = e
+		}
+		e.Runs = append(e.Runs, StartedRun{Run: r.key(), RunTime: max(0, r.lastReportAt.Sub(r.startedAt))})
+	}
+	for _, e := range ends {
+		p.WorkerEnded(now, h.name, *e)
+	}
 }
