kqexecutor: a worker that shrinks is no breach of an invariant

A worker's capacity may shrink while it runs. Starts were handled already: the owner places by the latest capacity, what is being stopped counts, and the agent refuses a start that no longer fits. But the agent reported capacity_exceeded, an invariant of the owner, for each start that it refused because the worker had shrunk. The owner is now judged by the most that the capacity was since the runs last fitted. kqflowrig EarlierCapacity plays workers that guard their capacity and workers that do not, gangs, runs being stopped, takeovers, restarts, late orders and crashes: it failed by that report alone, and no start was over a worker's capacity.

--- a/internal/core/kqmodel/resources.go
+++ b/internal/core/kqmodel/resources.go
@@ -22,6 +22,11 @@
 	return Resources{r.MilliProcessors - o.MilliProcessors, r.MemoryBytes - o.MemoryBytes, r.Accelerators - o.Accelerators}
 }
 
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliProcessors, o.MilliProcessors), max(r.MemoryBytes, o.MemoryBytes), max(r.Accelerators, o.Accelerators)}
+}
+
 // FitsIn reports whether no resource of r exceeds that of o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.MilliProcessors <= o.MilliProcessors && r.MemoryBytes <= o.MemoryBytes && r.Accelerators <= o.Accelerators
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -85,7 +85,10 @@
 	// check-in; info.Worker is empty if there is none.
 	info     kqplan.WorkerInfo
 	sequence uint64
-	zones    kqevacuate.Zones
+	// shrunkFrom is the most that the worker's capacity was since its runs last fitted in it; zero if
+	// they fit.
+	shrunkFrom kqmodel.Resources
+	zones      kqevacuate.Zones
 	// warmUpUntil is the end of the worker's warm-up as last reported to the owner.
 	warmUpUntil time.Time
 	// ownerZonesAt is the time as of which the owner confirmed the evacuated zones.
@@ -372,6 +375,18 @@
 	return ok && now.Sub(sent) >= reportInterval && x.awaitsGrant(now)
 }
 
+// exceedsCapacity reports whether the ordered runs reserve more than the worker's capacity, which may
+// have shrunk since they were ordered. mu is held.
+func (x *Executor) exceedsCapacity() bool {
+	usage := x.usage()
+	if usage.FitsIn(x.info.Capacity) {
+		x.shrunkFrom = kqmodel.Resources{}
+		return false
+	}
+	x.config.Counter.Check(usage.FitsIn(x.shrunkFrom), kqinvariant.CapacityExceeded, "worker %s: the ordered runs reserve %s, its capacity is %s", x.info.Worker, usage, x.info.Capacity)
+	return true
+}
+
 // usage returns the resources that the runs reserve on the worker. Filling runs reserve no
 // processors. mu is held.
 func (x *Executor) usage() kqmodel.Resources {
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqpace"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -108,6 +109,9 @@
 // is held.
 func (x *Executor) updateInfo(w kqplan.WorkerInfo) {
 	w.Unresponsive = x.info.Unresponsive
+	if !x.info.Capacity.FitsIn(w.Capacity) {
+		x.shrunkFrom = x.shrunkFrom.Max(x.info.Capacity)
+	}
 	changed := w.Draining != x.info.Draining || w.Capacity != x.info.Capacity || w.Unresponsive != x.info.Unresponsive || x.updateWarmUp(w)
 	x.info = w
 	if changed && x.registered {
@@ -125,7 +129,7 @@
 	}
 	w.Unresponsive = false
 	x.warmUpUntil = now.Add(w.WarmUpLeft)
-	x.info, x.sequence = w, sequence
+	x.info, x.sequence, x.shrunkFrom = w, sequence, kqmodel.Resources{}
 	x.recordIncarnation(now, w.Worker)
 	x.worker = x.config.Connect(w.Worker)
 	x.polled, x.registered, x.synced = false, false, false
--- a/internal/flow/kqexecutor/ordersender.go
+++ b/internal/flow/kqexecutor/ordersender.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -115,8 +114,7 @@
 		s.refusal = kqexecution.AnswerUnhealthy
 		return start, true, true, true
 	}
-	x.config.Counter.Check(x.usage().FitsIn(x.info.Capacity), kqinvariant.CapacityExceeded, "worker %s: the ordered runs reserve %s, its capacity is %s", s.incarnation, x.usage(), x.info.Capacity)
-	if !x.usage().FitsIn(x.info.Capacity) && !x.listed[s.run] {
+	if x.exceedsCapacity() && !x.listed[s.run] {
 		s.refusal = kqexecution.AnswerNoCapacity
 		return start, true, true, true
 	}
