kqexecutor, kqplan: the crash of a worker whose agent has restarted is counted

An agent that restarted while its worker was down learned of the crash, but no longer of the runs, and reported an end without runs; the owner took that for all there was to know. Such an agent now reports nothing, and the owner infers the end from its records, also from the message that an incarnation has departed; a leave is reported as such. kqflowrig WithoutLimit 'agents restart in turn' and 'each agent restarts after the crash' failed before (6 and 7 crashes).

A task is given up after two crashes in isolation only if both followed its start within 50 ms, otherwise after three: kqflowrig InnocentJobs 'one after another' failed an innocent job whose trials met two further crashes 0.2 s after their start.

--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -136,6 +136,9 @@
 	requestClocks map[uint64]kqexecution.Clock
 
 	runs map[kqexecution.Run]*execution
+	// knowsRuns is true once an owner has sent all of its orders for the current incarnation, so that
+	// runs lists every run that may be on it.
+	knowsRuns bool
 	// listed holds the runs that the latest poll listed.
 	listed map[kqexecution.Run]bool
 	// ends holds the ends that the owner has not acknowledged, by number. lastEnd is the
@@ -274,7 +277,7 @@
 // resync stops the runs that are not among all orders of the owner: an unanswered start may
 // still be carried out. mu is held.
 func (x *Executor) resync(orders []*kqplan.Order) {
-	x.synced = true
+	x.synced, x.knowsRuns = true, true
 	known := make(map[kqexecution.Run]bool, len(orders))
 	for _, o := range orders {
 		known[o.Run] = true
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -98,9 +98,10 @@
 	x.config.Events.Emit(now, kqevent.WorkerSuperseded, kqevent.Worker(string(later)), "incarnation %s has ended, known from: %s", x.info.Worker, source)
 	x.recordUnlistedStarts(now)
 	x.recordIncarnation(now, later)
+	x.recordEnd(now)
 	if x.send != nil {
 		x.reportEnds()
-		x.send(kqmessage.ToOwner{Worker: &kqplan.WorkerInfo{}})
+		x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now), Worker: &kqplan.WorkerInfo{}})
 	}
 	x.setWorker(kqplan.WorkerInfo{}, 0)
 }
@@ -124,7 +125,7 @@
 func (x *Executor) setWorker(w kqplan.WorkerInfo, sequence uint64) {
 	now := x.config.Now()
 	if x.info.Worker != "" {
-		x.recordWorkerEnd(now, false)
+		x.recordEnd(now)
 		x.departed[x.info.Worker] = true
 	}
 	w.Unresponsive = false
@@ -132,7 +133,7 @@
 	x.info, x.sequence, x.shrunkFrom = w, sequence, kqmodel.Resources{}
 	x.recordIncarnation(now, w.Worker)
 	x.worker = x.config.Connect(w.Worker)
-	x.polled, x.registered, x.synced = false, false, false
+	x.polled, x.registered, x.synced, x.knowsRuns = false, false, false, false
 	x.workerClock, x.leaseEnd = 0, 0
 	// The clock of a running worker reads at least 0 now.
 	x.clockReadAt, x.answeredAt = now, now
@@ -175,24 +176,25 @@
 		x.supersede(now, worker, sourceLeave)
 	}
 	x.recordIncarnation(now, worker)
+	x.recordLeave(now, worker)
 	if _, born := worker.Born(); born && x.info.Worker == "" && x.send != nil {
 		// The owner may have runs of an earlier incarnation, which has ended as well.
-		x.send(kqmessage.ToOwner{Departed: worker})
+		x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now), Departed: worker})
 	}
-	x.removeWorker(now, worker, true)
+	x.removeWorker(now, worker)
 }
 
-// removeWorker records that an incarnation has ended; left is true if it announced that. If it is the
-// current one, it is not driven any more and the owner is notified. mu is held.
-func (x *Executor) removeWorker(now time.Time, worker kqexecution.Incarnation, left bool) {
+// removeWorker records that an incarnation has ended. If it is the current one, it is not driven any
+// more and the owner is notified. mu is held.
+func (x *Executor) removeWorker(now time.Time, worker kqexecution.Incarnation) {
 	x.departed[worker] = true
 	if x.info.Worker != worker {
 		return
 	}
-	x.recordWorkerEnd(now, left)
+	x.recordEnd(now)
 	if x.send != nil {
 		x.reportEnds()
-		x.send(kqmessage.ToOwner{Departed: worker})
+		x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now), Departed: worker})
 	}
 	x.setWorker(kqplan.WorkerInfo{}, 0)
 	delete(x.departed, "")
--- a/internal/flow/kqexecutor/ordersender.go
+++ b/internal/flow/kqexecutor/ordersender.go
@@ -185,7 +185,7 @@
 	case kqexecution.AnswerLeaseExpired, kqexecution.AnswerFenced:
 		return
 	case kqexecution.AnswerOtherIncarnation:
-		x.removeWorker(now, s.incarnation, false)
+		x.removeWorker(now, s.incarnation)
 		return
 	}
 	x.config.Events.Emit(now, kqevent.OrderRefused, kqevent.Task(s.run.Task), "start of run %d on %s refused: %s", s.run.Number, s.incarnation, answer)
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -92,7 +92,7 @@
 		x.handleNoAnswer(now)
 		return false
 	case h.Answer == kqexecution.AnswerOtherIncarnation:
-		x.removeWorker(now, incarnation, false)
+		x.removeWorker(now, incarnation)
 		return false
 	case h.Answer != kqexecution.AnswerDone:
 		// A refused poll renews no lease.
--- a/internal/flow/kqexecutor/workerend.go
+++ b/internal/flow/kqexecutor/workerend.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 const (
@@ -56,28 +56,37 @@
 	}
 }
 
-// recordWorkerEnd keeps the end of the current incarnation and reports it to the owner. An incarnation
-// that ends without having left or drained has crashed. mu is held.
-func (x *Executor) recordWorkerEnd(now time.Time, left bool) {
-	worker := x.info.Worker
-	if worker == "" || len(x.workerEnds) > 0 && x.workerEnds[len(x.workerEnds)-1].end.Worker == worker {
-		return
-	}
+// recordLeave keeps that an incarnation has left for the owner; mu is held.
+func (x *Executor) recordLeave(now time.Time, worker kqexecution.Incarnation) {
+	x.addWorkerEnd(workerEnd{kqplan.WorkerEnd{Worker: worker}, now})
+}
+
+// recordEnd keeps the end of the current incarnation, which has not left, for the owner. It has crashed
+// unless it was draining. Nothing is recorded if this process cannot list the runs, because it has
+// restarted: the owner then infers the end. mu is held.
+func (x *Executor) recordEnd(now time.Time) {
 	since := x.calls.failingSince
 	if since.IsZero() {
 		since = now
 	}
-	e := workerEnd{kqplan.WorkerEnd{Worker: worker, Crashed: !left && !x.info.Draining}, since}
-	if e.end.Crashed {
-		e.end.Runs = x.startedRuns(since)
+	switch {
+	case x.info.Worker == "":
+	case x.info.Draining:
+		x.addWorkerEnd(workerEnd{kqplan.WorkerEnd{Worker: x.info.Worker}, since})
+	case x.knowsRuns:
+		x.addWorkerEnd(workerEnd{kqplan.WorkerEnd{Worker: x.info.Worker, Crashed: true, Runs: x.startedRuns(since)}, since})
+	}
+}
+
+// addWorkerEnd keeps the first end of an incarnation; mu is held.
+func (x *Executor) addWorkerEnd(e workerEnd) {
+	if slices.ContainsFunc(x.workerEnds, func(o workerEnd) bool { return o.end.Worker == e.end.Worker }) {
+		return
 	}
 	if len(x.workerEnds) >= maxWorkerEnds {
 		x.workerEnds = x.workerEnds[1:]
 	}
 	x.workerEnds = append(x.workerEnds, e)
-	if x.registered {
-		x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now)})
-	}
 }
 
 // startedRuns lists the runs that the worker may have started before it stopped answering, in the order
--- a/internal/flow/kqplan/crash.go
+++ b/internal/flow/kqplan/crash.go
@@ -16,13 +16,13 @@
 // there are any, otherwise on all of them. The next run of a suspect is a trial on a host where nothing else starts meanwhile (see trial),
 // and a task is given up only on crashes that nothing else explains.
 const (
-	// minIsolatedCrashes is the number of crashes in isolation after which a task is given up. After a
-	// single one, a worker that crashed by itself at that moment would cost an innocent job. If all
-	// crashes were on one host, that host may fail again and again: they must then have followed the
-	// start of the runs after the same time, give or take sameRunTime, or be maxIsolatedCrashes.
-	minIsolatedCrashes = 2
+	// maxIsolatedCrashes is the number of crashes in isolation after which a task is given up, and
+	// maxQuickCrashes that of those within quickCrashTime of the start of its run. A worker that crashes
+	// by itself while a suspect is tried must not cost an innocent job, and the shorter the run was, the
+	// less likely that is.
 	maxIsolatedCrashes = 3
-	sameRunTime        = 50 * time.Millisecond
+	maxQuickCrashes    = 2
+	quickCrashTime     = 50 * time.Millisecond
 	// maxCrashes is the number of crashes after which a task is given up even if none was in isolation,
 	// provided that they followed the start of its runs after the same time, give or take runTimeSpread.
 	// A task that crashes its workers must not start three times after its third crash.
@@ -160,20 +160,18 @@
 
 // isDeadly reports whether a task is given up for the crashes under it.
 func (t *task) isDeadly() bool {
-	isolated, hosts := 0, map[string]bool{}
+	isolated, quick := 0, 0
 	shortest, longest := clearTime, time.Duration(0)
 	for _, x := range t.crashes {
 		if x.Isolated {
 			isolated++
 		}
-		if x.Suspected {
-			hosts[x.Host] = true
+		if x.Isolated && x.RunTime <= quickCrashTime {
+			quick++
 		}
 		shortest, longest = min(shortest, x.RunTime), max(longest, x.RunTime)
 	}
-	spread := longest - shortest
-	return isolated >= maxIsolatedCrashes || isolated >= minIsolatedCrashes && (len(hosts) > 1 || spread <= sameRunTime) ||
-		len(t.crashes) >= maxCrashes && spread <= runTimeSpread
+	return isolated >= maxIsolatedCrashes || quick >= maxQuickCrashes || len(t.crashes) >= maxCrashes && longest-shortest <= runTimeSpread
 }
 
 // failDeadly fails the job of a task that is given up.
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -185,12 +185,14 @@
 // incarnation and of earlier ones as lost.
 func (p *Planner) WorkerDeparted(now time.Time, name string, worker kqexecution.Incarnation) {
 	h := p.host(name)
+	hasEnded := func(w kqexecution.Incarnation) bool { return w == worker || worker.Supersedes(w) }
+	p.inferWorkerEnds(now, h, hasEnded, h.info)
 	for _, r := range h.runList() {
-		if r.worker == worker || worker.Supersedes(r.worker) {
+		if hasEnded(r.worker) {
 			p.markLost(now, r, "its worker has departed")
 		}
 	}
-	if h.info.Worker == worker || worker.Supersedes(h.info.Worker) {
+	if hasEnded(h.info.Worker) {
 		h.info = WorkerInfo{}
 	}
 }
--- a/internal/flow/kqplan/incarnation.go
+++ b/internal/flow/kqplan/incarnation.go
@@ -54,7 +54,7 @@
 // not start. Under the same ID an unanswered start may still be carried out, so each run is
 // first stopped on the new incarnation and resolved with the outcome of that stop.
 func (p *Planner) handleIncarnation(now time.Time, h *host, worker kqexecution.Incarnation, previous WorkerInfo) {
-	p.inferWorkerEnds(now, h, worker, previous)
+	p.inferWorkerEnds(now, h, func(w kqexecution.Incarnation) bool { return w != worker }, previous)
 	for _, r := range h.runList() {
 		switch {
 		case r.worker == worker:
--- a/internal/flow/kqplan/workerend.go
+++ b/internal/flow/kqplan/workerend.go
@@ -49,12 +49,12 @@
 	}
 }
 
-// inferWorkerEnds records the ends of earlier incarnations with runs on a host that no agent has
-// reported, because the agent has restarted meanwhile. previous describes the worker that the host had.
-func (p *Planner) inferWorkerEnds(now time.Time, h *host, worker kqexecution.Incarnation, previous WorkerInfo) {
+// inferWorkerEnds records the ends of incarnations with runs on a host that no agent has reported,
+// because the agent has restarted meanwhile. previous describes the worker that the host had.
+func (p *Planner) inferWorkerEnds(now time.Time, h *host, hasEnded func(worker kqexecution.Incarnation) bool, previous WorkerInfo) {
 	ends := map[kqexecution.Incarnation]*WorkerEnd{}
 	for _, r := range h.runs.All() {
-		if r.worker == worker || !r.ordered || r.transferred {
+		if !hasEnded(r.worker) || !r.ordered || r.transferred {
 			continue
 		}
 		e := ends[r.worker]
--- a/internal/trial/kqflowrig/deadly_test.go
+++ b/internal/trial/kqflowrig/deadly_test.go
@@ -136,6 +136,18 @@
 				time.Sleep(4 * time.Second)
 			}
 		}},
+		"agents restart in turn": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
+			for n := range 20 {
+				x.restartAgents(func(i int) bool { return i == n%len(x.rig.Agents) })
+				time.Sleep(300 * time.Millisecond)
+			}
+		}},
+		"each agent restarts after the crash": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
+			for range 60 {
+				x.restartAgents(func(i int) bool { return !x.rig.Agents[i].Host.IsUp() })
+				time.Sleep(100 * time.Millisecond)
+			}
+		}},
 		"all agents restart": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) { x.restartAgents(func(int) bool { return true }) }},
 		"the store refuses all calls": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
 			x.rig.Store.SetFaults("", kqrowstore.Faults{Refuse: true})
@@ -177,3 +189,58 @@
 		})
 	}
 }
+
+// Workers crash by themselves, or are replaced, again and again. Guards against innocent jobs that are
+// given up with the workers that they were on, and against suspects that wait for long.
+func TestInnocentJobsAreGivenUpForTheCrashesOfTheirWorkers(t *testing.T) {
+	const crashes = 8
+	for name, crash := range map[string]func(x *crashRun, n int){
+		"one after another": func(x *crashRun, n int) {
+			x.rig.Agents[n%len(x.rig.Agents)].Host.Crash(2 * time.Second)
+			time.Sleep(2200 * time.Millisecond)
+		},
+		"half of them at once": func(x *crashRun, n int) {
+			for i, a := range x.rig.Agents {
+				if (i+n)%2 == 0 {
+					a.Host.Crash(2 * time.Second)
+				}
+			}
+			time.Sleep(3500 * time.Millisecond)
+		},
+		"the same one as soon as it is back": func(x *crashRun, _ int) {
+			x.rig.Agents[0].Host.Crash(2 * time.Second)
+			time.Sleep(2700 * time.Millisecond)
+		},
+		"one that takes longer than its lease": func(x *crashRun, n int) {
+			x.rig.Agents[n%2].Host.Crash(9 * time.Second)
+			time.Sleep(5 * time.Second)
+		},
+		"with their agents": func(x *crashRun, n int) {
+			m := x.rig.Agents[n%len(x.rig.Agents)]
+			m.Host.Crash(2 * time.Second)
+			m.Kill()
+			time.Sleep(time.Second)
+			restart(m)()
+			time.Sleep(1500 * time.Millisecond)
+		},
+		"they leave": func(x *crashRun, n int) {
+			x.rig.Agents[n%len(x.rig.Agents)].ReplaceWorker(1500 * time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				synctest.Test(t, func(t *testing.T) {
+					x := newCrashRun(kqflowrig.Config{Seed: seed, SendsBirthTime: seed == 2})
+					defer x.rig.Stop()
+					go x.load(24 * time.Second)
+					time.Sleep(time.Second)
+					for n := range crashes {
+						crash(x, n)
+					}
+					x.check(t)
+				})
+			}
+		})
+	}
+}
