kqretry: a call whose connection was lost twice is sent to no third host

After two such losses its answer is fetched and then reported as unknown. The spec 'is sent to a third host' failed before.

--- a/internal/call/kqretry/plan.go
+++ b/internal/call/kqretry/plan.go
@@ -13,6 +13,9 @@
 	// NoQueueAttempts is the number of attempts, from the first on, that a busy endpoint refuses
 	// instead of queueing the call, so that another endpoint is tried.
 	NoQueueAttempts = 2
+	// maxLostAttempts is the number of attempts whose connection was lost after which a call is not sent
+	// again: the call itself may be what fails host after host.
+	maxLostAttempts = 2
 	// MaxFetches limits how often the answer of one attempt is fetched again.
 	MaxFetches = 4
 	// FetchTimeout limits the time to reach the agent in one fetch.
@@ -144,7 +147,7 @@
 
 // OnConnectionLost returns the next step after the connection of a sent attempt was lost. An
 // idempotent call waits for its other open attempt, if there is one, and otherwise is sent again if
-// the budget allows it. In all other cases the answer is fetched, up to MaxFetches times; after
+// the budget allows it and fewer than maxLostAttempts were lost. In all other cases the answer is fetched, up to MaxFetches times; after
 // that, or if the deadline is near, the outcome of the attempt is unknown.
 func (p *Plan) OnConnectionLost(now time.Time, attempt uint32) Step {
 	if p.config.Idempotent && p.countState(attemptOpen) > 1 {
@@ -152,7 +155,8 @@
 		return Step{Kind: StepWait}
 	}
 	deadlineNear := !now.Add(finishReserve).Before(p.config.Deadline)
-	if p.config.Idempotent && !deadlineNear && len(p.attempts) < MaxAttempts && p.config.SpendRetry() {
+	mayBeCause := p.countState(attemptUnknown)+1 >= maxLostAttempts
+	if p.config.Idempotent && !deadlineNear && !mayBeCause && len(p.attempts) < MaxAttempts && p.config.SpendRetry() {
 		p.attempts[attempt-1] = attemptUnknown
 		return Step{Kind: StepDispatch}
 	}
--- a/internal/call/kqretry/plan_test.go
+++ b/internal/call/kqretry/plan_test.go
@@ -69,6 +69,21 @@
 	m.mayHaveRun[n] = true
 }
 
+var _ = Describe("a call that fails each host that it reaches", func() {
+	It("is sent to a third host", func() {
+		p := kqretry.NewPlan(kqretry.Config{CallID: "call", Idempotent: true, Deadline: start.Add(time.Minute), SpendRetry: func() bool { return true }})
+		p.AddAttempt()
+		Expect(p.OnConnectionLost(start, 1).Kind).To(Equal(kqretry.StepDispatch))
+		p.AddAttempt()
+		for range kqretry.MaxFetches {
+			Expect(p.OnConnectionLost(start, 2).Kind).To(Equal(kqretry.StepFetch))
+		}
+		s := p.OnConnectionLost(start, 2)
+		Expect(s.Kind).To(Equal(kqretry.StepFinish))
+		Expect(s.Result.Code).To(Equal(kqresult.OutcomeUnknown))
+	})
+})
+
 var _ = Describe("a plan, with attempts ending in any order", func() {
 	It("allows a non-idempotent call one attempt that may run, and reports not_run only if none may have run", func() {
 		for seed := uint64(1); seed <= 5000; seed++ {
