--- a/internal/cell/kqcell/starvation_test.go
+++ b/internal/cell/kqcell/starvation_test.go
@@ -23,6 +23,8 @@
 	session      uint64
 	runningSince map[kqmodel.AttemptID]time.Time
 	lastStart    map[string]time.Time
+	// hostRestarts counts the restarts of the worker's host.
+	hostRestarts int
 }
 
 const (
@@ -51,7 +53,7 @@
 	h.now = h.now.Add(stepTime)
 	h.sequence++
 	request := kqcell.Heartbeat{Worker: kqmodel.Worker{ID: "w", Zone: "z", Rack: "r", Capacity: kqmodel.Resources{MilliProcessors: workerProcessors * 1000, MemoryBytes: 1 << 30}},
-		AgentBoot: "a", HostBoot: "h", Complete: true, Session: h.session, Sequence: h.sequence}
+		AgentBoot: "a", HostBoot: fmt.Sprint("h", h.hostRestarts), Complete: true, Session: h.session, Sequence: h.sequence}
 	for id, startedAt := range h.runningSince {
 		r := kqruntime.Report{ID: id, Phase: kqruntime.PhaseRunning, Throttle: 1}
 		if h.now.Sub(startedAt) >= taskRunTime {
@@ -107,3 +109,19 @@
 	g.Expect(h.lastStart).To(HaveKey("large"))
 	g.Expect(h.counter.Breaches()).To(BeEmpty())
 }
+
+// A task of a single step crashes the host of its worker, 0.1 s after each start. Guards against starting
+// it without limit: it must not start three times more after three crashes.
+func TestATaskThatCrashesItsHostIsStartedWithoutLimit(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness()
+	h.submit("deadly", 1)
+	for range 600 {
+		h.step()
+		if len(h.runningSince) > 0 {
+			h.hostRestarts++
+			h.runningSince, h.session = map[kqmodel.AttemptID]time.Time{}, 0
+		}
+	}
+	g.Expect(h.hostRestarts).To(BeNumerically("<", 6))
+}
