kqexecutor: a worker that refuses its agent's polls is unresponsive at once

Polls that time out say little, but three in a row that are refused at once say that no process is there: the agent then reports the worker as unresponsive after about 0.3 s.

--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -66,6 +66,9 @@
 	// unresponsiveAfter is the time without an answer after which the worker is reported
 	// as unresponsive.
 	unresponsiveAfter = 900 * time.Millisecond
+	// maxRefusedPolls is the number of polls in a row that fail at once, not by their time limit, after
+	// which the worker is reported as unresponsive: no process accepts its connections.
+	maxRefusedPolls = 3
 	// reportInterval is the minimum time between two complete reports.
 	reportInterval = 350 * time.Millisecond
 	// minClockRate is the lowest rate of the worker's clock relative to the agent's.
@@ -113,6 +116,8 @@
 	// calls records whether the current incarnation answers, workerEnds how earlier ones ended.
 	calls      callHealth
 	workerEnds []workerEnd
+	// refusedPolls counts the latest polls in a row that failed at once.
+	refusedPolls int
 	// pollBeganAt is when the latest poll was sent.
 	pollBeganAt time.Time
 	// workerClock is the latest reading of the worker's clock.
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -137,7 +137,7 @@
 	x.workerClock, x.leaseEnd = 0, 0
 	// The clock of a running worker reads at least 0 now.
 	x.clockReadAt, x.answeredAt = now, now
-	x.calls = callHealth{lastAnswerAt: now}
+	x.calls, x.refusedPolls = callHealth{lastAnswerAt: now}, 0
 	x.runs = map[kqexecution.Run]*execution{}
 	x.listed = map[kqexecution.Run]bool{}
 	x.ends, x.lastEnd, x.acked, x.reportedEnds = map[uint64]kqexecution.RunEnd{}, 0, 0, 0
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -89,6 +89,10 @@
 	case err != nil:
 		x.pollUnanswered = true
 		x.calls.recordFailure(now, x.pollBeganAt, timedOut)
+		x.refusedPolls++
+		if timedOut {
+			x.refusedPolls = 0
+		}
 		x.handleNoAnswer(now)
 		return false
 	case h.Answer == kqexecution.AnswerOtherIncarnation:
@@ -104,6 +108,7 @@
 	}
 	x.answeredAt = now
 	x.calls.recordPoll(now)
+	x.refusedPolls = 0
 	if h.Clock > x.workerClock {
 		x.workerClock, x.clockReadAt = h.Clock, now
 	}
@@ -120,9 +125,9 @@
 }
 
 // handleNoAnswer reports the worker to the owner as unresponsive once it has not carried out a poll
-// for unresponsiveAfter; mu is held.
+// for unresponsiveAfter, or has refused maxRefusedPolls; mu is held.
 func (x *Executor) handleNoAnswer(now time.Time) {
-	if x.info.Unresponsive || now.Sub(x.answeredAt) < unresponsiveAfter {
+	if x.info.Unresponsive || now.Sub(x.answeredAt) < unresponsiveAfter && x.refusedPolls < maxRefusedPolls {
 		return
 	}
 	x.info.Unresponsive = true
