--- a/internal/flow/kqplan/trial.go
+++ b/internal/flow/kqplan/trial.go
@@ -174,7 +174,7 @@
 		}
 	}
 	h := x.hosts[0]
-	if !p.eligible(now, t, h) || h.hasJustStartedOthers(x) {
+	if !p.eligible(now, t, h) || h.hasJustStartedOthers(now, x) {
 		p.passRequested = true
 		return false, false
 	}
@@ -202,7 +202,7 @@
 		if !h.hasFiniteCapacity(t) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) || t.step.Fills && !p.acceptsFilling(now, t, h) {
 			continue
 		}
-		if risk := p.trialRisk(t, h); best == nil || risk < lowest || risk == lowest && h.name < best.name {
+		if risk := p.trialRisk(now, t, h); best == nil || risk < lowest || risk == lowest && h.name < best.name {
 			best, lowest = h, risk
 		}
 	}
@@ -221,9 +221,9 @@
 
 // trialRisk returns the cost of a trial on a host: the share of its processors that other runs use, with
 // the cost of the task's placement there.
-func (p *Planner) trialRisk(t *task, h *host) float64 {
+func (p *Planner) trialRisk(now time.Time, t *task, h *host) float64 {
 	risk := float64(h.usedProcessors())/float64(h.processors()) + trialCostWeight*p.cost(t, h, p.fleetViewFor(t.step))
-	if h.hasJustStartedOthers(nil) {
+	if h.hasJustStartedOthers(now, nil) {
 		risk += noisyHostRisk
 	}
 	if slices.ContainsFunc(t.crashes, func(x kqflow.CrashRecord) bool { return x.Host == h.name }) {
@@ -236,10 +236,10 @@
 func (h *host) usedProcessors() int64 { return h.usage.regular + h.usage.serving + h.usage.filling }
 
 // hasJustStartedOthers reports whether a run on the host that does not take part in a trial has not been
-// at work for trialTime yet.
-func (h *host) hasJustStartedOthers(x *trial) bool {
+// at work for trialTime yet. A run that no report lists for maxTrialTime may never start and is ignored.
+func (h *host) hasJustStartedOthers(now time.Time, x *trial) bool {
 	for _, r := range h.runs.All() {
-		if !r.isProven() && (x == nil || !x.includes(r.task)) {
+		if !r.isProven() && now.Sub(r.startedAt) < maxTrialTime && (x == nil || !x.includes(r.task)) {
 			return true
 		}
 	}
@@ -271,7 +271,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *host) int {
-		return cmp.Or(cmp.Compare(p.trialRisk(members[0], a), p.trialRisk(members[0], b)), strings.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(p.trialRisk(now, members[0], a), p.trialRisk(now, members[0], b)), strings.Compare(a.name, b.name))
 	})
 	for n := 1; ; n = min(2*n, len(candidates)) {
 		if n > len(candidates) {
--- a/internal/trial/kqflowrig/deadly_test.go
+++ b/internal/trial/kqflowrig/deadly_test.go
@@ -1,6 +1,7 @@
 package kqflowrig_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -57,7 +58,7 @@
 
 // submitDeadly submits a job in which the listed tasks of the first step crash each worker that starts
 // them, all of them if none is listed.
-func (x *crashRun) submitDeadly(s kqflow.Step, after time.Duration, indices ...int) {
+func (x *crashRun) submitDeadly(s kqflow.Step, repeat int, after time.Duration, indices ...int) {
 	if len(indices) == 0 {
 		for i := range s.Count {
 			indices = append(indices, i)
@@ -66,7 +67,11 @@
 	for _, i := range indices {
 		x.rig.SetDeadly(kqflow.TaskID{Job: deadlyJobID, Index: i}.String(), after)
 	}
-	x.rig.Submit(kqflow.Job{ID: deadlyJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}})
+	j := kqflow.Job{ID: deadlyJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}}
+	if repeat > 0 {
+		j.Repeat, j.FirstAt, j.Every = repeat, time.Now().Add(500*time.Millisecond), 4*time.Second
+	}
+	x.rig.Submit(j)
 }
 
 func (x *crashRun) restartAgents(only func(i int) bool) {
@@ -115,12 +120,15 @@
 	for name, c := range map[string]struct {
 		config  kqflowrig.Config
 		step    kqflow.Step
+		repeat  int
 		after   time.Duration
 		indices []int
 		// fault happens while the task is being tried.
 		fault func(x *crashRun)
 		// maxCrashes bounds how many workers crash.
 		maxCrashes int
+		// state is the state in which the job ends; "failed" if empty.
+		state kqflow.State
 	}{
 		"one of a step":                   {step: smallStep(6), indices: []int{0}},
 		"with workers that keep their id": {step: smallStep(6), indices: []int{2}, config: kqflowrig.Config{SendsBirthTime: true}},
@@ -130,6 +138,11 @@
 		"with copies":                     {step: copies, indices: []int{0}},
 		"that fills":                      {step: filling, indices: []int{3}},
 		"long-running":                    {step: longRunning, indices: []int{1}},
+		"by time":                         {step: smallStep(2), indices: []int{1}, repeat: 3},
+		"cancelled": {step: smallStep(2), state: kqflow.StateCancelled, fault: func(x *crashRun) {
+			x.rig.Cancel(deadlyJobID)
+			x.rig.Ledger.ForbidStarts(deadlyJobID)
+		}},
 		"the owner is killed twice": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
 			for range 2 {
 				x.restartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() })
@@ -166,16 +179,17 @@
 					}
 					go x.load(20 * time.Second)
 					time.Sleep(2 * time.Second)
-					x.submitDeadly(c.step, c.after, c.indices...)
+					x.submitDeadly(c.step, c.repeat, c.after, c.indices...)
 					submittedAt := time.Now()
 					time.Sleep(2500 * time.Millisecond)
 					if c.fault != nil {
 						c.fault(x)
 					}
-					for x.rig.State(deadlyJobID) != kqflow.StateFailed && time.Since(submittedAt) < giveUpTime {
+					want := cmp.Or(c.state, kqflow.StateFailed)
+					for x.rig.State(deadlyJobID) != want && time.Since(submittedAt) < giveUpTime {
 						time.Sleep(100 * time.Millisecond)
 					}
-					if s := x.rig.State(deadlyJobID); s != kqflow.StateFailed {
+					if s := x.rig.State(deadlyJobID); s != want {
 						t.Errorf("seed %d: the job is %q after %s", seed, s, giveUpTime)
 					}
 					t.Logf("seed %d: %s after %s, %d crashes", seed, x.rig.State(deadlyJobID), time.Since(submittedAt).Round(100*time.Millisecond), len(x.rig.Ledger.CrashTimes()))
