--- a/internal/trial/kqflowrig/chaos_test.go
+++ b/internal/trial/kqflowrig/chaos_test.go
@@ -130,6 +130,13 @@
 		return func() { r.rig.Network.SetIsolated(a.Name(), false) }
 	}},
 	{"worker restarted", func(r *chaosRun) func() { a := r.anyAgent(); a.Host.Restart(a.Name()); return noop }},
+	{"worker crashes", func(r *chaosRun) func() { r.anyAgent().Host.Crash(3 * time.Second); return noop }},
+	{"worker shrinks", func(r *chaosRun) func() {
+		a := r.anyAgent()
+		full := a.Host.Capacity()
+		a.Host.SetCapacity(kqmodel.Resources{MilliProcessors: full.MilliProcessors / 2, MemoryBytes: full.MemoryBytes})
+		return func() { a.Host.SetCapacity(full) }
+	}},
 	{"orders late", workerFault(kqtaskhost.Faults{LateOrders: 0.2})},
 	{"worker unreachable", workerFault(kqtaskhost.Faults{Down: true})},
 	{"worker hangs", workerFault(kqtaskhost.Faults{HangRuns: true})},
--- a/internal/trial/kqreplay/replay.go
+++ b/internal/trial/kqreplay/replay.go
@@ -57,6 +57,9 @@
 	AcceptRejected bool
 	// NoWarmUpLimit lets the owner place as many tasks on workers that are warming up as on others.
 	NoWarmUpLimit bool
+	// ReportCrashes lets agents report which runs a lost worker had started, so that the owner tries
+	// the tasks that had just started before the loss.
+	ReportCrashes bool
 }
 
 // Replay simulates one cell under a load.
@@ -146,6 +149,15 @@
 	p.jobs = append(p.jobs, *j)
 }
 
+// crashOf returns the report of the crash of a worker at present.
+func (p *Replay) crashOf(w *worker) kqplan.WorkerEnd {
+	e := kqplan.WorkerEnd{Worker: w.incarnation(), Crashed: true}
+	for _, r := range w.runs.All() {
+		e.Runs = append(e.Runs, kqplan.StartedRun{Run: r.key, RunTime: p.now.Sub(r.startedAt)})
+	}
+	return e
+}
+
 // applyFaults starts and ends the losses and slowdowns of workers that are due.
 func (p *Replay) applyFaults() {
 	at := p.now.Sub(replayStart)
@@ -154,9 +166,13 @@
 		w := p.workers[l.Worker]
 		switch {
 		case isNow(l.Start):
+			w.crash = p.crashOf(w)
 			w.lost, w.runs = true, kqordered.Map[kqexecution.Run, *run]{}
 			p.planner.AgentDisconnected(p.now, w.name)
 		case isNow(l.Start + l.Duration):
+			if w.crash.SilentFor = l.Duration; p.config.ReportCrashes {
+				p.planner.WorkerEnded(p.now, w.name, w.crash)
+			}
 			w.lost, w.incarnationNumber, w.endCount, w.pacer = false, w.incarnationNumber+1, 0, kqpace.New()
 			p.registerWorker(w)
 		}
@@ -264,7 +280,7 @@
 	if p.zones.Has(w.zone) {
 		p.recorder.result.StartedInEvacuated++
 	}
-	r := &run{key: k, runTime: p.source.runTimes[k.Task], share: 100, targetShare: 100, loadPhase: p.loadPhase(id), step: p.jobsByID[id.Job].Steps[id.Step]}
+	r := &run{key: k, startedAt: p.now, runTime: p.source.runTimes[k.Task], share: 100, targetShare: 100, loadPhase: p.loadPhase(id), step: p.jobsByID[id.Job].Steps[id.Step]}
 	w.runs.Put(k, r)
 	return r
 }
--- a/internal/trial/kqreplay/replay_test.go
+++ b/internal/trial/kqreplay/replay_test.go
@@ -143,6 +143,19 @@
 	g.Expect(disturbed.earned).To(BeNumerically(">=", undisturbed.earned-maxLoss))
 }
 
+// Workers are lost by themselves under a load that needs all of them. Guards against trials of the tasks
+// that had just started there which cost the load more than a deployment may fall by.
+func TestTrialsAfterLossesCostTheLoad(t *testing.T) {
+	const maxFall = 0.03
+	load := kqreplay.ContendedLoad()
+	for n := range 8 {
+		load.Losses = append(load.Losses, kqreplay.WorkerLoss{Worker: n, Start: time.Duration(4+5*n) * time.Second, Duration: 3 * time.Second})
+	}
+	untried := runSeeds(t, "losses", kqreplay.Config{Load: load}, (*kqreplay.Replay).Run)
+	tried := runSeeds(t, "losses, reported", kqreplay.Config{Load: load, ReportCrashes: true}, (*kqreplay.Replay).Run)
+	NewWithT(t).Expect(tried.earned).To(BeNumerically(">=", untried.earned-maxFall))
+}
+
 // Long-running tasks arrive until no processor is free, while quick jobs of the same priority need a
 // sixth of the processors. Guards against long-running tasks that take all free capacity, so that
 // quick jobs of some sizes are no longer served.
--- a/internal/trial/kqreplay/worker.go
+++ b/internal/trial/kqreplay/worker.go
@@ -35,8 +35,9 @@
 	// deadline is when the job should complete.
 	deadline time.Time
 	// runTime is the run time at full speed, workDone the part of it that has been completed.
-	runTime  time.Duration
-	workDone time.Duration
+	runTime   time.Duration
+	workDone  time.Duration
+	startedAt time.Time
 	// share is the share of full speed in percent, targetShare the one that the pacer has set at
 	// targetChangedAt.
 	share           int
@@ -70,8 +71,10 @@
 type worker struct {
 	name              string
 	incarnationNumber int
-	runs              kqordered.Map[kqexecution.Run, *run]
-	pacer             *kqpace.Pacer
+	// crash is the report of the latest loss of the worker.
+	crash kqplan.WorkerEnd
+	runs  kqordered.Map[kqexecution.Run, *run]
+	pacer *kqpace.Pacer
 	// slowdown is the factor by which work takes longer.
 	slowdown float64
 	// zone is the availability zone.
