--- a/internal/flow/kqplan/crash.go
+++ b/internal/flow/kqplan/crash.go
@@ -10,11 +10,12 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
 
-// A task may crash each worker that starts it, and every run on that worker is lost with it. Most of
-// them are innocent, and workers crash for other reasons too. A crash is blamed on the tasks that had
-// just started on the worker: on those that are suspected of several crashes or were on trial there, if
-// there are any, otherwise on all of them. The next run of a suspect is a trial on a host where nothing else starts meanwhile (see trial),
-// and a task is given up only on crashes that nothing else explains.
+// A poison task crashes each worker that starts it, and every run on that worker is lost with it. Most
+// of these are innocent, and workers crash for other reasons too. A crash is blamed on the tasks that
+// had just started on the worker: on those that are suspected of several crashes or were on trial there,
+// if there are any, otherwise on all of them. The next run of a suspect is a trial on a host where
+// nothing else starts meanwhile (see trial), and a task is given up only on crashes that nothing else
+// explains.
 const (
 	// maxIsolatedCrashes is the number of crashes in isolation after which a task is given up, and
 	// maxQuickCrashes that of those within quickCrashTime of the start of its run. A worker that crashes
@@ -90,7 +91,7 @@
 // countCrashes counts the crash of a worker under the tasks of the runs that were at work there, and
 // requires trials for those that are suspected.
 func (p *Planner) countCrashes(now time.Time, c workerCrash, e WorkerEnd, runs []crashedRun) {
-	hasSuspects := slices.ContainsFunc(runs, c.isPrimeSuspect)
+	hasPrimeSuspects := slices.ContainsFunc(runs, c.isPrimeSuspect)
 	isolated := c.onlyRecentJob()
 	var suspects []crashedRun
 	for _, r := range runs {
@@ -100,7 +101,7 @@
 			continue
 		}
 		x := kqflow.CrashRecord{Worker: e.Worker, Host: c.host, RunTime: r.RunTime}
-		x.Suspected = !e.inferred && r.hadJustStarted() && (c.isPrimeSuspect(r) || !hasSuspects) && !p.isShared(c, t.job)
+		x.Suspected = !e.inferred && r.hadJustStarted() && (c.isPrimeSuspect(r) || !hasPrimeSuspects) && !p.isShared(c, t.job)
 		x.Isolated = x.Suspected && isolated == t.job.spec.ID
 		p.countCrash(now, r, x)
 		if x.Suspected && !t.job.state.Final() {
@@ -137,13 +138,13 @@
 		t.crashes = slices.Clone(t.crashes[n-maxCrashes:])
 	}
 	p.markDirty(t.job)
-	if !x.Suspected && !t.isDeadly() {
+	if !x.Suspected && !t.isPoison() {
 		return
 	}
 	p.config.Events.EmitFields(now, kqevent.FlowSuspected, kqevent.Task(t.name), []kqevent.Field{kqevent.Run(r.Run.Number), kqevent.Value("crashes", len(t.crashes))},
 		"worker %s crashed %s after run %d had started: crash %d under this task, suspected in %d, in isolation %t", x.Worker, x.RunTime.Round(time.Millisecond), r.Run.Number, len(t.crashes), t.suspectedCrashes(), x.Isolated)
-	if t.isDeadly() {
-		p.failDeadly(now, t)
+	if t.isPoison() {
+		p.failPoison(now, t)
 	}
 }
 
@@ -158,8 +159,8 @@
 	return n
 }
 
-// isDeadly reports whether a task is given up for the crashes under it.
-func (t *task) isDeadly() bool {
+// isPoison reports whether a task is given up for the crashes under it.
+func (t *task) isPoison() bool {
 	isolated, quick := 0, 0
 	shortest, longest := clearTime, time.Duration(0)
 	for _, x := range t.crashes {
@@ -174,8 +175,8 @@
 	return isolated >= maxIsolatedCrashes || quick >= maxQuickCrashes || len(t.crashes) >= maxCrashes && longest-shortest <= runTimeSpread
 }
 
-// failDeadly fails the job of a task that is given up.
-func (p *Planner) failDeadly(now time.Time, t *task) {
+// failPoison fails the job of a task that is given up.
+func (p *Planner) failPoison(now time.Time, t *task) {
 	workers := make([]string, len(t.crashes))
 	for i, x := range t.crashes {
 		workers[i] = string(x.Worker)
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -159,7 +159,9 @@
 	if p.config.LimitWarmUp {
 		h.warmUpUntil = now.Add(w.WarmUpLeft)
 	}
-	h.silentSince = now.Add(-w.SilentFor)
+	if w.Unresponsive && !h.info.Unresponsive {
+		h.silentSince = now.Add(-w.SilentFor)
+	}
 	previous := h.info
 	drainBegins := w.Draining && !previous.Draining
 	h.info = w
--- a/internal/flow/kqplan/incarnation.go
+++ b/internal/flow/kqplan/incarnation.go
@@ -50,9 +50,10 @@
 }
 
 // handleIncarnation resolves the runs of other incarnations than the given one, which now runs
-// on the host; previous describes the worker that the host had before. A different ID proves that the runs of the previous worker have ended and will
-// not start. Under the same ID an unanswered start may still be carried out, so each run is
-// first stopped on the new incarnation and resolved with the outcome of that stop.
+// on the host; previous describes the worker that the host had before. A different ID proves that
+// the runs of the previous worker have ended and will not start. Under the same ID an unanswered
+// start may still be carried out, so each run is first stopped on the new incarnation and resolved
+// with the outcome of that stop.
 func (p *Planner) handleIncarnation(now time.Time, h *host, worker kqexecution.Incarnation, previous WorkerInfo) {
 	p.inferWorkerEnds(now, h, func(w kqexecution.Incarnation) bool { return w != worker }, previous)
 	for _, r := range h.runList() {
--- a/internal/standin/kqtaskhost/crash.go
+++ b/internal/standin/kqtaskhost/crash.go
@@ -52,9 +52,9 @@
 	w.running = map[kqexecution.Run]*run{}
 }
 
-// crashIfDeadly schedules the crash of the worker if the task of a run that has just started causes one,
+// crashIfPoison schedules the crash of the worker if the task of a run that has just started causes one,
 // unless the run has ended by then. mu is held.
-func (w *worker) crashIfDeadly(r kqexecution.Run) {
+func (w *worker) crashIfPoison(r kqexecution.Run) {
 	h := w.host
 	if h.config.CrashAfter == nil {
 		return
--- a/internal/standin/kqtaskhost/host.go
+++ b/internal/standin/kqtaskhost/host.go
@@ -351,7 +351,7 @@
 		w.leaseUntil = max(w.leaseUntil, w.boundLease(now, s.LeaseUntil))
 		w.running[s.Run] = &run{startedAt: now, duration: duration, resources: resources, hangs: w.host.faults.HangRuns}
 		w.host.config.Ledger.started(s.Run, w.incarnation, w.host.capacity.allows(now, used), sentToEarlier)
-		w.crashIfDeadly(s.Run)
+		w.crashIfPoison(s.Run)
 		w.advanceAfter(duration)
 		w.watchLease(now)
 		return kqexecution.AnswerDone
