--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -57,6 +57,7 @@
 	WorkerLeasesExpired   Number = 505
 	CommitOutcomeUnknown  Number = 506
 	WorkerCrashed         Number = 507
+	WorkerResized         Number = 508
 	ClassAccepted         Number = 601
 	ConfigApplied         Number = 602
 	QuotaAccepted         Number = 603
@@ -162,6 +163,7 @@
 	{WorkerLeasesExpired, "worker_given_up", "The leases of an unresponsive worker have expired."},
 	{CommitOutcomeUnknown, "commit_unknown", "The response to a write was lost; the outcome is being read back."},
 	{WorkerCrashed, "worker_crashed", "A worker of a host ended without leaving; the runs that may have been at work are counted."},
+	{WorkerResized, "worker_resized", "The capacity of a worker has changed while it runs; if its runs reserve more, nothing starts there until they fit."},
 	{ClassAccepted, "class_accepted", "A change of a class was accepted."},
 	{ConfigApplied, "config_in_force", "This process has applied a configuration sequence."},
 	{QuotaAccepted, "quota_accepted", "A change of a team's quota was accepted."},
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -156,6 +156,9 @@
 		p.interference.ForgetWorker(name)
 		p.config.Events.Emit(now, kqevent.WorkerRegistered, kqevent.Worker(string(w.Worker)), "host %s, capacity %s, draining %t", name, w.Capacity, w.Draining)
 	}
+	if w.Worker == h.info.Worker && w.Capacity != h.info.Capacity && w.Worker != "" {
+		p.config.Events.Emit(now, kqevent.WorkerResized, kqevent.Worker(string(w.Worker)), "host %s, capacity %s, was %s; its runs reserve %s", name, w.Capacity, h.info.Capacity, h.usage.reserved)
+	}
 	if p.config.LimitWarmUp {
 		h.warmUpUntil = now.Add(w.WarmUpLeft)
 	}
