kqplan: an innocent task that dies beside a suspect again and again is not given up for it

On a small fleet they were lost five times beside the same poison tasks, at the same time after their start, and five such crashes give a task up. A crash for which a task on trial or one suspected of several is to blame counts under no other now.

--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -83,6 +83,7 @@
 	switch {
 	case errors.Is(err, kqexecution.ErrBirth):
 		x.pollUnanswered = true
+		x.calls.recordFailure(now, x.pollBeganAt, false)
 		x.logInvalidBirth(now, incarnation, sourceList)
 		x.handleNoAnswer(now)
 		return false
--- a/internal/flow/kqplan/crash.go
+++ b/internal/flow/kqplan/crash.go
@@ -97,11 +97,12 @@
 	for _, r := range runs {
 		t := r.task
 		isKnown := slices.ContainsFunc(t.crashes, func(x kqflow.CrashRecord) bool { return x.Worker == e.Worker })
-		if t.done || t.job.state.Final() || isKnown || r.RunTime >= clearTime {
+		isExplained := hasPrimeSuspects && !c.isPrimeSuspect(r)
+		if t.done || t.job.state.Final() || isKnown || isExplained || r.RunTime >= clearTime {
 			continue
 		}
 		x := kqflow.CrashRecord{Worker: e.Worker, Host: c.host, RunTime: r.RunTime}
-		x.Suspected = !e.inferred && r.hadJustStarted() && (c.isPrimeSuspect(r) || !hasPrimeSuspects) && !p.isShared(c, t.job)
+		x.Suspected = !e.inferred && r.hadJustStarted() && !p.isShared(c, t.job)
 		x.Isolated = x.Suspected && isolated == t.job.spec.ID
 		p.countCrash(now, r, x)
 		if x.Suspected && !t.job.state.Final() {
--- a/internal/flow/kqplan/crash_test.go
+++ b/internal/flow/kqplan/crash_test.go
@@ -165,6 +165,16 @@
 				}
 			}
 		}},
+		"beside a task that is suspected of several": {others: []string{"p"}, happen: func(c *crashCell) {
+			for n := range 8 {
+				e := kqplan.WorkerEnd{Worker: kqexecution.Incarnation(fmt.Sprint("x", n)), Crashed: true, SilentFor: time.Duration(n) * time.Second,
+					Runs: []kqplan.StartedRun{{Run: kqexecution.Run{Task: "p.0.0.0", Number: 1}, RunTime: time.Duration(n%2) * 290 * time.Millisecond}}}
+				if n > 1 {
+					e.Runs = append(e.Runs, kqplan.StartedRun{Run: kqexecution.Run{Task: "j.0.0.0", Number: 1}})
+				}
+				c.WorkerEnded(c.now, "h0", e)
+			}
+		}},
 		"reported twice": {crashes: 1, happen: func(c *crashCell) {
 			w := c.workerOf("j")
 			e := c.end(w, after(quick))
@@ -209,7 +219,7 @@
 			c.settle()
 			g.Expect(c.states["j"] == kqflow.StateFailed).To(Equal(x.failed), "the job is %s", c.states["j"])
 			if !x.failed {
-				g.Expect(c.records["j"].Tasks[0].Crashes).To(HaveLen(x.crashes))
+				g.Expect(c.records["j"].Tasks[0].Crashes).To(HaveLen(x.crashes), "%+v", c.records["j"].Tasks[0].Crashes)
 				g.Expect(c.workerOf("j")).NotTo(BeEmpty(), "the task runs again")
 			}
 			for _, id := range x.others {
