--- a/internal/flow/kqplan/downtime_test.go
+++ b/internal/flow/kqplan/downtime_test.go
@@ -86,7 +86,11 @@
 		}
 		f.Tick(f.now)
 		f.version++
-		f.WritesCommitted(f.now, f.TakeWrites(40), f.version)
+		ws := f.TakeWrites(40)
+		for _, w := range ws {
+			f.records[w.Job] = w.Record
+		}
+		f.WritesCommitted(f.now, ws, f.version)
 		f.collect()
 		for _, o := range f.takeOrders() {
 			f.carryOut(o)
--- a/internal/trial/kqflowrig/capacity_test.go
+++ b/internal/trial/kqflowrig/capacity_test.go
@@ -30,7 +30,7 @@
 			f(m)
 		}
 	}
-	killOwner := func(x *crashRun) { x.restartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() }) }
+	killOwner := func(x *crashRun) { x.rig.RestartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() }) }
 	for name, c := range map[string]struct {
 		config kqflowrig.Config
 		// load is the step that each job of the load has; whole jobs are cancelled if cancels is true.
@@ -45,7 +45,7 @@
 		"gangs":                  {load: kqflow.Step{Count: 6, Gang: true, Estimate: 600 * time.Millisecond, Resources: processors(2)}},
 		"runs are being stopped": {cancels: true},
 		"the owner is killed":    {during: killOwner},
-		"all agents restart":     {during: func(x *crashRun) { x.restartAgents(func(int) bool { return true }) }},
+		"all agents restart":     {during: func(x *crashRun) { x.rig.RestartAgents(func(int) bool { return true }) }},
 		"orders are carried out late": {during: func(x *crashRun) {
 			everyWorker(x, func(m *kqmachine.Machine) { m.Host.SetFaults(kqtaskhost.Faults{LateOrders: 0.3}) })
 		}},
@@ -60,7 +60,7 @@
 					if c.load.Count == 0 {
 						c.load = kqflow.Step{Count: 10, Estimate: 1200 * time.Millisecond, Resources: processors(1)}
 					}
-					go x.loadWith(24*time.Second, c.load)
+					go x.rig.SubmitLoad(24*time.Second, c.load)
 					time.Sleep(4 * time.Second)
 					for round := range 2 {
 						everyWorker(x, func(m *kqmachine.Machine) { m.Host.SetCapacity(processors(int64(5 - round))) })
@@ -77,7 +77,7 @@
 							m.Host.SetCapacity(processors(16))
 						})
 						time.Sleep(checkInInterval + 500*time.Millisecond)
-						if used := x.used(); c.during == nil && used < 6*16*1000*6/10 {
+						if used := x.rig.UsedProcessors(); c.during == nil && used < 6*16*1000*6/10 {
 							t.Errorf("seed %d: %d of %d processors are in use a check-in after the workers have grown", seed, used/1000, 6*16)
 						}
 						time.Sleep(3 * time.Second)
--- a/internal/trial/kqflowrig/poison_test.go
+++ b/internal/trial/kqflowrig/poison_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,11 +13,8 @@
 )
 
 const (
-	poisonJobID = "00000000deadface"
 	// crashDelay is how long after its start a poison task crashes its worker.
 	crashDelay = 10 * time.Millisecond
-	// loadInterval is the time between two innocent jobs.
-	loadInterval = 200 * time.Millisecond
 	// giveUpTime bounds the time until a job with a poison task is failed: five runs, each of which is
 	// known to have crashed its worker after at most 5 s.
 	giveUpTime = 25 * time.Second
@@ -34,56 +30,9 @@
 	return x
 }
 
-// load submits innocent jobs of four tasks, five a second.
+// load submits innocent jobs of four tasks.
 func (x *crashRun) load(d time.Duration) {
-	x.loadWith(d, kqflow.Step{Count: 4, Estimate: 800 * time.Millisecond, Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}})
-}
-
-// loadWith submits innocent jobs of one step, five a second.
-func (x *crashRun) loadWith(d time.Duration, s kqflow.Step) {
-	for n := 1; n <= int(d/loadInterval); n++ {
-		time.Sleep(loadInterval)
-		go x.rig.Submit(kqflow.Job{ID: fmt.Sprintf("%016x", n), Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}})
-	}
-}
-
-// used returns the processors, in thousandths, that the runs on all workers use.
-func (x *crashRun) used() int64 {
-	sum := int64(0)
-	for _, a := range x.rig.Agents {
-		sum += a.Host.Used().MilliProcessors
-	}
-	return sum
-}
-
-// submitPoison submits a job in which the listed tasks of the first step crash each worker that starts
-// them, all of them if none is listed.
-func (x *crashRun) submitPoison(s kqflow.Step, repeat int, after time.Duration, indices ...int) {
-	if len(indices) == 0 {
-		for i := range s.Count {
-			indices = append(indices, i)
-		}
-	}
-	for _, i := range indices {
-		x.rig.SetPoison(kqflow.TaskID{Job: poisonJobID, Index: i}.String(), after)
-	}
-	j := kqflow.Job{ID: poisonJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}}
-	if repeat > 0 {
-		j.Repeat, j.FirstAt, j.Every = repeat, time.Now().Add(500*time.Millisecond), 4*time.Second
-	}
-	x.rig.Submit(j)
-}
-
-func (x *crashRun) restartAgents(only func(i int) bool) {
-	for i, a := range x.rig.Agents {
-		if only(i) {
-			a.Kill()
-		}
-	}
-	time.Sleep(500 * time.Millisecond)
-	for _, a := range x.rig.Agents {
-		restart(a)()
-	}
+	x.rig.SubmitLoad(d, kqflow.Step{Count: 4, Estimate: 800 * time.Millisecond, Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}})
 }
 
 // check waits until the innocent jobs have ended, and expects that all of them have completed and that
@@ -92,7 +41,7 @@
 	t.Helper()
 	time.Sleep(10 * time.Second)
 	for _, id := range x.rig.Accepted() {
-		if s := x.rig.State(id); id != poisonJobID && s != kqflow.StateCompleted {
+		if s := x.rig.State(id); id != kqflowrig.PoisonJobID && s != kqflow.StateCompleted {
 			t.Errorf("innocent job %s is %s", id, s)
 		}
 	}
@@ -140,28 +89,28 @@
 		"long-running":                    {step: longRunning, indices: []int{1}},
 		"by time":                         {step: smallStep(2), indices: []int{1}, repeat: 3},
 		"cancelled": {step: smallStep(2), state: kqflow.StateCancelled, fault: func(x *crashRun) {
-			x.rig.Cancel(poisonJobID)
-			x.rig.Ledger.ForbidStarts(poisonJobID)
+			x.rig.Cancel(kqflowrig.PoisonJobID)
+			x.rig.Ledger.ForbidStarts(kqflowrig.PoisonJobID)
 		}},
 		"the owner is killed twice": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
 			for range 2 {
-				x.restartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() })
+				x.rig.RestartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() })
 				time.Sleep(4 * time.Second)
 			}
 		}},
 		"agents restart in turn": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
 			for n := range 20 {
-				x.restartAgents(func(i int) bool { return i == n%len(x.rig.Agents) })
+				x.rig.RestartAgents(func(i int) bool { return i == n%len(x.rig.Agents) })
 				time.Sleep(300 * time.Millisecond)
 			}
 		}},
 		"each agent restarts after the crash": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
 			for range 60 {
-				x.restartAgents(func(i int) bool { return !x.rig.Agents[i].Host.IsUp() })
+				x.rig.RestartAgents(func(i int) bool { return !x.rig.Agents[i].Host.IsUp() })
 				time.Sleep(100 * time.Millisecond)
 			}
 		}},
-		"all agents restart": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) { x.restartAgents(func(int) bool { return true }) }},
+		"all agents restart": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) { x.rig.RestartAgents(func(int) bool { return true }) }},
 		"the store refuses all calls": {step: smallStep(6), indices: []int{0}, fault: func(x *crashRun) {
 			x.rig.Store.SetFaults("", kqrowstore.Faults{Refuse: true})
 			time.Sleep(4 * time.Second)
@@ -179,20 +128,20 @@
 					}
 					go x.load(20 * time.Second)
 					time.Sleep(2 * time.Second)
-					x.submitPoison(c.step, c.repeat, c.after, c.indices...)
+					x.rig.SubmitPoison(c.step, c.repeat, c.after, c.indices...)
 					submittedAt := time.Now()
 					time.Sleep(2500 * time.Millisecond)
 					if c.fault != nil {
 						c.fault(x)
 					}
 					want := cmp.Or(c.state, kqflow.StateFailed)
-					for x.rig.State(poisonJobID) != want && time.Since(submittedAt) < giveUpTime {
+					for x.rig.State(kqflowrig.PoisonJobID) != want && time.Since(submittedAt) < giveUpTime {
 						time.Sleep(100 * time.Millisecond)
 					}
-					if s := x.rig.State(poisonJobID); s != want {
+					if s := x.rig.State(kqflowrig.PoisonJobID); s != want {
 						t.Errorf("seed %d: the job is %q after %s", seed, s, giveUpTime)
 					}
-					t.Logf("seed %d: %s after %s, %d crashes", seed, x.rig.State(poisonJobID), time.Since(submittedAt).Round(100*time.Millisecond), len(x.rig.Ledger.CrashTimes()))
+					t.Logf("seed %d: %s after %s, %d crashes", seed, x.rig.State(kqflowrig.PoisonJobID), time.Since(submittedAt).Round(100*time.Millisecond), len(x.rig.Ledger.CrashTimes()))
 					time.Sleep(max(0, 20*time.Second-time.Since(submittedAt)))
 					x.check(t)
 					if n := len(x.rig.Ledger.CrashTimes()); c.maxCrashes > 0 && n > c.maxCrashes {
