kqflowrig: the end of a worker that left is learned as its lease expires

Callers see a long-running task away for a lease (7.5 s), and longer if owners follow each other, although its worker has said that it leaves. The test lets a worker of a cell leave, with and without the birth time in its message, while its agent, the owner or everything is stopped or restarted.

--- a/internal/standin/kqtaskhost/crash.go
+++ b/internal/standin/kqtaskhost/crash.go
@@ -17,6 +17,18 @@
 	h.crash(downtime)
 }
 
+// Leave ends the current incarnation as a planned end does. Its runs are lost, and calls fail until
+// Restart.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isDown {
+		return
+	}
+	h.endIncarnation()
+	h.isDown = true
+}
+
 // crash is Crash with mu held.
 func (h *Host) crash(downtime time.Duration) {
 	if h.isDown {
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -134,6 +134,15 @@
 	m.executor.Load().Departed(left)
 }
 
+// Drain makes the worker report that it is about to leave.
+func (m *Machine) Drain() { m.isDraining.Store(true) }
+
+// Leave ends the worker for good. The agent's process receives a leave message that names told.
+func (m *Machine) Leave(told kqexecution.Incarnation) {
+	m.Host.Leave()
+	m.executor.Load().Departed(told)
+}
+
 // Name returns the agent's name.
 func (m *Machine) Name() string { return m.config.Name }
 
