kqexecutor, kqcontrol, kqplan, platform: an end that a worker told is known to every later owner

Cause: the end was told and lost. (1) Leave messages have no body. (2) An end that an agent had accepted lived in its memory and that of the owner of the moment. The agent stops with its worker, an agent without a worker reports nothing to an owner that connects later, and an owner that is replaced before its commit takes the end with it.

Why this works: the sender of a leave message is proved by the connection of its check-ins, or else by polls: no process on the worker's port, or another worker. A late message of an earlier incarnation finds a worker that answers, and ends nothing. What is proved goes to the owner on the stream and into the table departures before it is acknowledged; each owner reads the table as it takes over and follows it; agents repeat ends as they connect; a process that stops first settles what it was told. A message that is not proved yet is stored as a claim, which the agent of the worker's host verifies, whichever agent or earlier process has heard it. A crash is inferred for no incarnation that has left.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -102,6 +102,7 @@
 	WorkerSuperseded      Number = 820
 	IncarnationStale      Number = 821
 	BirthInvalid          Number = 822
+	WorkerDeparted        Number = 823
 )
 
 // Info describes an event for operators.
@@ -207,7 +208,8 @@
 	{StoreNormal, "store_fast", "The store responds to the owner at its normal speed again."},
 	{WorkerSuperseded, "worker_reborn", "A later incarnation of a worker has started under the same id; the earlier one has ended."},
 	{IncarnationStale, "incarnation_over", "A message of an incarnation of a worker that has ended was ignored."},
-	{BirthInvalid, "birth_refused", "A message of a worker has no birth time although the id had one before, or a birth time that cannot be decoded; it identifies no worker and was ignored."},
+	{BirthInvalid, "birth_refused", "A message of a worker has no birth time although the id had one before, or a birth time that cannot be decoded; it identifies no worker. It was ignored; after a leave message the worker is polled to learn whether it has ended."},
+	{WorkerDeparted, "worker_left", "An incarnation of a worker has left for good, so the runs on it have ended; the text says from what this is known."},
 }
 
 var eventNames = func() map[Number]string {
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -136,6 +136,7 @@
 	// wallOffset converts a time of day to the clock of Config.Now.
 	wallOffset  time.Duration
 	leases      leases
+	departures  departures
 	stats       statsCollector
 	latestStats Stats
 }
@@ -189,7 +190,8 @@
 		return nil
 	case <-c.loaded:
 	}
-	c.tomb.Go((&submissionFeed{c}).loop)
+	c.tomb.Go(c.followSubmissions().loop)
+	c.tomb.Go(c.followDepartures().loop)
 	c.loop()
 	return nil
 }
@@ -216,6 +218,8 @@
 	for _, r := range state.submissions.rows {
 		c.applySubmission(now, r, records)
 	}
+	c.departures = departures{version: state.departures.at, readAt: map[string]time.Time{}, claims: map[string]bool{}}
+	c.applyDepartures(now, state.departures.rows)
 }
 
 // applySubmission passes a stored submission, with the job's record if there is one in
--- /dev/null
+++ b/internal/flow/kqcontrol/departures.go
@@ -0,0 +1,172 @@
+package kqcontrol
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
+)
+
+const (
+	// departureReadTimeout limits the read of the departures during a takeover, which does without them if
+	// the store does not answer: the feed reads them later.
+	departureReadTimeout = 700 * time.Millisecond
+	// departureWait is how long one call of the feed of departures waits for changes.
+	departureWait = 2 * time.Second
+	// departureRetention is how long after it was read a departure is kept in the store. It covers the time
+	// from the end of the worker's runs to the commit that records it.
+	departureRetention = time.Minute
+)
+
+// departureRow is the stored form of a departure; the key names the incarnation.
+type departureRow struct {
+	// Host is the name of the host whose agent has learned the departure.
+	Host string `json:"host"`
+}
+
+// DepartureRecorder stores what an agent learns of workers that have left, so that the present owner and every
+// later one know it without the agent.
+type DepartureRecorder struct {
+	// Store is the platform's store.
+	Store *kqrows.TimedStore
+	// Host is the name of the agent's host.
+	Host string
+}
+
+// Record stores that an incarnation has left, or only that a leave message with its id claims so if it is not
+// verified. It makes one attempt.
+func (r DepartureRecorder) Record(ctx context.Context, worker kqexecution.Incarnation, verified bool) error {
+	key := DepartureKey(worker)
+	if !verified {
+		key = DepartureClaimKey(worker.ID())
+	}
+	ctx, cancel := r.Store.WithTimeout(ctx, kqrows.AttemptTimeout)
+	defer cancel()
+	_, err := r.Store.Store.Transact(ctx, kqrows.Tx{Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(departureRow{r.Host})}}})
+	return err
+}
+
+// departures holds an owner's state of the DepartureTable.
+type departures struct {
+	// version is the version of the store from which the feed starts.
+	version uint64
+	// readAt holds when each row was first read, claims the ids of the claimed departures among them.
+	readAt map[string]time.Time
+	claims map[string]bool
+	// isRemoving is true while a removal is in flight.
+	isRemoving bool
+}
+
+// applyDepartures passes departures that were read to the planner; mu is held, or the controller is still
+// loading.
+func (c *Controller) applyDepartures(now time.Time, rows []kqrows.Row) {
+	for _, r := range rows {
+		if r.Removed {
+			c.departures.forget(r.Name)
+			continue
+		}
+		_, known := c.departures.readAt[r.Name]
+		if !known {
+			c.departures.readAt[r.Name] = now
+		}
+		if id, ok := strings.CutSuffix(r.Name, claimSuffix); ok {
+			if !known {
+				c.claimDeparture(id)
+			}
+			continue
+		}
+		if c.planner.WorkerEnded(now, "", kqplan.WorkerEnd{Worker: kqexecution.Incarnation(r.Name), Departed: true}) {
+			c.config.Events.Emit(now, kqevent.WorkerDeparted, kqevent.Worker(r.Name), "known from the store")
+		}
+	}
+}
+
+// forget drops a row that was removed.
+func (d *departures) forget(name string) {
+	delete(d.readAt, name)
+	delete(d.claims, strings.TrimSuffix(name, claimSuffix))
+}
+
+// claimDeparture records a claimed departure and passes it to the agents that may verify it; mu is held, or
+// the controller is still loading.
+func (c *Controller) claimDeparture(id string) {
+	c.departures.claims[id] = true
+	for _, s := range c.sessions {
+		s.sendClaims([]string{id})
+	}
+}
+
+// sendClaims sends an agent the claimed departures of ids that concern workers on its host; mu is held.
+func (x *Session) sendClaims(ids []string) {
+	if x.hello.Role != kqmessage.RoleAgent {
+		return
+	}
+	var claimed []kqexecution.Incarnation
+	for _, id := range ids {
+		claimed = append(claimed, x.controller.planner.HostedWorkers(x.hello.Name, id)...)
+	}
+	if len(claimed) > 0 {
+		x.send(kqmessage.FromOwner{ClaimedDepartures: claimed})
+	}
+}
+
+// followDepartures returns the feed of the departures that agents store.
+func (c *Controller) followDepartures() *tableFeed {
+	return &tableFeed{controller: c, table: DepartureTable, after: c.departures.version, wait: departureWait, apply: func(rows []kqrows.Row) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.applyDepartures(c.config.Now(), rows)
+		if len(rows) > 0 {
+			c.wake()
+		}
+	}}
+}
+
+// sweepDepartures removes the departures that were read more than departureRetention ago; mu is held.
+func (c *Controller) sweepDepartures(now time.Time) {
+	if c.departures.isRemoving {
+		return
+	}
+	x := &departureRemoval{controller: c}
+	for name, at := range c.departures.readAt {
+		if now.Sub(at) > departureRetention && len(x.keys) < maxBatchRecords {
+			x.keys = append(x.keys, kqrows.Key{Table: DepartureTable, Name: name})
+		}
+	}
+	if len(x.keys) > 0 {
+		c.departures.isRemoving = true
+		c.confirmation.writeSent()
+		c.tomb.Go(x.run)
+	}
+}
+
+// departureRemoval is one transaction that removes departures.
+type departureRemoval struct {
+	controller *Controller
+	keys       []kqrows.Key
+}
+
+func (x *departureRemoval) run() error {
+	c := x.controller
+	ctx, cancel := c.config.TimedStore.WithTimeout(c.tomb.Context(context.Background()), readTimeout)
+	defer cancel()
+	o, err := c.config.Store.Transact(ctx, kqrows.Tx{Conditions: []kqrows.Condition{{Key: OwnerKey(c.config.Cell), Version: c.version}}, Removes: x.keys})
+	c.confirmation.writeAnswered()
+	c.slotFreed()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.departures.isRemoving = false
+	if err != nil || !o.Committed {
+		return nil
+	}
+	for _, k := range x.keys {
+		c.departures.forget(k.Name)
+	}
+	return nil
+}
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 )
 
@@ -23,6 +24,8 @@
 	SubmissionTable = "submissions"
 	// ProgressTable holds the progress of jobs; the owner writes it.
 	ProgressTable = "progress"
+	// DepartureTable holds the incarnations of workers that have left; agents write it.
+	DepartureTable = "departures"
 )
 
 // PartitionedTables lists the tables whose rows are spread over several partitions of the
@@ -65,6 +68,20 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(job string) kqrows.Key { return kqrows.Key{Table: ProgressTable, Name: job} }
 
+// DepartureKey returns the key of the departure of an incarnation of a worker.
+func DepartureKey(worker kqexecution.Incarnation) kqrows.Key {
+	return kqrows.Key{Table: DepartureTable, Name: string(worker)}
+}
+
+// claimSuffix distinguishes the key of a claimed departure, which names an id, from that of a departure.
+const claimSuffix = "?"
+
+// DepartureClaimKey returns the key of a departure that a leave message without a birth time claims for one of
+// the incarnations with an id.
+func DepartureClaimKey(id string) kqrows.Key {
+	return kqrows.Key{Table: DepartureTable, Name: id + claimSuffix}
+}
+
 // RangeEnd returns the exclusive end of a range read of the single row with a name. No other
 // row's name sorts between the two.
 func RangeEnd(name string) string { return name + "!" }
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -47,6 +48,7 @@
 	if w, ok := c.planner.KnownWorker(h.Name); ok && h.Role == kqmessage.RoleAgent {
 		x.send(kqmessage.FromOwner{KnownWorker: &w})
 	}
+	x.sendClaims(slices.Collect(maps.Keys(c.departures.claims)))
 	if h.Role == kqmessage.RoleEntry {
 		x.registered = true
 		x.send(kqmessage.FromOwner{States: c.planner.States(), AllStates: true, Pending: c.planner.Pending(), Unresolved: c.entryConnected(now)})
@@ -123,7 +125,7 @@
 		c.planner.UpdateWorker(now, name, *m.Worker)
 	}
 	if m.Departed != "" {
-		c.planner.WorkerDeparted(now, name, m.Departed)
+		c.planner.WorkerDeparted(now, m.Departed)
 	}
 	if m.Report != nil {
 		c.planner.ApplyReport(now, name, *m.Report)
--- a/internal/flow/kqcontrol/sweep.go
+++ b/internal/flow/kqcontrol/sweep.go
@@ -14,6 +14,7 @@
 		return
 	}
 	c.sweptAt = now
+	c.sweepDepartures(now)
 	ended := c.planner.EndedJobs(now.Add(-c.config.Retention))
 	if len(ended) > 0 {
 		c.confirmation.writeSent()
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -4,6 +4,7 @@
 package kqexecutor
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// Policy is the policy service. If its RequestTickets is nil, every approval request of the
 	// owner is reported to it as unanswered.
 	Policy kqapproval.Service
+	// RecordDeparture stores that an incarnation of the worker has left or, if that is not verified, that a
+	// leave message with its id claims so. A failed attempt is repeated. It may be nil.
+	RecordDeparture func(ctx context.Context, worker kqexecution.Incarnation, verified bool) error
 	// MaxLease is the longest lease that the worker accepts.
 	MaxLease time.Duration
 	// ZonesKnownAt returns the time as of which the zones given to SetZones are known to
@@ -103,6 +107,11 @@
 	departed map[kqexecution.Incarnation]bool
 	// latest holds the latest known incarnation of each worker ID that has birth times.
 	latest map[string]kqexecution.Incarnation
+	// claims holds when a leave message without a birth time named an ID, checks the incarnations that are
+	// polled for it, and records the departures that are being stored.
+	claims  map[string]time.Time
+	checks  map[kqexecution.Incarnation]*leaveCheck
+	records map[*departureRecord]bool
 	// lateStarts holds the starts that a later incarnation may still carry out.
 	lateStarts map[kqexecution.Run]lateStart
 	worker     kqexecution.Worker
@@ -197,7 +206,7 @@
 // Start returns a running Executor without a worker and without an owner.
 func Start(c Config) *Executor {
 	x := &Executor{config: c, wakeup: make(chan struct{}, 1), departed: map[kqexecution.Incarnation]bool{},
-		latest: map[string]kqexecution.Incarnation{}, lateStarts: map[kqexecution.Run]lateStart{}, runs: map[kqexecution.Run]*execution{},
+		latest: map[string]kqexecution.Incarnation{}, claims: map[string]time.Time{}, checks: map[kqexecution.Incarnation]*leaveCheck{}, records: map[*departureRecord]bool{}, lateStarts: map[kqexecution.Run]lateStart{}, runs: map[kqexecution.Run]*execution{},
 		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.RunEnd{}, requestClocks: map[uint64]kqexecution.Clock{}, requestTimes: map[uint64]time.Time{}, pacer: kqpace.New()}
 	x.tomb.Go(x.run)
 	return x
@@ -231,14 +240,19 @@
 	return x.info.Worker == worker
 }
 
-// Connected sets the connection to an owner of the given epoch.
+// Connected sets the connection to an owner of the given epoch. The owner is told at once how earlier
+// incarnations of the worker ended: without a worker, nothing else is reported.
 func (x *Executor) Connected(epoch uint64, send func(kqmessage.ToOwner)) {
+	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.epoch = max(x.epoch, epoch)
 	x.send, x.registered, x.polled, x.synced = send, false, false, false
 	x.requestTimes = map[uint64]time.Time{}
 	x.requestClocks = map[uint64]kqexecution.Clock{}
+	if ends := x.workerEndsAt(now); len(ends) > 0 {
+		x.send(kqmessage.ToOwner{WorkerEnds: ends})
+	}
 	x.wake()
 }
 
@@ -252,6 +266,7 @@
 // Receive handles a message from the owner.
 func (x *Executor) Receive(m kqmessage.FromOwner) {
 	m = m.WithoutNil()
+	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if m.Zones != nil {
@@ -260,6 +275,10 @@
 	if m.KnownWorker != nil {
 		x.applyKnownWorker(*m.KnownWorker)
 	}
+	for _, w := range m.ClaimedDepartures {
+		x.claims[w.ID()] = now
+		x.checkClaim(now, w)
+	}
 	if m.Resync {
 		x.resync(m.Orders)
 	}
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -162,26 +162,7 @@
 		x.supersede(now, w.Worker, sourceOwner)
 	}
 	x.setWorker(w, 0)
-}
-
-// Departed handles a leave message: the incarnation has left for good.
-func (x *Executor) Departed(worker kqexecution.Incarnation) {
-	now := x.config.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if !x.mayBeCurrent(now, worker, sourceLeave) {
-		return
-	}
-	if x.info.Worker != "" && worker.Supersedes(x.info.Worker) {
-		x.supersede(now, worker, sourceLeave)
-	}
-	x.recordIncarnation(now, worker)
-	x.recordLeave(now, worker)
-	if _, born := worker.Born(); born && x.info.Worker == "" && x.send != nil {
-		// The owner may have runs of an earlier incarnation, which has ended as well.
-		x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now), Departed: worker})
-	}
-	x.removeWorker(now, worker)
+	x.checkClaim(now, w.Worker)
 }
 
 // removeWorker records that an incarnation has ended. If it is the current one, it is not driven any
@@ -192,6 +173,7 @@
 		return
 	}
 	x.recordEnd(now)
+	x.markDeparted(worker)
 	if x.send != nil {
 		x.reportEnds()
 		x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now), Departed: worker})
--- a/internal/flow/kqexecutor/incarnation_test.go
+++ b/internal/flow/kqexecutor/incarnation_test.go
@@ -31,6 +31,9 @@
 
 	mu     sync.Mutex
 	worker *fakeWorker
+	// departures is the verified departures that were stored, attempts how often that was tried.
+	departures []kqexecution.Incarnation
+	attempts   map[kqexecution.Incarnation]int
 	// changePoll changes the answers to polls, if not nil.
 	changePoll func(h kqexecution.Held) (kqexecution.Held, error)
 }
@@ -128,10 +131,10 @@
 // and a connected owner.
 func withMachine(t *testing.T, f func(g *WithT, m *machine, first kqexecution.Incarnation)) {
 	synctest.Test(t, func(t *testing.T) {
-		m := &machine{owner: &fakeOwner{}, events: kqevent.New(kqevent.Config{Process: "p", Logger: zap.New(zapcore.NewCore(
+		m := &machine{owner: &fakeOwner{}, attempts: map[kqexecution.Incarnation]int{}, events: kqevent.New(kqevent.Config{Process: "p", Logger: zap.New(zapcore.NewCore(
 			zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&bytes.Buffer{}), zapcore.InfoLevel)), MaxEvents: 10})}
 		first := m.restart()
-		m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.connect, MaxLease: 7 * time.Second, Now: time.Now, Events: m.events, Policy: kqapproval.Service{
+		m.executor = kqexecutor.Start(kqexecutor.Config{Connect: m.connect, MaxLease: 7 * time.Second, Now: time.Now, Events: m.events, RecordDeparture: m.recordDeparture, Policy: kqapproval.Service{
 			RequestTickets: func(_ context.Context, _ string, workers []string) (kqapproval.Response, error) {
 				m.policyWorkers = append(m.policyWorkers, workers...)
 				return kqapproval.Response{}, nil
--- a/internal/flow/kqexecutor/workerend.go
+++ b/internal/flow/kqexecutor/workerend.go
@@ -59,6 +59,16 @@
 // recordLeave keeps that an incarnation has left for the owner; mu is held.
 func (x *Executor) recordLeave(now time.Time, worker kqexecution.Incarnation) {
 	x.addWorkerEnd(workerEnd{kqplan.WorkerEnd{Worker: worker}, now})
+	x.markDeparted(worker)
+}
+
+// markDeparted records that an incarnation whose end is kept has left for good; mu is held.
+func (x *Executor) markDeparted(worker kqexecution.Incarnation) {
+	for i := range x.workerEnds {
+		if e := &x.workerEnds[i].end; e.Worker == worker {
+			e.Departed = true
+		}
+	}
 }
 
 // recordEnd keeps the end of the current incarnation, which has not left, for the owner. It has crashed
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -111,6 +111,9 @@
 	// KnownWorker describes the agent's worker as known to the owner, for an agent that has
 	// just started.
 	KnownWorker *kqplan.WorkerInfo `json:"known,omitempty"`
+	// ClaimedDepartures are incarnations on the agent's host that may have left: an agent has received a
+	// leave message with their id and without a birth time.
+	ClaimedDepartures []kqexecution.Incarnation `json:"claimed_departures,omitempty"`
 	// Zones lists the evacuated zones, for an agent.
 	Zones *kqevacuate.Notice `json:"zones,omitempty"`
 	// Orders are orders to start or stop runs, for an agent.
--- a/internal/flow/kqplan/capacity_test.go
+++ b/internal/flow/kqplan/capacity_test.go
@@ -103,7 +103,7 @@
 	f.addWorker("h3", capacity)
 	f.addWorker("h4", capacity)
 	f.AgentDisconnected(f.now, "h1")
-	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.WorkerDeparted(f.now, "w-h1")
 	f.workers = f.workers[1:]
 	departedAt, delay := f.now, maxDowntime
 	for f.now.Sub(departedAt) < maxDowntime {
--- a/internal/flow/kqplan/crash_test.go
+++ b/internal/flow/kqplan/crash_test.go
@@ -57,7 +57,7 @@
 // replace starts the next incarnation on the host of each worker.
 func (f *fleet) replace(workers ...*fleetWorker) {
 	for _, w := range workers {
-		f.WorkerDeparted(f.now, w.host, w.worker)
+		f.WorkerDeparted(f.now, w.worker)
 		*w = fleetWorker{host: w.host, worker: w.worker + "+", runs: map[kqexecution.Run]*fleetRun{}}
 		f.UpdateWorker(f.now, w.host, kqplan.WorkerInfo{Worker: w.worker, Service: "s", Capacity: crashCapacity})
 		f.LeaseGranted(f.now, w.host, 7*time.Second)
@@ -182,7 +182,7 @@
 	f := newCrashFleet("a", "b", "c", "d", "e", "f", "g", "h")
 	w := f.workerOf("a")
 	f.WorkerEnded(f.now, w.host, w.crashOf(0))
-	f.WorkerDeparted(f.now, w.host, w.worker)
+	f.WorkerDeparted(f.now, w.worker)
 	g.Expect(len(w.runs)).To(BeNumerically(">", 1))
 	*w = fleetWorker{}
 	started := map[kqexecution.Incarnation]int{}
--- a/internal/flow/kqplan/downtime_test.go
+++ b/internal/flow/kqplan/downtime_test.go
@@ -203,7 +203,7 @@
 	f.advance(3*time.Second, nil)
 	g.Expect(len(f.workers[1].runs)).To(BeNumerically(">", 8), "filling tasks hold the memory of h2")
 	f.AgentDisconnected(f.now, "h1")
-	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.WorkerDeparted(f.now, "w-h1")
 	f.workers = f.workers[1:]
 	endedAt, delay := f.now, maxDowntime
 	f.advance(maxDowntime, func(o kqplan.Order) {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -186,22 +186,6 @@
 	return h.info, true
 }
 
-// WorkerDeparted records that the worker of a host has ended, and marks the runs of this
-// incarnation and of earlier ones as lost.
-func (p *Planner) WorkerDeparted(now time.Time, name string, worker kqexecution.Incarnation) {
-	h := p.host(name)
-	hasEnded := func(w kqexecution.Incarnation) bool { return w == worker || worker.Supersedes(w) }
-	p.inferWorkerEnds(now, h, hasEnded, h.info)
-	for _, r := range h.runList() {
-		if hasEnded(r.worker) {
-			p.markLost(now, r, "its worker has departed")
-		}
-	}
-	if hasEnded(h.info.Worker) {
-		h.info = WorkerInfo{}
-	}
-}
-
 // runList returns a copy of the list of runs of a host, so that the caller may change h.runs
 // while iterating.
 func (h *host) runList() []*run {
--- a/internal/flow/kqplan/incarnation_test.go
+++ b/internal/flow/kqplan/incarnation_test.go
@@ -133,7 +133,7 @@
 
 	It("restarts the tasks of a departed incarnation and of earlier ones at once", func() {
 		startTask()
-		c.WorkerDeparted(c.now, "h1", second)
+		c.WorkerDeparted(c.now, second)
 		c.addHost("h2", "w2", 8)
 		c.tickUntilIdle()
 		o := c.takeOrders()
@@ -141,6 +141,18 @@
 		Expect(o[0].Worker).To(Equal(kqexecution.Incarnation("w2")))
 	})
 
+	DescribeTable("applies a departure that was learned elsewhere", func(left kqexecution.Incarnation, restarts bool) {
+		startTask()
+		c.WorkerEnded(c.now, "h2", kqplan.WorkerEnd{Worker: left, Departed: true})
+		c.addHost("h2", "w2", 8)
+		c.tickUntilIdle()
+		Expect(len(c.takeOrders()) == 1).To(Equal(restarts))
+	},
+		Entry("of the worker", first, true),
+		Entry("of an earlier incarnation, late", kqexecution.Incarnation("w1@4"), false),
+		Entry("of an incarnation without a birth", kqexecution.Incarnation("w1"), false),
+	)
+
 	// A delayed copy of a start may still be carried out by the second incarnation.
 	It("stops recently removed runs on the second incarnation, but not runs removed long ago", func() {
 		o := startTask()
--- a/internal/flow/kqplan/quarantine_test.go
+++ b/internal/flow/kqplan/quarantine_test.go
@@ -70,7 +70,7 @@
 func (f *fleet) departFirst() time.Duration {
 	host, worker := f.workers[0].host, f.workers[0].worker
 	f.AgentDisconnected(f.now, host)
-	f.WorkerDeparted(f.now, host, worker)
+	f.WorkerDeparted(f.now, worker)
 	f.workers = f.workers[1:]
 	departedAt, delay := f.now, maxDowntime
 	f.advance(maxDowntime, func(o kqplan.Order) {
@@ -164,7 +164,7 @@
 	f.advance(4*time.Second, failSoon)
 	g.Expect(f.workers[0].runs).To(HaveLen(1))
 	f.AgentDisconnected(f.now, "h1")
-	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.WorkerDeparted(f.now, "w-h1")
 	f.workers = f.workers[1:]
 	departedAt, delay := f.now, maxDowntime
 	f.advance(maxDowntime, func(o kqplan.Order) {
--- a/internal/flow/kqplan/refusal_test.go
+++ b/internal/flow/kqplan/refusal_test.go
@@ -50,7 +50,7 @@
 	delay := maxDowntime
 	departedAt := f.now
 	f.AgentDisconnected(f.now, "h1")
-	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.WorkerDeparted(f.now, "w-h1")
 	f.workers = f.workers[1:]
 	for f.now.Sub(departedAt) < maxDowntime {
 		f.advance(fleetStep, nil)
@@ -79,7 +79,7 @@
 	f.addWorker("refusing", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64400 << 20})
 	f.refuses = func(w *fleetWorker, _ kqplan.Order) bool { return w.host == "refusing" }
 	f.AgentDisconnected(f.now, "h1")
-	f.WorkerDeparted(f.now, "h1", "w-h1")
+	f.WorkerDeparted(f.now, "w-h1")
 	f.workers = f.workers[1:]
 	departedAt, delay := f.now, maxDowntime
 	for f.now.Sub(departedAt) < maxDowntime {
--- a/internal/flow/kqplan/standing_replay_test.go
+++ b/internal/flow/kqplan/standing_replay_test.go
@@ -242,7 +242,7 @@
 		}
 		for _, w := range r.workers[:count] {
 			r.AgentDisconnected(r.now, w.host)
-			r.WorkerDeparted(r.now, w.host, w.worker)
+			r.WorkerDeparted(r.now, w.worker)
 		}
 		r.workers = r.workers[count:]
 	}
--- a/internal/flow/kqplan/workerend.go
+++ b/internal/flow/kqplan/workerend.go
@@ -1,6 +1,7 @@
 package kqplan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
@@ -10,6 +11,9 @@
 type WorkerEnd struct {
 	// Worker is the incarnation.
 	Worker kqexecution.Incarnation `json:"worker"`
+	// Departed is true if the worker has left for good, so that the runs on it have ended and none will
+	// start under its id.
+	Departed bool `json:"departed,omitempty"`
 	// Crashed is true if the incarnation neither left nor drained before it ended.
 	Crashed bool `json:"crashed,omitempty"`
 	// SilentFor is the time since the incarnation stopped answering, as of the report.
@@ -33,10 +37,11 @@
 // exceeds the time for which agents repeat the report.
 const knownEndRetention = 10 * time.Minute
 
-// WorkerEnded applies an agent's report of the end of an incarnation, once per incarnation.
-func (p *Planner) WorkerEnded(now time.Time, name string, e WorkerEnd) {
+// WorkerEnded applies an agent's report of the end of an incarnation, once per incarnation. It reports
+// whether the end was not known.
+func (p *Planner) WorkerEnded(now time.Time, name string, e WorkerEnd) bool {
 	if _, known := p.workerEnds[e.Worker]; known || e.Worker == "" {
-		return
+		return false
 	}
 	for worker, at := range p.workerEnds {
 		if now.Sub(at) > knownEndRetention {
@@ -47,6 +52,48 @@
 	if e.Crashed {
 		p.workerCrashed(now, p.host(name), e)
 	}
+	if e.Departed {
+		p.WorkerDeparted(now, e.Worker)
+	}
+	return true
+}
+
+// WorkerDeparted records that an incarnation of a worker has left, and marks the runs of this incarnation
+// and of earlier ones as lost, whichever agent or earlier owner has learned it.
+func (p *Planner) WorkerDeparted(now time.Time, worker kqexecution.Incarnation) {
+	if worker == "" {
+		return
+	}
+	hasEnded := func(w kqexecution.Incarnation) bool { return w == worker || worker.Supersedes(w) }
+	for _, h := range p.hosts.All() {
+		p.inferWorkerEnds(now, h, hasEnded, h.info)
+		for _, r := range h.runList() {
+			if hasEnded(r.worker) {
+				p.markLost(now, r, "its worker has departed")
+			}
+		}
+		if hasEnded(h.info.Worker) {
+			h.info = WorkerInfo{}
+		}
+	}
+}
+
+// HostedWorkers returns the incarnations with an id that the agent of a host has described or that have runs
+// there.
+func (p *Planner) HostedWorkers(name, id string) (out []kqexecution.Incarnation) {
+	h := p.hosts.Get(name)
+	if h == nil {
+		return nil
+	}
+	if w := h.info.Worker; w != "" && w.ID() == id {
+		out = append(out, w)
+	}
+	for _, r := range h.runs.All() {
+		if r.worker.ID() == id && !slices.Contains(out, r.worker) {
+			out = append(out, r.worker)
+		}
+	}
+	return out
 }
 
 // inferWorkerEnds records the ends of incarnations with runs on a host that no agent has reported,
--- a/internal/plumb/kqserver/server.go
+++ b/internal/plumb/kqserver/server.go
@@ -28,6 +28,8 @@
 	Listen netip.AddrPort
 	// TLS is the TLS configuration; if it is nil, connections are unencrypted.
 	TLS *tls.Config
+	// ConnContext returns the context of the requests on a new connection; may be nil.
+	ConnContext func(ctx context.Context, c net.Conn) context.Context
 }
 
 // Server is an HTTP server. Connections that arrive between Listen and Serve wait.
@@ -60,6 +62,7 @@
 	s := &Server{listener: l, server: &http.Server{
 		Protocols:         &p,
 		TLSConfig:         c.TLS,
+		ConnContext:       c.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/trial/kqflowrig/departure_test.go
+++ b/internal/trial/kqflowrig/departure_test.go
@@ -6,8 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
-	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowrig"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqmachine"
@@ -17,15 +16,8 @@
 // leaves: the target for the start of urgent work.
 const maxToldAbsence = 3400 * time.Millisecond
 
-// newDepartureRun returns a cell whose workers have birth times, with one long-running task.
-func newDepartureRun(seed uint64) *takeoverRun {
-	x := &takeoverRun{kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: 7, SendsBirthTime: true, Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30}})}
-	time.Sleep(3 * time.Second)
-	x.rig.Submit(kqflow.Job{ID: longRunningJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{{Count: 1, LongRunning: true, Estimate: time.Hour,
-		Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}}}})
-	time.Sleep(5 * time.Second)
-	return x
-}
+// departureKept is the time after which nothing refers to a departure any more.
+const departureKept = 75 * time.Second
 
 // rollAgents stops and restarts the agents one after another, except those that are left out.
 func (x *takeoverRun) rollAgents(leftOut ...*kqmachine.Machine) {
@@ -39,6 +31,22 @@
 	}
 }
 
+// crashOwner kills the process of the owner, which is started again.
+func (x *takeoverRun) crashOwner() {
+	owner := x.killOwner()
+	time.Sleep(restartTime)
+	restart(owner)()
+}
+
+// checkDeparturesRemoved checks that the store keeps departures only for a time.
+func (x *takeoverRun) checkDeparturesRemoved(t *testing.T) {
+	time.Sleep(departureKept)
+	rows, _, err := x.rig.Store.Client("").Read(t.Context(), kqcontrol.DepartureTable, "", "")
+	if err != nil || len(rows) > 0 {
+		t.Errorf("%d departures are stored after %s, error %v", len(rows), departureKept, err)
+	}
+}
+
 // A worker leaves while processes are stopped. Guards against an end that was told to an agent and is
 // learned only as the lease expires: because the message has no birth time, because the agent stops as
 // well, or because the owner that heard it is replaced before it has stored it.
@@ -51,14 +59,14 @@
 			"nothing else happens":       func(*takeoverRun, *kqmachine.Machine) {},
 			"its agent is stopped":       func(_ *takeoverRun, left *kqmachine.Machine) { left.Shutdown() },
 			"its agent is restarted":     func(_ *takeoverRun, left *kqmachine.Machine) { left.Shutdown(); restart(left)() },
-			"the owner is killed":        func(x *takeoverRun, _ *kqmachine.Machine) { x.killOwner() },
-			"the agent and the owner go": func(x *takeoverRun, left *kqmachine.Machine) { left.Shutdown(); x.killOwner() },
+			"the owner crashes":          func(x *takeoverRun, _ *kqmachine.Machine) { x.crashOwner() },
+			"the agent and the owner go": func(x *takeoverRun, left *kqmachine.Machine) { left.Shutdown(); x.crashOwner() },
 			"everything is restarted":    func(x *takeoverRun, left *kqmachine.Machine) { left.Shutdown(); x.rollAgents(left) },
 		} {
 			t.Run(told+", "+meanwhile, func(t *testing.T) {
 				for seed := range uint64(4) {
 					synctest.Test(t, func(t *testing.T) {
-						x := newDepartureRun(seed)
+						x := newTakeoverRunOf(kqflowrig.Config{Seed: seed, SendsBirthTime: true})
 						left := x.hostingAgent()
 						left.Drain()
 						time.Sleep(3 * time.Second)
@@ -70,6 +78,9 @@
 						}
 						absence := time.Since(leftAt)
 						time.Sleep(15 * time.Second)
+						if seed == 0 {
+							x.checkDeparturesRemoved(t)
+						}
 						x.rig.Stop()
 						if absence > maxToldAbsence {
 							t.Errorf("seed %d: the long-running task runs again after %s, at most %s is allowed", seed, absence, maxToldAbsence)
--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -29,7 +29,12 @@
 func newTakeoverRun(seed uint64) *takeoverRun { return newTakeoverRunWithLease(seed, defaultLease) }
 
 func newTakeoverRunWithLease(seed uint64, lease time.Duration) *takeoverRun {
-	x := &takeoverRun{kqflowrig.New(kqflowrig.Config{Seed: seed, Agents: 7, Lease: lease, Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30}})}
+	return newTakeoverRunOf(kqflowrig.Config{Seed: seed, Lease: lease})
+}
+
+func newTakeoverRunOf(c kqflowrig.Config) *takeoverRun {
+	c.Agents, c.Capacity = 7, kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30}
+	x := &takeoverRun{kqflowrig.New(c)}
 	time.Sleep(3 * time.Second)
 	x.rig.Submit(kqflow.Job{ID: longRunningJobID, Queue: "urgent", Payload: "p", Steps: []kqflow.Step{{Count: 1, LongRunning: true, Estimate: time.Hour,
 		Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}}}})
@@ -57,12 +62,14 @@
 	return nil
 }
 
-// killOwner waits until the cell has an owner and kills it.
-func (x *takeoverRun) killOwner() {
-	for x.owner() == nil {
+// killOwner waits until the cell has an owner, kills it and returns it.
+func (x *takeoverRun) killOwner() *kqmachine.Machine {
+	owner := x.owner()
+	for ; owner == nil; owner = x.owner() {
 		time.Sleep(20 * time.Millisecond)
 	}
-	x.owner().Kill()
+	owner.Kill()
+	return owner
 }
 
 // A worker is lost with its agent, and the owner is killed twice before the loss is stored. Guards
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -3,6 +3,7 @@
 package kqmachine
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -16,9 +17,13 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqnode"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqtaskhost"
 )
 
+// settleTimeout limits how long a planned stop waits for departures to be stored.
+const settleTimeout = 1500 * time.Millisecond
+
 // Config sets up a Machine.
 type Config struct {
 	// Name is the agent's name.
@@ -62,8 +67,12 @@
 func (m *Machine) Start() error {
 	m.bootCount++
 	c := m.config.ControlConfig(m.bootCount)
+	if c.TimedStore == nil {
+		c.TimedStore = kqrows.NewTimedStore(c.Store, c.Now)
+	}
 	x := kqexecutor.Start(kqexecutor.Config{Connect: m.Host.Connect, MaxLease: c.Lease,
-		ZonesKnownAt: c.Evacuation.KnownAt, EvacuateWithin: c.Evacuation.EvacuateWithin, Now: c.Now, Events: c.Events, Counter: c.Counter})
+		RecordDeparture: kqcontrol.DepartureRecorder{Store: c.TimedStore, Host: c.Name}.Record,
+		ZonesKnownAt:    c.Evacuation.KnownAt, EvacuateWithin: c.Evacuation.EvacuateWithin, Now: c.Now, Events: c.Events, Counter: c.Counter})
 	m.executor.Store(x)
 	if f := c.Evacuation.Zones; f != nil {
 		x.SetZones(f())
@@ -104,8 +113,16 @@
 // Kill stops the process immediately, as a crash does.
 func (m *Machine) Kill() { m.stop((*kqnode.Node).Kill) }
 
-// Shutdown stops the process as a planned stop does: an owner hands its ownership over.
-func (m *Machine) Shutdown() { m.stop((*kqnode.Node).Shutdown) }
+// Shutdown stops the process as a planned stop does: departures that it knows of are stored, and an owner
+// hands its ownership over.
+func (m *Machine) Shutdown() {
+	if m.running {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		m.executor.Load().Settle(ctx)
+	}
+	m.stop((*kqnode.Node).Shutdown)
+}
 
 func (m *Machine) stop(stopNode func(*kqnode.Node)) {
 	if !m.running {
@@ -137,10 +154,15 @@
 // Drain makes the worker report that it is about to leave.
 func (m *Machine) Drain() { m.isDraining.Store(true) }
 
-// Leave ends the worker for good. The agent's process receives a leave message that names told.
+// Leave ends the worker for good. The agent's process receives a leave message that names told, and has
+// acknowledged it when Leave returns.
 func (m *Machine) Leave(told kqexecution.Incarnation) {
 	m.Host.Leave()
-	m.executor.Load().Departed(told)
+	x := m.executor.Load()
+	x.Departed(told)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	x.AwaitRecorded(ctx)
 }
 
 // Name returns the agent's name.
