kqexecutor, kqcontrol, platform: a leave message ends no run that is still at work

What callers would see: the same task at work twice (TWICE). A worker ends when its leave message is acknowledged, and some seconds later if the acknowledgement is lost. Its agent gave the runs up as the message arrived; since the acknowledgement even waits for the store meanwhile. The owner started the task elsewhere within milliseconds.

Cause: the message was taken for the end. It only announces it.

Why this works: who has sent the message and whether the worker has ended are answered apart. The first is known from the connection or the birth, the second only from polls. Until then the departure is a claim; it is stored before the acknowledgement, so an agent that is killed at once takes nothing with it: its next process verifies the claim, or the owner waits 4 s.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
@@ -218,7 +219,7 @@
 	for _, r := range state.submissions.rows {
 		c.applySubmission(now, r, records)
 	}
-	c.departures = departures{version: state.departures.at, readAt: map[string]time.Time{}, claims: map[string]bool{}}
+	c.departures = departures{version: state.departures.at, readAt: map[string]time.Time{}, claims: map[kqexecution.Incarnation]departureRow{}}
 	c.applyDepartures(now, state.departures.rows)
 }
 
@@ -302,6 +303,7 @@
 	now := c.config.Now()
 	c.logStats(now)
 	c.planner.SetHold(!c.isFeedCurrent(now) || c.config.Evacuation.isOutdated(now))
+	c.applyUnverifiedDepartures(now)
 	c.planner.Tick(now)
 	c.planner.RecordTickDuration(now, c.config.Now().Sub(now))
 	c.write(now)
--- a/internal/flow/kqcontrol/departures.go
+++ b/internal/flow/kqcontrol/departures.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
@@ -24,13 +26,15 @@
 	departureRetention = time.Minute
 )
 
-// departureRow is the stored form of a departure; the key names the incarnation.
+// departureRow is the stored form of a departure; the key names the incarnation, and says whether it is a claim.
 type departureRow struct {
-	// Host is the name of the host whose agent has learned the departure.
+	// Host is the name of the host whose agent has received the leave message.
 	Host string `json:"host"`
+	// SenderKnown is true if the incarnation itself has sent it.
+	SenderKnown bool `json:"sender_known,omitempty"`
 }
 
-// DepartureRecorder stores what an agent learns of workers that have left, so that the present owner and every
+// DepartureRecorder stores what an agent learns of workers that leave, so that the present owner and every
 // later one know it without the agent.
 type DepartureRecorder struct {
 	// Store is the platform's store.
@@ -39,16 +43,15 @@
 	Host string
 }
 
-// Record stores that an incarnation has left, or only that a leave message with its id claims so if it is not
-// verified. It makes one attempt.
-func (r DepartureRecorder) Record(ctx context.Context, worker kqexecution.Incarnation, verified bool) error {
-	key := DepartureKey(worker)
-	if !verified {
-		key = DepartureClaimKey(worker.ID())
+// Record stores a departure. It makes one attempt.
+func (r DepartureRecorder) Record(ctx context.Context, d kqexecutor.Departure) error {
+	key := DepartureKey(d.Worker)
+	if !d.Verified {
+		key = DepartureClaimKey(d.Worker)
 	}
 	ctx, cancel := r.Store.WithTimeout(ctx, kqrows.AttemptTimeout)
 	defer cancel()
-	_, err := r.Store.Store.Transact(ctx, kqrows.Tx{Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(departureRow{r.Host})}}})
+	_, err := r.Store.Store.Transact(ctx, kqrows.Tx{Puts: []kqrows.Put{{Key: key, Value: kqtable.Encode(departureRow{r.Host, d.SenderKnown})}}})
 	return err
 }
 
@@ -56,9 +59,9 @@
 type departures struct {
 	// version is the version of the store from which the feed starts.
 	version uint64
-	// readAt holds when each row was first read, claims the ids of the claimed departures among them.
+	// readAt holds when each row was first read, claims the claimed departures among them.
 	readAt map[string]time.Time
-	claims map[string]bool
+	claims map[kqexecution.Incarnation]departureRow
 	// isRemoving is true while a removal is in flight.
 	isRemoving bool
 }
@@ -75,41 +78,64 @@
 		if !known {
 			c.departures.readAt[r.Name] = now
 		}
-		if id, ok := strings.CutSuffix(r.Name, claimSuffix); ok {
+		if claimed, ok := strings.CutSuffix(r.Name, claimSuffix); ok {
 			if !known {
-				c.claimDeparture(id)
+				c.claimDeparture(now, kqexecution.Incarnation(claimed), r)
 			}
 			continue
 		}
-		if c.planner.WorkerEnded(now, "", kqplan.WorkerEnd{Worker: kqexecution.Incarnation(r.Name), Departed: true}) {
-			c.config.Events.Emit(now, kqevent.WorkerDeparted, kqevent.Worker(r.Name), "known from the store")
-		}
+		c.departed(now, kqexecution.Incarnation(r.Name), "known from the store")
+	}
+}
+
+// departed passes a departure to the planner; mu is held, or the controller is still loading.
+func (c *Controller) departed(now time.Time, worker kqexecution.Incarnation, why string) {
+	if c.planner.WorkerEnded(now, "", kqplan.WorkerEnd{Worker: worker, Departed: true}) {
+		c.config.Events.Emit(now, kqevent.WorkerDeparted, kqevent.Worker(string(worker)), "%s", why)
 	}
 }
 
 // forget drops a row that was removed.
 func (d *departures) forget(name string) {
 	delete(d.readAt, name)
-	delete(d.claims, strings.TrimSuffix(name, claimSuffix))
+	if claimed, ok := strings.CutSuffix(name, claimSuffix); ok {
+		delete(d.claims, kqexecution.Incarnation(claimed))
+	}
 }
 
 // claimDeparture records a claimed departure and passes it to the agents that may verify it; mu is held, or
 // the controller is still loading.
-func (c *Controller) claimDeparture(id string) {
-	c.departures.claims[id] = true
+func (c *Controller) claimDeparture(now time.Time, worker kqexecution.Incarnation, r kqrows.Row) {
+	var row departureRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		c.config.Events.Emit(now, kqevent.RowUnreadable, kqevent.Worker(r.Name), "unreadable departure: %v", err)
+	}
+	c.departures.claims[worker] = row
 	for _, s := range c.sessions {
-		s.sendClaims([]string{id})
+		s.sendClaims([]kqexecution.Incarnation{worker})
+	}
+}
+
+// applyUnverifiedDepartures gives up the workers that have said LeaveTime ago that they leave, if the agent
+// that has heard it is gone and cannot verify it. mu is held.
+func (c *Controller) applyUnverifiedDepartures(now time.Time) {
+	for worker, row := range c.departures.claims {
+		_, born := worker.Born()
+		if !born || !row.SenderKnown || c.sessions[row.Host] != nil || now.Sub(c.departures.readAt[string(worker)+claimSuffix]) < kqplan.LeaveTime {
+			continue
+		}
+		c.departed(now, worker, "its leave message is known from the store, and its agent is gone")
 	}
 }
 
-// sendClaims sends an agent the claimed departures of ids that concern workers on its host; mu is held.
-func (x *Session) sendClaims(ids []string) {
+// sendClaims sends an agent the claimed departures that concern workers on its host; mu is held.
+func (x *Session) sendClaims(workers []kqexecution.Incarnation) {
 	if x.hello.Role != kqmessage.RoleAgent {
 		return
 	}
 	var claimed []kqexecution.Incarnation
-	for _, id := range ids {
-		claimed = append(claimed, x.controller.planner.HostedWorkers(x.hello.Name, id)...)
+	for _, w := range workers {
+		claimed = append(claimed, x.controller.planner.HostedWorkers(x.hello.Name, w)...)
 	}
 	if len(claimed) > 0 {
 		x.send(kqmessage.FromOwner{ClaimedDepartures: claimed})
--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -73,13 +73,13 @@
 	return kqrows.Key{Table: DepartureTable, Name: string(worker)}
 }
 
-// claimSuffix distinguishes the key of a claimed departure, which names an id, from that of a departure.
+// claimSuffix distinguishes the key of a claimed departure from that of a departure.
 const claimSuffix = "?"
 
-// DepartureClaimKey returns the key of a departure that a leave message without a birth time claims for one of
-// the incarnations with an id.
-func DepartureClaimKey(id string) kqrows.Key {
-	return kqrows.Key{Table: DepartureTable, Name: id + claimSuffix}
+// DepartureClaimKey returns the key of a departure that a leave message claims for an incarnation or, if worker
+// has no birth time, for one with its id.
+func DepartureClaimKey(worker kqexecution.Incarnation) kqrows.Key {
+	return kqrows.Key{Table: DepartureTable, Name: string(worker) + claimSuffix}
 }
 
 // RangeEnd returns the exclusive end of a range read of the single row with a name. No other
--- a/internal/flow/kqexecutor/departure.go
+++ b/internal/flow/kqexecutor/departure.go
@@ -17,26 +17,41 @@
 	recordTime       = 15 * time.Second
 )
 
-// Departed handles a leave message: the incarnation has left for good. A message without a birth time does
-// not tell which of the incarnations with its id has sent it. The latest known one is then polled, and has
-// left if its process is gone: a late message of an earlier incarnation must not end a later one. The owner
-// passes such a message on to the agent of the host that the worker is on, or to a later process of it.
+// Departed handles a leave message, which worker has sent if its sender is known: then worker has a birth
+// time, or is the current incarnation. A worker ends once its message is acknowledged, and some seconds later
+// if it is not, so it has left only when polls show that.
+//
+// A message without a birth time does not tell which of the incarnations with its id has sent it. It must not
+// end a later one, and is checked against the latest that is known.
 func (x *Executor) Departed(worker kqexecution.Incarnation) {
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if _, born := worker.Born(); !born && x.info.Worker != worker {
-		x.claims[worker.ID()] = now
-		x.record(now, worker, false)
+	if x.departed[worker] {
+		return
+	}
+	_, born := worker.Born()
+	if !born && x.info.Worker != worker {
+		x.claim(now, leaveClaim{at: now}, worker)
 		if latest, ok := x.latest[worker.ID()]; ok {
 			x.logInvalidBirth(now, latest, sourceLeave)
 			x.checkClaim(now, latest)
-			return
 		}
+		return
 	}
-	if x.mayBeCurrent(now, worker, sourceLeave) {
-		x.depart(now, worker, "its leave message")
+	if !x.mayBeCurrent(now, worker, sourceLeave) {
+		return
+	}
+	isLocal := x.info.Worker != "" && x.info.Worker.SameWorker(worker) || x.latest[worker.ID()] != ""
+	x.claim(now, leaveClaim{at: now, sender: worker}, worker)
+	if !isLocal {
+		return
 	}
+	if x.info.Worker != "" && worker.Supersedes(x.info.Worker) {
+		x.supersede(now, worker, sourceLeave)
+	}
+	x.recordIncarnation(now, worker)
+	x.checkClaim(now, worker)
 }
 
 // depart records that an incarnation has left, reports it to the owner and stores it; mu is held.
@@ -45,9 +60,6 @@
 		return
 	}
 	x.config.Events.Emit(now, kqevent.WorkerDeparted, kqevent.Worker(string(worker)), "known from %s", knownFrom)
-	if x.info.Worker != "" && worker.Supersedes(x.info.Worker) {
-		x.supersede(now, worker, sourceLeave)
-	}
 	x.recordIncarnation(now, worker)
 	x.recordLeave(now, worker)
 	if x.info.Worker == worker {
@@ -59,25 +71,34 @@
 			x.send(kqmessage.ToOwner{WorkerEnds: x.workerEndsAt(now), Departed: worker})
 		}
 	}
-	x.record(now, worker, true)
+	x.record(now, Departure{Worker: worker, Verified: true})
+}
+
+// Departure is what an agent knows of a worker that leaves.
+type Departure struct {
+	// Worker is the incarnation, or only an id if it is not known which one has sent the leave message.
+	Worker kqexecution.Incarnation
+	// Verified is true if the incarnation has left. Otherwise a leave message says so.
+	Verified bool
+	// SenderKnown is true if the incarnation itself has sent the message.
+	SenderKnown bool
 }
 
 // record starts to store a departure, for owners that this process does not connect to; mu is held.
-func (x *Executor) record(now time.Time, worker kqexecution.Incarnation, verified bool) {
+func (x *Executor) record(now time.Time, d Departure) {
 	if x.config.RecordDeparture == nil || !x.tomb.Alive() {
 		return
 	}
-	r := &departureRecord{executor: x, worker: worker, verified: verified, until: now.Add(recordTime), done: make(chan struct{})}
+	r := &departureRecord{executor: x, departure: d, until: now.Add(recordTime), done: make(chan struct{})}
 	x.records[r] = true
 	x.tomb.Go(r.run)
 }
 
-// departureRecord stores the departure of an incarnation, or the claim of one.
+// departureRecord stores a departure.
 type departureRecord struct {
-	executor *Executor
-	worker   kqexecution.Incarnation
-	verified bool
-	until    time.Time
+	executor  *Executor
+	departure Departure
+	until     time.Time
 	// done is closed when the departure is stored or has been given up.
 	done chan struct{}
 }
@@ -85,7 +106,7 @@
 func (r *departureRecord) run() error {
 	x := r.executor
 	ctx := x.tomb.Context(context.Background())
-	for x.tomb.Alive() && x.config.RecordDeparture(ctx, r.worker, r.verified) != nil && x.config.Now().Before(r.until) {
+	for x.tomb.Alive() && x.config.RecordDeparture(ctx, r.departure) != nil && x.config.Now().Before(r.until) {
 		kqtable.Sleep(ctx, recordRetryDelay)
 	}
 	x.mu.Lock()
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -28,9 +28,9 @@
 	// Policy is the policy service. If its RequestTickets is nil, every approval request of the
 	// owner is reported to it as unanswered.
 	Policy kqapproval.Service
-	// RecordDeparture stores that an incarnation of the worker has left or, if that is not verified, that a
-	// leave message with its id claims so. A failed attempt is repeated. It may be nil.
-	RecordDeparture func(ctx context.Context, worker kqexecution.Incarnation, verified bool) error
+	// RecordDeparture stores what is known of a worker that leaves; a failed attempt is repeated. It may be
+	// nil.
+	RecordDeparture func(ctx context.Context, d Departure) error
 	// MaxLease is the longest lease that the worker accepts.
 	MaxLease time.Duration
 	// ZonesKnownAt returns the time as of which the zones given to SetZones are known to
@@ -107,9 +107,9 @@
 	departed map[kqexecution.Incarnation]bool
 	// latest holds the latest known incarnation of each worker ID that has birth times.
 	latest map[string]kqexecution.Incarnation
-	// claims holds when a leave message without a birth time named an ID, checks the incarnations that are
-	// polled for it, and records the departures that are being stored.
-	claims  map[string]time.Time
+	// claims holds the unverified leave messages by ID, checks the incarnations that are polled for them, and
+	// records the departures that are being stored.
+	claims  map[string]leaveClaim
 	checks  map[kqexecution.Incarnation]*leaveCheck
 	records map[*departureRecord]bool
 	// lateStarts holds the starts that a later incarnation may still carry out.
@@ -206,7 +206,7 @@
 // Start returns a running Executor without a worker and without an owner.
 func Start(c Config) *Executor {
 	x := &Executor{config: c, wakeup: make(chan struct{}, 1), departed: map[kqexecution.Incarnation]bool{},
-		latest: map[string]kqexecution.Incarnation{}, claims: map[string]time.Time{}, checks: map[kqexecution.Incarnation]*leaveCheck{}, records: map[*departureRecord]bool{}, lateStarts: map[kqexecution.Run]lateStart{}, runs: map[kqexecution.Run]*execution{},
+		latest: map[string]kqexecution.Incarnation{}, claims: map[string]leaveClaim{}, checks: map[kqexecution.Incarnation]*leaveCheck{}, records: map[*departureRecord]bool{}, lateStarts: map[kqexecution.Run]lateStart{}, runs: map[kqexecution.Run]*execution{},
 		listed: map[kqexecution.Run]bool{}, ends: map[uint64]kqexecution.RunEnd{}, requestClocks: map[uint64]kqexecution.Clock{}, requestTimes: map[uint64]time.Time{}, pacer: kqpace.New()}
 	x.tomb.Go(x.run)
 	return x
@@ -276,7 +276,9 @@
 		x.applyKnownWorker(*m.KnownWorker)
 	}
 	for _, w := range m.ClaimedDepartures {
-		x.claims[w.ID()] = now
+		if _, ok := x.claims[w.ID()]; !ok {
+			x.claims[w.ID()] = leaveClaim{at: now}
+		}
 		x.checkClaim(now, w)
 	}
 	if m.Resync {
--- a/internal/flow/kqexecutor/leaveclaim.go
+++ b/internal/flow/kqexecutor/leaveclaim.go
@@ -11,26 +11,46 @@
 )
 
 const (
-	// leaveGrace is how long a worker may answer polls after its leave message: it ends once that was
-	// acknowledged. A worker that answers later has not sent the message.
+	// leaveGrace is how long an incarnation that may have sent a leave message may answer polls. One that
+	// answers later has not sent it.
 	leaveGrace = time.Second
-	// leaveClaimTime is how long a leave message without a birth time may refer to an incarnation. The
-	// leases of a worker that answers nothing have ended by then.
+	// leaveClaimTime is how long a leave message is checked. The leases of a worker that answers nothing have
+	// ended by then.
 	leaveClaimTime = kqplan.MaxStartDelay
 )
 
-// checkClaim starts to verify that an incarnation has left if a leave message without a birth time has named
-// its id; mu is held.
+// leaveClaim is a leave message that is not verified yet.
+type leaveClaim struct {
+	at time.Time
+	// sender is the incarnation that has sent the message; empty if only its id is known.
+	sender kqexecution.Incarnation
+}
+
+// claim records a leave message of a worker, here and in the store; mu is held.
+func (x *Executor) claim(now time.Time, c leaveClaim, worker kqexecution.Incarnation) {
+	x.claims[worker.ID()] = c
+	x.record(now, Departure{Worker: worker, SenderKnown: c.sender != ""})
+}
+
+// hasSaidThatItLeaves reports whether an incarnation has sent a leave message, after which it sends no
+// check-ins; mu is held.
+func (x *Executor) hasSaidThatItLeaves(worker kqexecution.Incarnation) bool {
+	return worker != "" && x.claims[worker.ID()].sender == worker
+}
+
+// checkClaim starts to verify that an incarnation has left, if it may have sent a leave message; mu is held.
 func (x *Executor) checkClaim(now time.Time, worker kqexecution.Incarnation) {
-	claimedAt, ok := x.claims[worker.ID()]
-	if !ok || now.Sub(claimedAt) > leaveClaimTime {
+	claim, ok := x.claims[worker.ID()]
+	switch {
+	case !ok:
+		return
+	case now.Sub(claim.at) > leaveClaimTime:
 		delete(x.claims, worker.ID())
 		return
-	}
-	if x.checks[worker] != nil || x.departed[worker] || x.latest[worker.ID()].Supersedes(worker) || !x.tomb.Alive() {
+	case claim.sender != "" && claim.sender != worker, x.checks[worker] != nil, x.departed[worker], x.latest[worker.ID()].Supersedes(worker), !x.tomb.Alive():
 		return
 	}
-	c := &leaveCheck{executor: x, worker: worker, connection: x.config.Connect(worker), claimedAt: claimedAt, done: make(chan struct{})}
+	c := &leaveCheck{executor: x, worker: worker, connection: x.config.Connect(worker), claim: claim, done: make(chan struct{})}
 	x.checks[worker] = c
 	x.tomb.Go(c.loop)
 }
@@ -40,9 +60,11 @@
 	executor   *Executor
 	worker     kqexecution.Incarnation
 	connection kqexecution.Worker
-	claimedAt  time.Time
+	claim      leaveClaim
 	// refused counts the latest polls in a row that failed at once: no process accepts them.
 	refused int
+	// answeredAt is when a poll was last answered; zero if none was.
+	answeredAt time.Time
 	// done is closed when the check has ended.
 	done chan struct{}
 }
@@ -51,7 +73,7 @@
 	x := c.executor
 	ctx := x.tomb.Context(context.Background())
 	for x.tomb.Alive() && !c.poll(ctx) {
-		kqtable.Sleep(ctx, pollRetryDelay)
+		kqtable.Sleep(ctx, orderRetryDelay)
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -73,7 +95,10 @@
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	isOver := now.Sub(c.claim.at) > leaveClaimTime
 	switch {
+	case x.departed[c.worker]:
+		return true
 	case err == nil && h.Answer == kqexecution.AnswerOtherIncarnation:
 		c.confirm(now, "a leave message, and another worker answers in its place")
 		return true
@@ -81,15 +106,19 @@
 		// A later incarnation has started. Runs of this one may yet start there.
 		return true
 	case err == nil, errors.Is(err, kqexecution.ErrBirth):
-		c.refused = 0
-		if now.Sub(c.claimedAt) < leaveGrace {
-			return false
+		c.refused, c.answeredAt = 0, now
+		if c.claim.sender == "" && now.Sub(c.claim.at) >= leaveGrace {
+			delete(x.claims, c.worker.ID())
+			return true
 		}
-		delete(x.claims, c.worker.ID())
-		return true
+		return isOver
 	case timedOut:
 		c.refused = 0
-		return now.Sub(c.claimedAt) > leaveClaimTime
+		if c.claim.sender == "" || now.Sub(c.lastAnswer()) < kqplan.LeaveTime {
+			return isOver
+		}
+		c.confirm(now, "its leave message, and it does not answer any more")
+		return true
 	}
 	if c.refused++; c.refused < maxRefusedPolls {
 		return false
@@ -98,6 +127,14 @@
 	return true
 }
 
+// lastAnswer returns when a poll was last answered, or the time of the leave message if none was since.
+func (c *leaveCheck) lastAnswer() time.Time {
+	if c.answeredAt.After(c.claim.at) {
+		return c.answeredAt
+	}
+	return c.claim.at
+}
+
 // confirm records that the worker has left; the executor's mu is held.
 func (c *leaveCheck) confirm(now time.Time, knownFrom string) {
 	delete(c.executor.claims, c.worker.ID())
--- a/internal/flow/kqplan/workerend.go
+++ b/internal/flow/kqplan/workerend.go
@@ -33,6 +33,10 @@
 	RunTime time.Duration `json:"ran,omitempty"`
 }
 
+// LeaveTime is the time after its leave message within which a worker ends, even if the message was not
+// acknowledged.
+const LeaveTime = 4 * time.Second
+
 // knownEndRetention is how long the owner remembers that it has recorded the end of an incarnation. It
 // exceeds the time for which agents repeat the report.
 const knownEndRetention = 10 * time.Minute
@@ -78,20 +82,22 @@
 	}
 }
 
-// HostedWorkers returns the incarnations with an id that the agent of a host has described or that have runs
-// there.
-func (p *Planner) HostedWorkers(name, id string) (out []kqexecution.Incarnation) {
+// HostedWorkers returns the incarnations that the agent of a host has described or that have runs there, and
+// that are a given one or, if that has no birth time, have its id.
+func (p *Planner) HostedWorkers(name string, worker kqexecution.Incarnation) (out []kqexecution.Incarnation) {
 	h := p.hosts.Get(name)
 	if h == nil {
 		return nil
 	}
-	if w := h.info.Worker; w != "" && w.ID() == id {
-		out = append(out, w)
+	_, born := worker.Born()
+	add := func(w kqexecution.Incarnation) {
+		if (w == worker || !born && w != "" && w.SameWorker(worker)) && !slices.Contains(out, w) {
+			out = append(out, w)
+		}
 	}
+	add(h.info.Worker)
 	for _, r := range h.runs.All() {
-		if r.worker.ID() == id && !slices.Contains(out, r.worker) {
-			out = append(out, r.worker)
-		}
+		add(r.worker)
 	}
 	return out
 }
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -154,10 +154,8 @@
 // Drain makes the worker report that it is about to leave.
 func (m *Machine) Drain() { m.isDraining.Store(true) }
 
-// Leave ends the worker for good. The agent's process receives a leave message that names told, and has
-// acknowledged it when Leave returns.
+// Leave sends the agent's process a leave message that names told, and returns when it is acknowledged.
 func (m *Machine) Leave(told kqexecution.Incarnation) {
-	m.Host.Leave()
 	x := m.executor.Load()
 	x.Departed(told)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
