--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -99,6 +99,7 @@
 	OwnerStats            Number = 808
 	StoreSlow             Number = 809
 	StoreNormal           Number = 810
+	EntryOmitted          Number = 811
 	WorkerSuperseded      Number = 820
 	IncarnationStale      Number = 821
 	BirthInvalid          Number = 822
@@ -206,6 +207,7 @@
 	{OwnerStats, "owner_pulse", "Statistics of an owner, once a second: its scheduling passes, the messages that it handles, its commits, and its processor time against the limit."},
 	{StoreSlow, "store_slow", "The store responds slowly: the owner writes one transaction at a time and confirms its ownership by reads."},
 	{StoreNormal, "store_fast", "The store responds to the owner at its normal speed again."},
+	{EntryOmitted, "entry_left_out", "An entry of a list or a part of a message cannot be decoded or is out of range, and was left out; the rest is in use."},
 	{WorkerSuperseded, "worker_reborn", "A later incarnation of a worker has started under the same id; the earlier one has ended."},
 	{IncarnationStale, "incarnation_over", "A message of an incarnation of a worker that has ended was ignored."},
 	{BirthInvalid, "birth_refused", "A message of a worker has no birth time although the id had one before, or a birth time that cannot be decoded; it identifies no worker. It was ignored; after a leave message the worker is polled to learn whether it has ended."},
