kqplan: an odd measurement no longer ends one owner after another

The sums and ratios of the learned interference become infinite, the owner cannot encode them when it stores them, and its process panics in kqtable.Encode. The successor gets the same list and ends too: processes that end by themselves, and work that nobody runs (LOST).

Cause: numbers that can be decoded were used without a bound.

Fix: RunStatus.Bounded limits the progress to 0 to 100 and drops measurements outside of 0.001 to 1e9; the owner applies it to each reported run. The run itself stays in the list.

--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -277,6 +277,7 @@
 // applyProgress applies the reported progress of a run. A run that the planner does not know is
 // an orphan and is stopped.
 func (p *Planner) applyProgress(now time.Time, h *host, x kqexecution.RunStatus) {
+	x = x.Bounded()
 	r := h.runs.Get(x.Run)
 	if r == nil {
 		if _, ok := h.orphans[x.Run]; !ok {
