--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -147,6 +147,7 @@
 // and resolves the runs of that incarnation.
 func (p *Planner) UpdateWorker(now time.Time, name string, w WorkerInfo) {
 	h := p.host(name)
+	w = p.boundInfo(now, name, w)
 	p.passRequested = true
 	if w.Worker != h.info.Worker {
 		h.pendingEnds, h.lastEnd, h.acknowledged = nil, 0, 0
--- a/internal/flow/kqplan/odd_test.go
+++ b/internal/flow/kqplan/odd_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
@@ -58,3 +59,33 @@
 		})
 	}
 }
+
+// A worker states a capacity that is out of range. Sums over the workers overflow. Guards against
+// work that finds no place on the other workers, or that is placed on this one.
+func TestAnOddCapacityKeepsWorkFromTheOtherWorkers(t *testing.T) {
+	odd := func(n int64) kqmodel.Resources {
+		return kqmodel.Resources{MilliProcessors: n, MemoryBytes: n, Accelerators: n}
+	}
+	for name, capacity := range map[string]kqmodel.Resources{"too large": odd(math.MaxInt64), "just too large": odd(math.MaxInt64 / 2), "negative": odd(-1), "most negative": odd(math.MinInt64)} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCell(1)
+			c.EnableDigests(true)
+			for _, n := range []string{"1", "2", "3"} {
+				c.addHost("h"+n, "w"+n, 8)
+				if n != "3" {
+					c.UpdateWorker(c.now, "h"+n, kqplan.WorkerInfo{Worker: kqexecution.Incarnation("w" + n), Service: "s", Capacity: capacity})
+				}
+			}
+			c.Submit(c.now, job("j", "urgent", c.now, newStep(12, 1)), nil, 0)
+			c.tickUntilIdle()
+			orders := c.takeOrders()
+			g.Expect(orders).To(HaveLen(8))
+			g.Expect(orders).To(HaveEach(HaveField("Worker", kqexecution.Incarnation("w3"))))
+			d := c.Digest(c.now)
+			g.Expect(d).NotTo(BeNil())
+			g.Expect(d.Levels[0].MilliProcessors).To(Equal(int64(8000)))
+			g.Expect(c.counter.Breaches()).To(BeEmpty())
+		})
+	}
+}
--- a/internal/seam/kqexecution/bounds.go
+++ b/internal/seam/kqexecution/bounds.go
@@ -26,4 +26,3 @@
 	}
 	return r
 }
-
