platform, kqexecutor: one odd entry of a worker's lists no longer costs the worker's other runs

What callers would see: a worker lists one run or one end that cannot be decoded (a number too large, another type, deeply nested), or one clock reading that is out of range. Every poll counts as unanswered, the worker is reported as unresponsive, its leases expire and all of its runs are lost (LOST). An end with the number hides all later ends, and its acknowledgement lets the worker forget them. A reading of the clock far ahead renews the lease without grants of the owner, or overflows and the lease is renewed no more. One odd ticket loses all tickets of a step.

Cause: each response was decoded as a whole, and numbers that can be decoded had no bounds.

Fix: lists are decoded entry by entry on an error. A run or an end that can be identified stays in the list without what cannot be decoded. If it cannot be identified, the agent tells the owner that its report is incomplete, or takes the runs that have vanished from the list of runs for broken off: no other message would ever tell their end. An end without a usable number is reported and not acknowledged. Everything that is left out is logged once.

--- a/internal/flow/kqexecutor/approval.go
+++ b/internal/flow/kqexecutor/approval.go
@@ -27,8 +27,12 @@
 		cancel()
 		out.Answer, out.Answered = answer, err == nil
 	}
+	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	for _, o := range out.Answer.Omissions {
+		x.logOmission(now, "tickets for step "+r.request.Step+": "+o.String())
+	}
 	if x.send != nil {
 		x.send(kqmessage.ToOwner{ApprovalResponse: &out})
 	}
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -118,6 +118,8 @@
 	// polled is true once a poll has been answered since the current incarnation was set
 	// or the owner last connected.
 	polled bool
+	// loggedOmissions holds the omissions of the worker's answers that were logged.
+	loggedOmissions map[string]bool
 	// clockReadAt is when workerClock was read.
 	clockReadAt time.Time
 	// answeredAt is when the worker last answered a poll.
--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -37,6 +37,9 @@
 	ackedEnd         uint64
 	// running is the runs that polls list.
 	running []kqexecution.Run
+	// lacksRuns and lacksEnds are those of the answers to polls; clockOnce is the clock of one answer.
+	lacksRuns, lacksEnds bool
+	clockOnce            kqexecution.Clock
 }
 
 func (w *fakeWorker) clock() kqexecution.Clock { return kqexecution.Clock(time.Since(w.startedAt)) }
@@ -77,7 +80,10 @@
 		return kqexecution.Held{Answer: kqexecution.AnswerFenced, Clock: w.clock(), Born: w.born}, nil
 	}
 	w.leaseEnd, w.ackedEnd = max(w.leaseEnd, h.LeaseUntil), max(w.ackedEnd, h.Acknowledged)
-	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock(), Born: w.born}
+	out := kqexecution.Held{Answer: kqexecution.AnswerDone, Clock: w.clock(), Born: w.born, LacksRuns: w.lacksRuns, LacksEnds: w.lacksEnds}
+	if w.clockOnce != 0 {
+		out.Clock, w.clockOnce = w.clockOnce, 0
+	}
 	for _, r := range w.running {
 		out.Running = append(out.Running, kqexecution.RunStatus{Run: r})
 	}
--- a/internal/flow/kqexecutor/ordersender.go
+++ b/internal/flow/kqexecutor/ordersender.go
@@ -171,9 +171,7 @@
 	if answer != kqexecution.AnswerOtherIncarnation {
 		x.calls.recordAnswer(now)
 	}
-	if clock > x.workerClock {
-		x.workerClock, x.clockReadAt = clock, now
-	}
+	x.readClock(now, clock)
 	switch answer {
 	case kqexecution.AnswerDone:
 		s.execution.sender = nil
--- a/internal/flow/kqexecutor/poll.go
+++ b/internal/flow/kqexecutor/poll.go
@@ -1,6 +1,7 @@
 package kqexecutor
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -110,9 +111,7 @@
 	x.answeredAt = now
 	x.calls.recordPoll(now)
 	x.refusedPolls = 0
-	if h.Clock > x.workerClock {
-		x.workerClock, x.clockReadAt = h.Clock, now
-	}
+	x.readClock(now, h.Clock)
 	if x.info.Unresponsive {
 		w := x.info
 		w.Unresponsive = false
@@ -121,7 +120,7 @@
 			x.send(kqmessage.ToOwner{Worker: &w})
 		}
 	}
-	x.applyPoll(now, h)
+	x.applyPoll(now, x.checkList(now, h))
 	return true
 }
 
@@ -147,7 +146,7 @@
 func (x *Executor) applyPoll(now time.Time, h kqexecution.Held) {
 	first := !x.polled
 	x.polled, x.pollUnanswered = true, false
-	x.ackPending = slices.ContainsFunc(h.Ended, func(e kqexecution.RunEnd) bool { return e.Number <= x.acked })
+	x.ackPending = slices.ContainsFunc(h.Ended, func(e kqexecution.RunEnd) bool { return e.Number > 0 && e.Number <= x.acked })
 	x.listed = make(map[kqexecution.Run]bool, len(h.Running))
 	for _, r := range h.Running {
 		x.listed[r.Run] = true
@@ -156,7 +155,10 @@
 		}
 	}
 	newEnds := x.recordEnds(now, h.Ended)
-	newEnds = append(newEnds, x.takeUnstarted()...)
+	newEnds = append(newEnds, x.takeVanished(h)...)
+	if !h.LacksRuns {
+		newEnds = append(newEnds, x.takeUnstarted()...)
+	}
 	headrooms := x.updatePaces(now, h.Running)
 	x.samplePaces(now, h.Running, headrooms)
 	if x.send == nil {
@@ -175,7 +177,7 @@
 		return
 	}
 	x.reportedAt = now
-	r := kqplan.Report{Worker: x.info.Worker, Complete: true, Running: h.Running, Ended: x.unreported}
+	r := kqplan.Report{Worker: x.info.Worker, Complete: !h.LacksRuns, Running: h.Running, Ended: x.unreported}
 	r.Paces, r.Slowed = x.paces()
 	x.unreported = nil
 	m := kqmessage.ToOwner{Report: &r}
@@ -210,8 +212,8 @@
 	for _, e := range x.ends {
 		ended = append(ended, e)
 	}
-	slices.SortFunc(ended, func(a, b kqexecution.RunEnd) int { return int(a.Number) - int(b.Number) })
-	r := kqplan.Report{Worker: w.Worker, Complete: true, Running: h.Running, Ended: ended}
+	slices.SortFunc(ended, func(a, b kqexecution.RunEnd) int { return cmp.Compare(a.Number, b.Number) })
+	r := kqplan.Report{Worker: w.Worker, Complete: !h.LacksRuns, Running: h.Running, Ended: ended}
 	r.Paces, r.Slowed = x.paces()
 	x.send(kqmessage.ToOwner{Worker: &w, Report: &r, Registered: true, WorkerEnds: x.workerEndsAt(now)})
 	x.send(kqmessage.ToOwner{LeaseRequest: x.newLeaseRequest(now, x.workerClock)})
@@ -222,14 +224,18 @@
 func (x *Executor) recordEnds(now time.Time, ended []kqexecution.RunEnd) []kqexecution.RunEnd {
 	var newEnds []kqexecution.RunEnd
 	for _, e := range ended {
-		if e.Number <= x.acked {
+		if e.Number <= x.acked && (e.Number > 0 || x.runs[e.Run] == nil) {
 			continue
 		}
 		if run := x.runs[e.Run]; run != nil && !run.startedAt.IsZero() {
 			e.Duration, e.DeliveryTime = now.Sub(run.startedAt), run.startedAt.Sub(run.orderedAt)
 		}
-		x.ends[e.Number] = e
 		delete(x.runs, e.Run)
+		if e.Number == 0 {
+			newEnds = append(newEnds, e)
+			continue
+		}
+		x.ends[e.Number] = e
 		if e.Number > x.lastEnd {
 			x.lastEnd = e.Number
 			newEnds = append(newEnds, e)
--- a/internal/seam/kqapproval/approval.go
+++ b/internal/seam/kqapproval/approval.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
 )
 
 // ErrBusy means that the service did not accept the request; it may be sent again.
@@ -29,6 +31,8 @@
 	Tickets []Ticket `json:"tickets,omitempty"`
 	// ValidFor is how long the tickets are valid, counted from the response.
 	ValidFor time.Duration `json:"valid"`
+	// Omissions are the tickets that were left out because they cannot be decoded.
+	Omissions []kqdecode.Omission `json:"-"`
 }
 
 // Service holds the operations of a policy service.
--- a/internal/seam/kqexecution/execution.go
+++ b/internal/seam/kqexecution/execution.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
 )
 
 // Clock is a reading of the worker's monotonic clock.
@@ -131,8 +133,15 @@
 	Clock Clock
 	// Running lists every run in progress.
 	Running []RunStatus
-	// Ended lists the ends that the worker has not forgotten.
+	// Ended lists the ends that the worker has not forgotten. The number of an end is 0 if it cannot
+	// be decoded.
 	Ended []RunEnd
+	// LacksRuns is true if an entry of the worker's list of runs does not tell its run, LacksEnds
+	// if that holds for an entry of its list of ends while that list is complete.
+	LacksRuns bool
+	LacksEnds bool
+	// Omissions are the parts of the answer that were left out.
+	Omissions []kqdecode.Omission
 }
 
 // Worker holds the operations of one incarnation of a worker. An error means that no answer
