kqnode, kqcontrol: an odd ownership row no longer restarts the fencing tokens of a cell

What callers would see: another writer replaces the ownership row (port out of range, deeply nested, an epoch too large or lower, no JSON). The owner loses the cell, as it must, and the next one begins at epoch 1, or at 0 after the largest integer. The epoch is the fencing token: workers refuse every order with a lower one than they have seen, agents that have restarted cannot drive theirs, two owners have had the same token, and the new owner assumes that the leases of the last one ended when epoch 1 began. With a very deeply nested row or an epoch that is too large nobody owns the cell for long.

Cause: a row that cannot be decoded was used as far as it had been decoded, and the epoch in it was the only source of the next one.

The epoch known to a process is at least that of the heartbeat, which each owner writes together with its first order and before its first lease, and that of every row read before. With an epoch from there the next owner assumes that any host may hold a lease. The live owner is not affected: its writes fail as soon as the row has changed. The row is logged once per version instead of every 150 ms.

--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -91,9 +91,3 @@
 	err = json.Unmarshal(r.Value, &s)
 	return s, err
 }
-
-// DecodeOwner decodes an ownership row.
-func DecodeOwner(r kqrows.Row) (o OwnerRow, err error) {
-	err = json.Unmarshal(r.Value, &o)
-	return o, err
-}
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
@@ -82,8 +81,10 @@
 	tomb     tomb.Tomb
 	listener net.Listener
 	observer *kqelect.Observer
-	// epochs is used only by the goroutine of loop.
-	epochs kqelect.EpochHistory
+	// epochs and loggedVersion are used only by the goroutine of loop. loggedVersion is the version of
+	// the ownership row that was last logged as unreadable.
+	epochs        kqelect.EpochHistory
+	loggedVersion uint64
 
 	mu         sync.Mutex
 	controller *kqcontrol.Controller
@@ -287,17 +288,19 @@
 	}
 	var observed kqelect.Owner
 	var owner kqcontrol.OwnerRow
+	heartbeatEpoch := uint64(0)
 	for _, r := range rows {
 		switch r.Key {
 		case kqcontrol.OwnerKey(c.Cell):
 			if owner, err = kqcontrol.DecodeOwner(r); err != nil {
-				c.Events.Emit(c.Now(), kqevent.RowUnreadable, kqevent.Process(c.Name), "unreadable ownership row: %v", err)
+				n.logUnreadable(r.Version, err)
 			}
 			observed.Name, observed.Boot, observed.Version = owner.Name, owner.Boot, r.Version
 		case kqcontrol.HeartbeatKey(c.Cell):
-			observed.HeartbeatVersion = r.Version
+			observed.HeartbeatVersion, heartbeatEpoch = r.Version, kqcontrol.DecodeHeartbeatEpoch(r)
 		}
 	}
+	owner = n.withKnownEpoch(owner, heartbeatEpoch)
 	n.observer.Observe(c.Now(), observed, c.Now().Sub(sent))
 	n.epochs = n.epochs.Record(c.Now(), owner.Epoch)
 	n.mu.Lock()
