kqplan: an inferred crash of a worker counts under every run of it

Cause: a suspect explains a crash if its run had just started there. An inferred end does not say so: the time at work of a run that an earlier owner had ordered is unknown, and reads 0. It now counts under all runs, as PLATFORM.md says of such ends, without making suspects.

kqplan AnInferredCrash failed before.

--- a/internal/flow/kqplan/crash.go
+++ b/internal/flow/kqplan/crash.go
@@ -89,9 +89,10 @@
 }
 
 // countCrashes counts the crash of a worker under the tasks of the runs that were at work there, and
-// requires trials for those that are suspected.
+// requires trials for those that are suspected. An inferred crash counts under all of them, since it is
+// unknown which had just started.
 func (p *Planner) countCrashes(now time.Time, c workerCrash, e WorkerEnd, runs []crashedRun) {
-	hasPrimeSuspects := slices.ContainsFunc(runs, c.isPrimeSuspect)
+	hasPrimeSuspects := !e.inferred && slices.ContainsFunc(runs, c.isPrimeSuspect)
 	isolated := c.onlyRecentJob()
 	var suspects []crashedRun
 	for _, r := range runs {
--- a/internal/flow/kqplan/crash_test.go
+++ b/internal/flow/kqplan/crash_test.go
@@ -175,6 +175,34 @@
 	g.Expect(next.states["j"]).To(Equal(kqflow.StateFailed))
 }
 
+// An owner that has just taken over infers the end of a worker, since its agent has restarted. Guards
+// against a crash that counts under a task which had not started there, or under that one alone.
+func TestAnInferredCrashIsBlamedOnASuspectThatDidNotCauseIt(t *testing.T) {
+	const first, second, third = "w1@5", "w1@8", "w1@9"
+	suspect := kqflow.JobRecord{State: kqflow.StateRunning, Revision: 1, Occurrences: 1, Tasks: []kqflow.TaskRecord{{LastRun: 3,
+		Crashes: []kqflow.CrashRecord{{Worker: "a", Suspected: true}, {Worker: "b", Suspected: true}}, Runs: []kqflow.RunRecord{{Number: 3, Host: "h1", Worker: second}}}}}
+	other := kqflow.JobRecord{State: kqflow.StateRunning, Revision: 1, Occurrences: 1, Tasks: []kqflow.TaskRecord{{LastRun: 1, Runs: []kqflow.RunRecord{{Number: 1, Host: "h1", Worker: second}}}}}
+	for name, x := range map[string]struct {
+		suspect func() kqflow.JobRecord
+		crashes int
+	}{
+		"at work for an unknown time": {crashes: 3, suspect: func() kqflow.JobRecord { return suspect }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newCell(3)
+			for id, record := range map[string]kqflow.JobRecord{"p": x.suspect(), "j": other} {
+				c.Submit(c.now, job(id, "batch", c.now, newStep(1, 2)), &record, 1)
+			}
+			c.addHost("h1", second, 8)
+			c.addHost("h1", third, 8)
+			c.tickUntilIdle()
+			g.Expect(c.records["p"].Tasks[0].Crashes).To(HaveLen(x.crashes))
+			g.Expect(c.records["j"].Tasks[0].Crashes).To(HaveLen(1), "crashes under the other task")
+		})
+	}
+}
+
 // The suspects of one crash are tried on hosts of their own. Guards against suspects that crash the same
 // innocent work again, or each other.
 func TestSuspectsAreTriedBesideEachOther(t *testing.T) {
