kqplan: a run that is only stopped on a later incarnation is not restored as one that started there

The suspect that the crash of i3@...8187 was put down to had its run on the incarnation before, and was only to be stopped on this one; its crash count grew by one too.

Cause: the record names the later incarnation with 'stopping', and an owner that takes over reads that as a run which started there. The expectation of the whole record in incarnation_test.go names the new field.

kqplan AnInferredCrash 'stopped on the incarnation after its own' failed before.

--- a/internal/flow/kqflow/record.go
+++ b/internal/flow/kqflow/record.go
@@ -40,6 +40,9 @@
 	Worker kqexecution.Incarnation `json:"worker"`
 	// Stopping is true if the run is being stopped.
 	Stopping bool `json:"stopping,omitempty"`
+	// Transferred is true if the run was ordered from an earlier incarnation than Worker, where it is
+	// only stopped.
+	Transferred bool `json:"transferred,omitempty"`
 }
 
 // CrashRecord is the stored form of the crash of a worker under a task.
--- a/internal/flow/kqplan/crash_test.go
+++ b/internal/flow/kqplan/crash_test.go
@@ -1,6 +1,7 @@
 package kqplan_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -187,6 +188,17 @@
 		crashes int
 	}{
 		"at work for an unknown time": {crashes: 3, suspect: func() kqflow.JobRecord { return suspect }},
+		"stopped on the incarnation after its own": {crashes: 2, suspect: func() kqflow.JobRecord {
+			earlier := suspect
+			earlier.Tasks = slices.Clone(suspect.Tasks)
+			earlier.Tasks[0].Runs = []kqflow.RunRecord{{Number: 3, Host: "h1", Worker: first}}
+			c := newCell(2)
+			c.Submit(c.now, job("p", "batch", c.now, newStep(1, 2)), &earlier, 1)
+			c.WorkerEnded(c.now, "h1", kqplan.WorkerEnd{Worker: first})
+			c.addHost("h1", second, 8)
+			c.tickUntilIdle()
+			return c.records["p"]
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/flow/kqplan/incarnation_test.go
+++ b/internal/flow/kqplan/incarnation_test.go
@@ -108,7 +108,7 @@
 		c.addHost("h1", string(second), 8)
 		c.tickUntilIdle()
 		Expect(c.takeOrders()).To(Equal([]kqplan.Order{stopOf(o, second)}))
-		Expect(c.records["j"].Tasks[0].Runs[0]).To(Equal(kqflow.RunRecord{Number: 1, Host: "h1", Worker: second, Stopping: true}))
+		Expect(c.records["j"].Tasks[0].Runs[0]).To(Equal(kqflow.RunRecord{Number: 1, Host: "h1", Worker: second, Stopping: true, Transferred: true}))
 		r = c.records["j"]
 		c = newCell(3)
 		c.Submit(c.now, job("j", "urgent", c.now, newStep(1, 4)), &r, 10)
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -221,7 +221,7 @@
 	}
 	for _, x := range r.Runs {
 		h := p.host(x.Host)
-		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, ordered: true, startedAt: now, progressedAt: now, pace: fullPercent}
+		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, transferred: x.Transferred, ordered: true, startedAt: now, progressedAt: now, pace: fullPercent}
 		t.runs = append(t.runs, n)
 		h.addRun(n)
 		h.leaseExpiresAt = later(h.leaseExpiresAt, p.priorGrantsUntil(x.Host).Add(p.maxLeaseDuration(p.config.Lease)))
@@ -272,7 +272,7 @@
 		r.Checkpoint, r.Crashes = t.checkpoint, slices.Clone(t.crashes)
 	}
 	for _, x := range t.runs {
-		r.Runs = append(r.Runs, kqflow.RunRecord{Number: x.number, Host: x.host.name, Worker: x.worker, Stopping: x.stopping})
+		r.Runs = append(r.Runs, kqflow.RunRecord{Number: x.number, Host: x.host.name, Worker: x.worker, Stopping: x.stopping, Transferred: x.transferred})
 	}
 	return r
 }
