--- a/internal/trial/kqflowrig/capacity_test.go
+++ b/internal/trial/kqflowrig/capacity_test.go
@@ -1,6 +1,7 @@
 package kqflowrig_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,22 +21,37 @@
 	return kqmodel.Resources{MilliProcessors: n * 1000, MemoryBytes: n << 32}
 }
 
+// burst submits as many processors of work as 0.4 of the load of TestAWorkerThatShrinks needs, for 5 s.
+func burst(x *crashRun, s kqflow.Step) {
+	const jobsPerSecond = 2
+	for n := range 5 * jobsPerSecond {
+		go x.rig.Submit(kqflow.Job{ID: fmt.Sprintf("%016x", time.Now().UnixNano()+int64(n)), Queue: "urgent", Payload: "p", Steps: []kqflow.Step{s}})
+		time.Sleep(time.Second / jobsPerSecond)
+	}
+}
+
 // The capacity of workers shrinks and grows again under a load that needs all of it. Guards against
 // starts that exceed the capacity of a worker that does not guard it, and against capacity that is not
-// used again. The ledger allows a shrunk worker its earlier capacity for the time of a check-in and the
-// contact time.
+// used, beside shrunk workers or again. The ledger allows a shrunk worker its earlier capacity for the
+// time of a check-in and the contact time.
 func TestAWorkerThatShrinksIsFilledByItsEarlierCapacity(t *testing.T) {
 	everyWorker := func(x *crashRun, f func(m *kqmachine.Machine)) {
 		for _, m := range x.rig.Agents {
 			f(m)
 		}
 	}
+	tenTasks := kqflow.Step{Count: 10, Estimate: 1200 * time.Millisecond, Resources: processors(1)}
 	killOwner := func(x *crashRun) { x.rig.RestartAgents(func(i int) bool { return x.rig.Agents[i].IsOwner() }) }
 	for name, c := range map[string]struct {
 		config kqflowrig.Config
 		// load is the step that each job of the load has; whole jobs are cancelled if cancels is true.
 		load    kqflow.Step
 		cancels bool
+		// quarter is true if a quarter of the workers shrink, to 0.55 of their capacity, and false if all
+		// shrink to less than a third.
+		quarter bool
+		// minUsed is how many processors are in use at least before the workers grow again.
+		minUsed int64
 		// during happens as soon as the workers have shrunk.
 		during func(x *crashRun)
 	}{
@@ -49,7 +65,9 @@
 		"orders are carried out late": {during: func(x *crashRun) {
 			everyWorker(x, func(m *kqmachine.Machine) { m.Host.SetFaults(kqtaskhost.Faults{LateOrders: 0.3}) })
 		}},
-		"workers crash and restart small": {during: func(x *crashRun) { everyWorker(x, func(m *kqmachine.Machine) { m.Host.Crash(2 * time.Second) }) }},
+		// The runs take 1.2 s, and 0.3 s may pass from the end of one to the start of the next.
+		"a quarter of them, before a burst": {quarter: true, during: func(x *crashRun) { go burst(x, tenTasks) }, minUsed: (4*16000 + 2*8800) * 12 / 15},
+		"workers crash and restart small":   {during: func(x *crashRun) { everyWorker(x, func(m *kqmachine.Machine) { m.Host.Crash(2 * time.Second) }) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
@@ -58,12 +76,18 @@
 					x := newCrashRun(c.config)
 					defer x.rig.Stop()
 					if c.load.Count == 0 {
-						c.load = kqflow.Step{Count: 10, Estimate: 1200 * time.Millisecond, Resources: processors(1)}
+						c.load = tenTasks
 					}
 					go x.rig.SubmitLoad(24*time.Second, c.load)
 					time.Sleep(4 * time.Second)
 					for round := range 2 {
-						everyWorker(x, func(m *kqmachine.Machine) { m.Host.SetCapacity(processors(int64(5 - round))) })
+						for i, m := range x.rig.Agents {
+							if !c.quarter {
+								m.Host.SetCapacity(processors(int64(5 - round)))
+							} else if i%4 == 0 {
+								m.Host.SetCapacity(kqmodel.Resources{MilliProcessors: 8800, MemoryBytes: 64 << 30})
+							}
+						}
 						if c.during != nil {
 							c.during(x)
 						}
@@ -71,7 +95,11 @@
 							ids := x.rig.Accepted()
 							x.rig.Cancel(ids[len(ids)-1-n])
 						}
-						time.Sleep(7 * time.Second)
+						time.Sleep(4500 * time.Millisecond)
+						if used := x.rig.UsedProcessors(); used < c.minUsed {
+							t.Errorf("seed %d: %d of %d processors are in use beside the shrunk workers", seed, used/1000, c.minUsed/1000)
+						}
+						time.Sleep(2500 * time.Millisecond)
 						everyWorker(x, func(m *kqmachine.Machine) {
 							m.Host.SetFaults(kqtaskhost.Faults{})
 							m.Host.SetCapacity(processors(16))
--- a/internal/trial/kqflowrig/poison_test.go
+++ b/internal/trial/kqflowrig/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,6 +154,67 @@
 	}
 }
 
+// killStarter kills the process of the agent that starts the next run, and restarts it.
+func (x *crashRun) killStarter() {
+	used := func(i int) int64 { return x.rig.Agents[i].Host.Used().MilliProcessors }
+	before := map[int]int64{}
+	for i := 0; ; i = (i + 1) % len(x.rig.Agents) {
+		n, ok := before[i], len(before) == len(x.rig.Agents)
+		if before[i] = used(i); ok && before[i] > n {
+			x.rig.RestartAgents(func(k int) bool { return k == i })
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A tenth of the jobs have a task that crashes its worker, and the agents that start runs are killed.
+// Guards against innocent jobs that are given up or lost where several suspects are on trial at once, and
+// against poison tasks that are started without limit because nobody reports their crashes.
+func TestInnocentJobsAreGivenUpAmongPoisonJobs(t *testing.T) {
+	const poisonJobs = 4
+	for name, c := range map[string]struct {
+		config kqflowrig.Config
+		// fault happens after each poison job.
+		fault func(x *crashRun)
+	}{
+		"no further fault":            {},
+		"the last starter is killed":  {fault: (*crashRun).killStarter},
+		"workers keep their id":       {config: kqflowrig.Config{SendsBirthTime: true}, fault: (*crashRun).killStarter},
+		"starters are killed in turn": {fault: func(x *crashRun) { x.killStarter(); x.killStarter(); x.killStarter() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				synctest.Test(t, func(t *testing.T) {
+					c.config.Seed = seed
+					x := newCrashRun(c.config)
+					defer x.rig.Stop()
+					go x.load(20 * time.Second)
+					var poison []string
+					for n := range poisonJobs {
+						time.Sleep(2 * time.Second)
+						j := kqflow.Job{ID: fmt.Sprintf("%016x", 0xdead0000+n), Queue: "urgent", Payload: "p", Steps: []kqflow.Step{smallStep(6)}}
+						x.rig.SetPoison(kqflow.TaskID{Job: j.ID, Index: n}.String(), crashDelay)
+						x.rig.SubmitUntracked(j)
+						poison = append(poison, j.ID)
+						if c.fault != nil {
+							c.fault(x)
+						}
+					}
+					time.Sleep(giveUpTime)
+					for _, id := range poison {
+						if s := x.rig.State(id); s != kqflow.StateFailed {
+							t.Errorf("seed %d: poison job %s is %q after %s", seed, id, s, giveUpTime)
+						}
+					}
+					t.Logf("seed %d: %d crashes", seed, len(x.rig.Ledger.CrashTimes()))
+					x.check(t)
+				})
+			}
+		})
+	}
+}
+
 // Workers crash by themselves, or are replaced, again and again. Guards against innocent jobs that are
 // given up with the workers that they were on, and against suspects that wait for long.
 func TestInnocentJobsAreGivenUpForTheCrashesOfTheirWorkers(t *testing.T) {
