kqplan: a failing test: a run that lapses is not counted as a start after three crashes

Run 4 starts on a worker whose lease lapses 20 ms later, run 5 crashes its worker (crash 4), run 6 too (crash 5), and only that one gives the task up: maxCrashes of 5 allows two starts after the third crash if each of them ends in a crash, and nothing counts those that end otherwise.

--- a/internal/flow/kqplan/crash_test.go
+++ b/internal/flow/kqplan/crash_test.go
@@ -215,6 +215,27 @@
 	}
 }
 
+// Three workers have crashed under a task, each with its agent, so that the task is not suspected. Its next
+// run lapses as soon as it has started. Guards against a limit that counts the crashes in place of the
+// starts: a task that crashes its workers must not start three times after its third crash.
+func TestARunThatLapsesIsNotCountedAsAStartAfterThreeCrashes(t *testing.T) {
+	g := NewWithT(t)
+	f, starts := newCrashFleet("j"), 0
+	for range 3 {
+		starts = 0
+		f.runTime = func(kqplan.Order) time.Duration { starts++; return time.Hour }
+		f.replace(f.workerOf("j"))
+	}
+	g.Expect(f.records["j"].Tasks[0].Crashes).To(HaveLen(3))
+	w := f.workerOf("j")
+	w.runs[w.startOrder[0]].endsAt, w.runs[w.startOrder[0]].reason = f.now, kqexecution.EndLeaseExpired
+	f.advance(2*time.Second, nil)
+	g.Expect(starts).To(Equal(2))
+	f.replace(f.workerOf("j"))
+	g.Expect(starts).To(Equal(2), "starts after the third crash")
+	g.Expect(f.states["j"]).To(Equal(kqflow.StateFailed))
+}
+
 // The suspects of one crash are tried on hosts of their own. Guards against suspects that crash the same
 // innocent work again, or each other.
 func TestSuspectsAreTriedBesideEachOther(t *testing.T) {
