kqexecutor, kqcontrol: a worker that runs on after its leave message is heard again

Found by reading: the claim of a leave message that was never confirmed stayed, and with it every check-in of the worker was dropped. The test failed before.

--- a/internal/flow/kqcontrol/departures.go
+++ b/internal/flow/kqcontrol/departures.go
@@ -120,8 +120,7 @@
 // that has heard it is gone and cannot verify it. mu is held.
 func (c *Controller) applyUnverifiedDepartures(now time.Time) {
 	for worker, row := range c.departures.claims {
-		_, born := worker.Born()
-		if !born || !row.SenderKnown || c.sessions[row.Host] != nil || now.Sub(c.departures.readAt[string(worker)+claimSuffix]) < kqplan.LeaveTime {
+		if !row.SenderKnown || c.sessions[row.Host] != nil || now.Sub(c.departures.readAt[string(worker)+claimSuffix]) < kqplan.LeaveTime {
 			continue
 		}
 		c.departed(now, worker, "its leave message is known from the store, and its agent is gone")
--- a/internal/flow/kqexecutor/departure_test.go
+++ b/internal/flow/kqexecutor/departure_test.go
@@ -119,3 +119,13 @@
 		g.Expect(m.recordedDepartures()).To(Equal([]kqexecution.Incarnation{first}))
 	})
 }
+
+// A worker says that it leaves and runs on. Guards against one whose check-ins are dropped for good.
+func TestAWorkerThatRunsOnAfterItsLeaveMessageIsNeverHeardAgain(t *testing.T) {
+	withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
+		m.executor.Departed(first)
+		g.Expect(m.executor.CheckIn(info(first), 10)).To(BeFalse())
+		time.Sleep(20 * time.Second)
+		g.Expect(m.executor.CheckIn(info(first), 11)).To(BeTrue())
+	})
+}
--- a/internal/flow/kqexecutor/leaveclaim.go
+++ b/internal/flow/kqexecutor/leaveclaim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
@@ -28,6 +29,7 @@
 
 // claim records a leave message of a worker, here and in the store; mu is held.
 func (x *Executor) claim(now time.Time, c leaveClaim, worker kqexecution.Incarnation) {
+	maps.DeleteFunc(x.claims, func(_ string, old leaveClaim) bool { return now.Sub(old.at) > leaveClaimTime })
 	x.claims[worker.ID()] = c
 	x.record(now, Departure{Worker: worker, SenderKnown: c.sender != ""})
 }
@@ -78,6 +80,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.checks, c.worker)
+	if x.claims[c.worker.ID()] == c.claim {
+		delete(x.claims, c.worker.ID())
+	}
 	close(c.done)
 	return nil
 }
@@ -100,7 +105,7 @@
 	case x.departed[c.worker]:
 		return true
 	case err == nil && h.Answer == kqexecution.AnswerOtherIncarnation:
-		c.confirm(now, "a leave message, and another worker answers in its place")
+		x.depart(now, c.worker, "a leave message, and another worker answers in its place")
 		return true
 	case err == nil && kqexecution.NewIncarnation(c.worker.ID(), h.Born).Supersedes(c.worker):
 		// A later incarnation has started. Runs of this one may yet start there.
@@ -108,7 +113,6 @@
 	case err == nil, errors.Is(err, kqexecution.ErrBirth):
 		c.refused, c.answeredAt = 0, now
 		if c.claim.sender == "" && now.Sub(c.claim.at) >= leaveGrace {
-			delete(x.claims, c.worker.ID())
 			return true
 		}
 		return isOver
@@ -117,13 +121,13 @@
 		if c.claim.sender == "" || now.Sub(c.lastAnswer()) < kqplan.LeaveTime {
 			return isOver
 		}
-		c.confirm(now, "its leave message, and it does not answer any more")
+		x.depart(now, c.worker, "its leave message, and it does not answer any more")
 		return true
 	}
 	if c.refused++; c.refused < maxRefusedPolls {
 		return false
 	}
-	c.confirm(now, "a leave message, and its process accepts no connections")
+	x.depart(now, c.worker, "a leave message, and its process accepts no connections")
 	return true
 }
 
@@ -134,9 +138,3 @@
 	}
 	return c.claim.at
 }
-
-// confirm records that the worker has left; the executor's mu is held.
-func (c *leaveCheck) confirm(now time.Time, knownFrom string) {
-	delete(c.executor.claims, c.worker.ID())
-	c.executor.depart(now, c.worker, knownFrom)
-}
