kqcontrol: a takeover counts earlier leases from the answer to its write, not from when it was sent

Cause: priorGrantsUntil took the time of sending, a lower bound of the takeover, where the argument in LEASES.md needs an upper bound.

By the time of the answer the write has taken effect, and no commit or read confirms an earlier owner after that. The confirmation of the new owner still counts from the sending, which is the lower bound that it needs.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -161,6 +161,7 @@
 	if !o.Committed {
 		return nil, ErrLost
 	}
+	acquiredAt := c.Now()
 	x := &Controller{config: c, row: row, version: o.Version, wakeup: make(chan struct{}, 1), loaded: make(chan struct{}), confirmation: confirmation{confirmedAt: sent}, lastFeedAt: c.Now(),
 		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.WallClock().Round(0))}
 	// Heartbeats are written while the rows are read; without them another process would
@@ -172,7 +173,7 @@
 		return nil, err
 	}
 	x.restoreLeases(stored.leases.rows, old, epochs)
-	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, AcquiredAt: sent, PriorGrantsUntil: func(host string) time.Time { return x.priorGrantsUntil(host, sent) },
+	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, AcquiredAt: sent, PriorGrantsUntil: func(host string) time.Time { return x.priorGrantsUntil(host, acquiredAt) },
 		Lease: c.Lease, CrossRackSlowdown: c.CrossRackSlowdown, LimitWarmUp: c.LimitWarmUp, RecordOutcome: c.RecordOutcome, Events: c.Events, Counter: c.Counter})
 	x.load(stored)
 	c.Events.Emit(c.Now(), kqevent.OwnershipAcquired, kqevent.Process(c.Name), "cell %s, epoch %d, acquired after %s (epoch %d): %d unfinished jobs loaded, %s after the write",
--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -80,7 +80,9 @@
 	l.inherited = l.row
 }
 
-// priorGrantsUntil returns the time from which no earlier owner has granted a host a lease.
+// priorGrantsUntil returns the time from which no earlier owner has granted a host a lease. acquiredAt
+// is when the store answered the write that acquired the cell: until the store applied that write, it
+// may have confirmed the earlier owner.
 func (c *Controller) priorGrantsUntil(host string, acquiredAt time.Time) time.Time {
 	at, ok := c.leases.epochs.FirstAbove(c.leases.inherited.lastEpoch(host))
 	if !ok || at.After(acquiredAt) {
--- /dev/null
+++ b/internal/flow/kqcontrol/lost_host_test.go
@@ -0,0 +1,110 @@
+package kqcontrol_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
+	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
+)
+
+const (
+	lostHost  = "lost"
+	lostJob   = "00000000000000aa"
+	testLease = 7 * time.Second
+)
+
+// lostHostCell is a cell whose only task is recorded as running on a host that no agent connects for.
+type lostHostCell struct {
+	g    Gomega
+	rows *kqrowstore.Store
+	// store is what the next owners use.
+	store kqrows.Store
+	// wallShift is added to the time of day of the next owners.
+	wallShift time.Duration
+	owner     kqcontrol.OwnerRow
+	version   uint64
+}
+
+// newLostHostCell stores the task in a cell that was last owned by epoch 1.
+func newLostHostCell(g Gomega) *lostHostCell {
+	x := &lostHostCell{g: g, rows: kqrowstore.New(1), owner: kqcontrol.OwnerRow{Name: "earlier", Epoch: 1, LeasesRecorded: true}}
+	x.store = x.rows.Client("owner")
+	job := kqflow.Job{ID: lostJob, Queue: "q", Payload: "p", Steps: []kqflow.Step{{Count: 1, LongRunning: true, Estimate: time.Hour,
+		Resources: kqmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30}}}}
+	record := kqflow.JobRecord{State: kqflow.StateRunning, Occurrences: 1, Tasks: []kqflow.TaskRecord{{LastRun: 1, Runs: []kqflow.RunRecord{{Number: 1, Host: lostHost, Worker: "w"}}}}}
+	o := x.write(
+		kqrows.Put{Key: kqcontrol.OwnerKey(leasesCell), Value: kqtable.Encode(x.owner)},
+		kqrows.Put{Key: kqcontrol.SubmissionKey(lostJob), Value: kqtable.Encode(kqflow.Submission{Job: job})},
+		kqrows.Put{Key: kqcontrol.ProgressKey(lostJob), Value: kqcontrol.EncodeRecord(record)})
+	x.version = o.Version
+	return x
+}
+
+func (x *lostHostCell) write(puts ...kqrows.Put) kqrows.Outcome {
+	o, err := x.rows.Client("").Transact(context.Background(), kqrows.Tx{Puts: puts})
+	x.g.Expect(err).NotTo(HaveOccurred())
+	return o
+}
+
+// acquire starts a new owner in a process that has read no earlier epoch.
+func (x *lostHostCell) acquire() *kqcontrol.Controller {
+	c, err := kqcontrol.Acquire(context.Background(), kqcontrol.Config{Cell: leasesCell, Name: "owner", Boot: "b", Store: x.store, Lease: testLease, CrossRackSlowdown: 1,
+		Retention: time.Minute, Policy: func() *kqflow.Policy {
+			return &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{"q": {Name: "q", Service: "s"}}}
+		}, Now: time.Now, WallClock: func() time.Time { return time.Now().Add(x.wallShift) },
+		Counter: &kqinvariant.Counter{}}, x.owner, x.version, kqelect.EpochHistory{})
+	x.g.Expect(err).NotTo(HaveOccurred())
+	c.Start()
+	return c
+}
+
+// awaitGivenUp waits until the stored record has no run, and returns when that was seen.
+func (x *lostHostCell) awaitGivenUp() time.Time {
+	for range 2000 {
+		rows, _, err := x.rows.Client("").Read(context.Background(), kqcontrol.ProgressTable, "", "")
+		x.g.Expect(err).NotTo(HaveOccurred())
+		record, err := kqcontrol.DecodeRecord(rows[0])
+		x.g.Expect(err).NotTo(HaveOccurred())
+		if len(record.Tasks[0].Runs) == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Now()
+}
+
+// The first attempt of the write that acquires the cell is lost, and the earlier owner is confirmed until
+// the second one takes effect. Guards against a new owner that counts the earlier one's leases from when
+// it sent the first attempt, and gives a run up before its lease has ended.
+func TestATakeoverThatIsAppliedLateWaitsTooShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newLostHostCell(NewWithT(t))
+		transact := x.store.Transact
+		var appliedAt time.Time
+		attempts := 0
+		x.store.Transact = func(ctx context.Context, tx kqrows.Tx) (kqrows.Outcome, error) {
+			if attempts++; attempts == 1 {
+				<-ctx.Done()
+				return kqrows.Outcome{}, kqrows.ErrUnknown
+			}
+			if attempts == 2 {
+				appliedAt = time.Now()
+			}
+			return transact(ctx, tx)
+		}
+		c := x.acquire()
+		defer c.Abandon()
+		x.g.Expect(x.awaitGivenUp().Sub(appliedAt)).To(BeNumerically(">=", testLease))
+	})
+}
