kqplan: the first lease of a new owner does not end the wait for a longer one of the owner before

These end T after its confirmation, which counts from when it sent the write that acquired the cell; a write that takes effect late lets the earlier owner grant leases that end later. A worker keeps the latest end that it was given, so a run that the new owner started there could still be at work, on a machine that was cut off, when it was started elsewhere (TWICE).

Evidence: earlier lease until 7 s after the takeover, the new owner's first lease of 5 s: the run was given up before the seventh second.

The first lease of a host now also counts the leases that earlier owners may have granted it, as those of hosts with runs have.

--- a/internal/flow/kqplan/lease.go
+++ b/internal/flow/kqplan/lease.go
@@ -29,6 +29,10 @@
 		return 0
 	}
 	wasUsable := h.usable(now)
+	if h.leaseExpiresAt.IsZero() {
+		// The worker may hold a longer lease of an earlier owner.
+		h.leaseExpiresAt = p.priorGrantsUntil(name).Add(p.maxLeaseDuration(p.config.Lease))
+	}
 	h.lastReportAt = now
 	h.leaseExpiresAt = later(h.leaseExpiresAt, now.Add(p.maxLeaseDuration(lease)))
 	p.passRequested = p.passRequested || !wasUsable && h.usable(now)
--- a/internal/flow/kqplan/planner_test.go
+++ b/internal/flow/kqplan/planner_test.go
@@ -55,10 +55,14 @@
 
 // addHost connects a host whose worker has a number of processors, and grants it a lease.
 func (c *cell) addHost(name, worker string, processors int64) {
+	c.addHostWithLease(name, worker, processors, 7*time.Second)
+}
+
+func (c *cell) addHostWithLease(name, worker string, processors int64, lease time.Duration) {
 	c.UpdateWorker(c.now, name, kqplan.WorkerInfo{Worker: kqexecution.Incarnation(worker), Service: "s", Capacity: kqmodel.Resources{MilliProcessors: processors * 1000, MemoryBytes: 1 << 40}})
 	c.ApplyReport(c.now, name, kqplan.Report{Worker: kqexecution.Incarnation(worker), Complete: true})
 	c.AgentConnected(c.now, name)
-	c.LeaseGranted(c.now, name, 7*time.Second)
+	c.LeaseGranted(c.now, name, lease)
 }
 
 // tickUntilIdle ticks and commits all writes ten times, which leaves no write.
--- a/internal/flow/kqplan/takeover_test.go
+++ b/internal/flow/kqplan/takeover_test.go
@@ -14,6 +14,27 @@
 // 6 s after its last run ended, and may take 3 s beyond that.
 const maxDowntime = 9 * time.Second
 
+// An earlier owner granted a lease until shortly before the takeover; the new owner grants a shorter one,
+// because its own confirmation is older, and starts a run. Guards against giving that run up while the
+// earlier lease lasts: a worker ends no run before the latest of its leases.
+func TestAShorterLeaseEndsTheWaitForAnEarlierOne(t *testing.T) {
+	g := NewWithT(t)
+	const lease = 7 * time.Second
+	acquiredAt := time.Unix(1000, 0)
+	c := newCellWith(kqplan.Config{Epoch: 2, AcquiredAt: acquiredAt, PriorGrantsUntil: func(string) time.Time { return acquiredAt }})
+	s := newStep(1, 1)
+	s.LongRunning = true
+	c.Submit(c.now, job("watch", "urgent", c.now, s), nil, 0)
+	c.addHostWithLease("h1", "w1", 8, lease-2*time.Second)
+	c.now = acquiredAt.Add(time.Second)
+	c.tickUntilIdle()
+	g.Expect(c.takeOrders()).To(HaveLen(1))
+	c.AgentDisconnected(c.now, "h1")
+	c.now = acquiredAt.Add(lease)
+	c.tickUntilIdle()
+	g.Expect(c.records["watch"].Tasks[0].Runs).To(HaveLen(1))
+}
+
 // A worker and its agent disappear, and the owner changes twice before anything is stored. Each
 // new owner must wait for a lease that the first owner may have granted. The last owner must
 // count that lease from the time after which no owner granted one, not from its own
