kqcontrol: owners store when leases can last have been granted, for owners in processes that have just started

Cause: a new owner gives a lost host up 1.03 T + 0.25 s after the last lease that an earlier owner can have granted it. It knew that time only as when its own process had first read a later epoch. A process that was just restarted has read none, so each owner counted the whole lease from its own takeover. Knowing when each epoch began is not enough either: an owner that has run for long may have granted the lost host nothing for seconds before it is restarted.

Now owners write both into the row `leases`: when their epoch began, with the first host that they record; and the last grant to a host that seems to be lost, as soon as its agent is disconnected or has missed two lease requests. Such a host is granted nothing until a row without the entry is stored. Times are upper bounds on the store's clock, which answers to transactions carry, and on the time of day; they count as passed once both say so, and never later than the takeover. A store without a clock, malformed times and rows of earlier versions give the waits of before.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -172,8 +172,8 @@
 		x.tomb.Kill(err)
 		return nil, err
 	}
-	x.restoreLeases(stored.leases.rows, old, epochs)
-	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, AcquiredAt: sent, PriorGrantsUntil: func(host string) time.Time { return x.priorGrantsUntil(host, acquiredAt) },
+	x.restoreLeases(stored.leases.rows, old, epochs, acquiredAt)
+	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, AcquiredAt: sent, PriorGrantsUntil: x.priorGrantsUntil,
 		Lease: c.Lease, CrossRackSlowdown: c.CrossRackSlowdown, LimitWarmUp: c.LimitWarmUp, RecordOutcome: c.RecordOutcome, Events: c.Events, Counter: c.Counter})
 	x.load(stored)
 	c.Events.Emit(c.Now(), kqevent.OwnershipAcquired, kqevent.Process(c.Name), "cell %s, epoch %d, acquired after %s (epoch %d): %d unfinished jobs loaded, %s after the write",
--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
@@ -24,6 +25,12 @@
 	Hosts map[string]uint64 `json:"hosts"`
 	// Floor is the epoch assumed for hosts that are not listed.
 	Floor uint64 `json:"floor"`
+	// Begins maps the latest epochs to when each of them began, as far as known: no earlier owner
+	// has granted a lease since.
+	Begins map[uint64]StoredTime `json:"begins,omitempty"`
+	// LastGrants maps the hosts that seem to be lost to when they were last granted a lease. They
+	// are granted none until a row without them is stored.
+	LastGrants map[string]StoredTime `json:"last_grants,omitempty"`
 }
 
 // lastEpoch returns the epoch of the last owner that may have granted a host a lease.
@@ -32,7 +39,8 @@
 // withHosts returns the row with more hosts recorded for an epoch. Entries that are
 // maxEpochsKept or more epochs old are dropped; the floor covers them.
 func (r LeasesRow) withHosts(epoch uint64, hosts map[string]bool) LeasesRow {
-	out := LeasesRow{Hosts: map[string]uint64{}, Floor: r.Floor}
+	out := LeasesRow{Hosts: map[string]uint64{}, Floor: r.Floor, Begins: map[uint64]StoredTime{}, LastGrants: map[string]StoredTime{}}
+	maps.Copy(out.LastGrants, r.LastGrants)
 	if epoch > maxEpochsKept {
 		out.Floor = max(out.Floor, epoch-maxEpochsKept)
 	}
@@ -41,8 +49,14 @@
 			out.Hosts[host] = e
 		}
 	}
+	for e, s := range r.Begins {
+		if e > out.Floor {
+			out.Begins[e] = s
+		}
+	}
 	for host := range hosts {
 		out.Hosts[host] = epoch
+		delete(out.LastGrants, host)
 	}
 	return out
 }
@@ -55,6 +69,13 @@
 	// inherited is the row as the previous owner stored it.
 	inherited LeasesRow
 	epochs    kqelect.EpochHistory
+	// acquiredAt is when the store answered the write that acquired the cell: until the store applied
+	// that write, it may have confirmed the earlier owner.
+	acquiredAt time.Time
+	// granted holds the last grant of this owner to each host, except hosts whose last grant is stored.
+	granted map[string]lastGrant
+	// barred holds the hosts whose last grants the write in flight adds to the row.
+	barred []string
 	// pendingHosts are the hosts to be recorded that are not in the stored row yet.
 	pendingHosts map[string]bool
 	// pendingRequests holds the number of the latest lease request of each session that
@@ -65,9 +86,10 @@
 
 // restoreLeases loads which hosts earlier owners granted leases. If the previous owner did
 // not record them or the row is unreadable, that owner may have granted any host a lease.
-func (c *Controller) restoreLeases(rows []kqrows.Row, old OwnerRow, epochs kqelect.EpochHistory) {
+func (c *Controller) restoreLeases(rows []kqrows.Row, old OwnerRow, epochs kqelect.EpochHistory, acquiredAt time.Time) {
 	l := &c.leases
-	*l = leases{row: LeasesRow{Floor: old.Epoch}, epochs: epochs, pendingHosts: map[string]bool{}, pendingRequests: map[*Session]uint64{}}
+	*l = leases{row: LeasesRow{Floor: old.Epoch}, epochs: epochs, acquiredAt: acquiredAt,
+		granted: map[string]lastGrant{}, pendingHosts: map[string]bool{}, pendingRequests: map[*Session]uint64{}}
 	if len(rows) > 0 {
 		l.version = rows[0].Version
 		var row LeasesRow
@@ -80,22 +102,28 @@
 	l.inherited = l.row
 }
 
-// priorGrantsUntil returns the time from which no earlier owner has granted a host a lease. acquiredAt
-// is when the store answered the write that acquired the cell: until the store applied that write, it
-// may have confirmed the earlier owner.
-func (c *Controller) priorGrantsUntil(host string, acquiredAt time.Time) time.Time {
-	at, ok := c.leases.epochs.FirstAbove(c.leases.inherited.lastEpoch(host))
-	if !ok || at.After(acquiredAt) {
-		return acquiredAt
+// priorGrantsUntil returns the time from which no earlier owner has granted a host a lease.
+func (c *Controller) priorGrantsUntil(host string) time.Time {
+	l := &c.leases
+	until := l.acquiredAt
+	epoch := l.inherited.lastEpoch(host)
+	if at, ok := l.epochs.FirstAbove(epoch); ok && at.Before(until) {
+		until = at
 	}
-	return at
+	if s, ok := l.inherited.beganAfter(epoch); ok {
+		until = c.earlierOf(until, s)
+	}
+	if s, ok := l.inherited.LastGrants[host]; ok {
+		until = c.earlierOf(until, s)
+	}
+	return until
 }
 
 // ensureRecorded reports whether a host is recorded and may be granted a lease. If not, it
 // starts the write that records the host. mu is held.
 func (c *Controller) ensureRecorded(host string) bool {
 	l := &c.leases
-	if l.row.Hosts[host] == c.row.Epoch {
+	if l.row.mayGrant(host, c.row.Epoch) && !slices.Contains(l.barred, host) {
 		return true
 	}
 	l.pendingHosts[host] = true
@@ -103,13 +131,15 @@
 	return false
 }
 
-// recordHosts writes the hosts that wait to be recorded, if there are any, no such write is
-// in flight and the store takes another write. mu is held.
+// recordHosts writes the LeasesRow if hosts wait to be recorded, or if last grants are due and the store
+// is not slow, unless such a write is in flight or the store takes no further write. mu is held.
 func (c *Controller) recordHosts(now time.Time) {
-	if l := &c.leases; len(l.pendingHosts) == 0 || l.isWriting || !c.confirmation.takeSlot(c.config.TimedStore.Latency.IsSlow(now)) {
+	l, slow := &c.leases, c.config.TimedStore.Latency.IsSlow(now)
+	isDue := len(l.pendingHosts) > 0 || !slow && c.lastGrantsDue(now)
+	if l.isWriting || !isDue || !c.confirmation.takeSlot(slow) {
 		return
 	}
-	c.leases.isWriting = true
+	l.isWriting = true
 	c.tomb.Go((&leasesWrite{c}).run)
 }
 
@@ -121,7 +151,7 @@
 func (x *leasesWrite) run() error {
 	c := x.controller
 	c.mu.Lock()
-	row, version := c.leases.row.withHosts(c.row.Epoch, c.leases.pendingHosts), c.leases.version
+	row, version := c.nextLeasesRow(c.config.Now()), c.leases.version
 	c.mu.Unlock()
 	key := LeasesKey(c.config.Cell)
 	sent := c.config.Now()
@@ -154,7 +184,11 @@
 func (c *Controller) hostsRecorded(now time.Time, row LeasesRow) {
 	l := &c.leases
 	l.row = row
-	maps.DeleteFunc(l.pendingHosts, func(host string, _ bool) bool { return row.Hosts[host] == c.row.Epoch })
+	for _, host := range l.barred {
+		delete(l.granted, host)
+	}
+	l.barred = nil
+	maps.DeleteFunc(l.pendingHosts, func(host string, _ bool) bool { return row.mayGrant(host, c.row.Epoch) })
 	requests := l.pendingRequests
 	l.pendingRequests = map[*Session]uint64{}
 	for x, request := range requests {
--- a/internal/flow/kqcontrol/lost_host_test.go
+++ b/internal/flow/kqcontrol/lost_host_test.go
@@ -108,3 +108,68 @@
 		x.g.Expect(x.awaitGivenUp().Sub(appliedAt)).To(BeNumerically(">=", testLease))
 	})
 }
+
+// A new owner gives the run of the lost host up by what earlier owners stored. Guards against a wait that
+// counts from the takeover although the last grant is known, and against one that a clock which jumps or
+// starts anew, or a row of an earlier version, makes shorter than the lease.
+func TestANewOwnerWaitsForALostHostByStoredTimes(t *testing.T) {
+	const since = 5 * time.Second // since the last grant
+	full, rest := testLease, testLease-since
+	for _, c := range []struct {
+		name                   string
+		lastGrant, began       bool // what the stored row tells
+		storeClock, wallClock  time.Duration
+		noClock, grantedByLast bool
+		malformed              bool
+		min                    time.Duration
+	}{
+		{name: "last grant", lastGrant: true, min: rest},
+		{name: "epoch began", began: true, min: rest},
+		{name: "granted by the last epoch", began: true, grantedByLast: true, min: full},
+		{name: "row of an earlier version", min: full},
+		{name: "store's clock jumps ahead", lastGrant: true, storeClock: time.Hour, min: rest},
+		{name: "store's clock jumps ahead after an epoch began", began: true, storeClock: 4 * time.Second, min: rest},
+		{name: "store's clock starts anew", lastGrant: true, storeClock: -30 * time.Second, min: full},
+		{name: "time of day stepped forward", lastGrant: true, wallClock: time.Hour, min: rest},
+		{name: "time of day stepped back", lastGrant: true, wallClock: -time.Hour, min: full},
+		{name: "time of day a little behind", lastGrant: true, wallClock: -2 * time.Second, min: rest + 2*time.Second},
+		{name: "malformed", lastGrant: true, began: true, malformed: true, min: full},
+		{name: "store without a clock", lastGrant: true, noClock: true, min: full},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newLostHostCell(NewWithT(t))
+				row := kqcontrol.LeasesRow{Hosts: map[string]uint64{lostHost: 1}}
+				stored := kqcontrol.StoredTime{ClockMS: x.write().Clock.Milliseconds(), WallMS: time.Now().UnixMilli()}
+				if c.malformed {
+					stored = kqcontrol.StoredTime{ClockMS: 1 << 62}
+				}
+				if c.lastGrant {
+					row.LastGrants = map[string]kqcontrol.StoredTime{lostHost: stored}
+				}
+				if c.began {
+					row.Begins, x.owner.Epoch = map[uint64]kqcontrol.StoredTime{2: stored}, 2
+				}
+				if c.grantedByLast {
+					row.Hosts[lostHost] = 2
+				}
+				x.write(kqrows.Put{Key: kqcontrol.LeasesKey(leasesCell), Value: kqtable.Encode(row)})
+				time.Sleep(since)
+				x.rows.ShiftClock(c.storeClock)
+				x.wallShift = c.wallClock
+				if transact := x.store.Transact; c.noClock {
+					x.store.Transact = func(ctx context.Context, tx kqrows.Tx) (kqrows.Outcome, error) {
+						o, err := transact(ctx, tx)
+						o.Clock = 0
+						return o, err
+					}
+				}
+				owner := x.acquire()
+				defer owner.Abandon()
+				acquiredAt := time.Now()
+				// The worker's clock may be slow: 3 % and 0.25 s are added.
+				x.g.Expect(x.awaitGivenUp().Sub(acquiredAt)).To(And(BeNumerically(">=", c.min), BeNumerically("<", c.min+700*time.Millisecond)))
+			})
+		})
+	}
+}
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -161,6 +161,7 @@
 	}
 	if remaining > 0 && x.registered {
 		remaining = c.planner.LeaseGranted(now, x.hello.Name, remaining)
+		c.leaseGranted(now, x.hello.Name, remaining, now.Add(-age))
 	} else {
 		remaining = 0
 	}
--- a/internal/seam/kqrows/commit.go
+++ b/internal/seam/kqrows/commit.go
@@ -84,7 +84,7 @@
 			return o
 		}
 	}
-	return Outcome{Committed: true, Version: version}
+	return Outcome{Committed: true, Version: version, Clock: o.Clock}
 }
 
 // hasCondition reports whether the transaction has a condition on a row.
--- a/internal/seam/kqrows/rows.go
+++ b/internal/seam/kqrows/rows.go
@@ -79,6 +79,9 @@
 	// Current holds the present rows that the conditions refer to, if the transaction was
 	// not applied.
 	Current []Row
+	// Clock is a reading of the store's steady clock that it took between the arrival of the
+	// request and its answer; 0 if the store does not report one.
+	Clock time.Duration
 }
 
 // Find returns a row of Current, and whether it exists.
--- a/internal/seam/kqrows/timed.go
+++ b/internal/seam/kqrows/timed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 
 	inner Store
 	clock func() time.Time
+	// reading is the latest reading of the store's clock; nil if there is none.
+	reading atomic.Pointer[clockReading]
 }
 
 // NewTimedStore returns a TimedStore over a store that has not been called.
@@ -122,9 +125,13 @@
 }
 
 func (t *TimedStore) transact(ctx context.Context, x Tx) (Outcome, error) {
-	n := t.Latency.RecordSent(t.clock(), KindWrite)
+	sentAt := t.clock()
+	n := t.Latency.RecordSent(sentAt, KindWrite)
 	o, err := t.inner.Transact(ctx, x)
 	t.recordEnd(n, err)
+	if err == nil {
+		t.recordClock(sentAt, t.clock(), o.Clock)
+	}
 	return o, err
 }
 
--- a/internal/standin/kqrowstore/store.go
+++ b/internal/standin/kqrowstore/store.go
@@ -52,6 +52,8 @@
 	maxQueueTime = time.Second
 	// maxHistory is the number of changes that Follow can still return.
 	maxHistory = 4000
+	// uptime is what the clock of a new store shows.
+	uptime = time.Minute
 )
 
 // Store holds rows, the history of their changes and the faults of each client.
@@ -72,13 +74,16 @@
 	partitions      map[string]*partition
 	calls           map[string]int
 	refusedCount    int
+	// clockZero is when the store's clock showed 0.
+	clockZero time.Time
 	// queued waits for the transactions queued in partitions.
 	queued sync.WaitGroup
 }
 
 // New returns an empty Store.
 func New(seed uint64) *Store {
-	return &Store{rng: rand.New(rand.NewPCG(seed, 3)), rows: map[kqrows.Key]kqrows.Row{}, faults: map[string]Faults{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{rng: rand.New(rand.NewPCG(seed, 3)), rows: map[kqrows.Key]kqrows.Row{}, faults: map[string]Faults{}, changed: make(chan struct{}), calls: map[string]int{},
+		clockZero: time.Now().Add(-uptime)}
 }
 
 // responseTime returns how long a call takes.
@@ -109,6 +114,13 @@
 	s.history, s.droppedUpTo = nil, s.version
 }
 
+// ShiftClock moves the store's clock forward, or back if d is negative.
+func (s *Store) ShiftClock(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockZero = s.clockZero.Add(-d)
+}
+
 // Client returns the operations of the store for the named client, subject to its faults.
 func (s *Store) Client(name string) kqrows.Store {
 	c := client{s, name}
@@ -238,7 +250,7 @@
 		allHold = allHold && r.Version == e.Version
 	}
 	if !allHold {
-		return kqrows.Outcome{Current: current}
+		return kqrows.Outcome{Current: current, Clock: time.Since(s.clockZero)}
 	}
 	s.version++
 	for _, p := range t.Puts {
@@ -256,7 +268,7 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return kqrows.Outcome{Committed: true, Version: s.version}
+	return kqrows.Outcome{Committed: true, Version: s.version, Clock: time.Since(s.clockZero)}
 }
 
 func (c client) read(ctx context.Context, table, from, to string) ([]kqrows.Row, uint64, error) {
--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -72,6 +72,28 @@
 	return owner
 }
 
+// restartExcept stops all processes and starts them again, except those of some machines.
+func (x *takeoverRun) restartExcept(stop func(*kqmachine.Machine), machines ...*kqmachine.Machine) {
+	for _, a := range x.rig.Agents {
+		if !slices.Contains(machines, a) {
+			stop(a)
+		}
+	}
+	time.Sleep(restartTime)
+	for _, a := range x.rig.Agents {
+		if !slices.Contains(machines, a) {
+			restart(a)()
+		}
+	}
+}
+
+// awaitRun waits until the task runs, at most a minute from a time on.
+func (x *takeoverRun) awaitRun(from time.Time) {
+	for x.rig.Ledger.RunningCount(longRunningJobID) == 0 && time.Since(from) < time.Minute {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // A worker is lost with its agent, and the owner is killed twice before the loss is stored. Guards
 // against each new owner waiting for the full lease that its predecessor may have granted, counted
 // from its own takeover, so that the task is down for several leases.
@@ -155,20 +177,11 @@
 	time.Sleep(delay)
 	if owner := x.owner(); loseOwner && owner != nil {
 		lost = append(lost, owner)
+		owner.Kill()
 	}
-	for _, a := range x.rig.Agents {
-		a.Kill()
-	}
-	time.Sleep(restartTime)
-	for _, a := range x.rig.Agents {
-		if !slices.Contains(lost, a) {
-			restart(a)()
-		}
-	}
+	x.restartExcept(kill, lost...)
 	restartedAt := time.Now()
-	for x.rig.Ledger.RunningCount(longRunningJobID) == 0 && time.Since(lostAt) < time.Minute {
-		time.Sleep(20 * time.Millisecond)
-	}
+	x.awaitRun(lostAt)
 	absence, calm := time.Since(lostAt), time.Since(restartedAt)
 	t.Logf("the long-running task runs again after %s, calm for %s", absence, calm)
 	if absence > maxAbsence && calm > calmTime {
@@ -210,9 +223,7 @@
 	time.Sleep(outage)
 	x.rig.Store.ClearFaults()
 	calmAt := time.Now()
-	for x.rig.Ledger.RunningCount(longRunningJobID) == 0 && time.Since(lostAt) < time.Minute {
-		time.Sleep(20 * time.Millisecond)
-	}
+	x.awaitRun(lostAt)
 	absence, calm := time.Since(lostAt), time.Since(calmAt)
 	t.Logf("the long-running task runs again after %s, calm for %s", absence, calm)
 	if absence > maxAbsence && calm > calmTime {
@@ -220,3 +231,92 @@
 	}
 	x.rig.Stop()
 }
+
+// A machine is lost, and all other processes are started again several times before its lease has ended.
+// Guards against each new owner counting the full lease of the lost machine from its own takeover: it has
+// read no earlier epoch, and the owner before it has granted the machine nothing.
+func TestEachOfSeveralOwnersWaitsAnewForTheLeaseOfALostMachine(t *testing.T) {
+	for _, c := range []struct {
+		owners       int
+		first, every time.Duration // from the loss to the first restart, and between two restarts
+	}{{3, 0, time.Second}, {3, 3 * time.Second, 2 * time.Second}, {4, 0, 1500 * time.Millisecond}, {4, time.Second, time.Second}, {6, 0, time.Second}, {6, 2 * time.Second, 700 * time.Millisecond}} {
+		for name, stop := range map[string]func(*kqmachine.Machine){"killed": kill, "shut down": (*kqmachine.Machine).Shutdown} {
+			t.Run(fmt.Sprintf("%d owners %s, first after %s, then every %s", c.owners, name, c.first, c.every), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					x := newTakeoverRun(1)
+					lostAt, lost := time.Now(), x.hostingAgent()
+					lost.Kill()
+					lost.Host.Restart(lost.Name())
+					time.Sleep(c.first)
+					for n := range c.owners - 1 {
+						if n > 0 {
+							time.Sleep(c.every)
+						}
+						x.restartExcept(stop, lost)
+					}
+					x.awaitRun(lostAt)
+					if absence := time.Since(lostAt); absence > maxAbsence {
+						t.Errorf("the long-running task runs again after %s, at most %s is allowed", absence, maxAbsence)
+					}
+					x.rig.Stop()
+					if breaches := x.rig.Ledger.Breaches(); len(breaches) > 0 {
+						t.Error(breaches)
+					}
+				})
+			})
+		}
+	}
+}
+
+// The second of several owners grants a worker a lease before the worker is isolated, in some cases for
+// the second time, and then all other processes are started again several times. Guards against owners that
+// count that lease from an earlier grant or takeover, and start the task elsewhere before it has ended.
+func TestTheLeaseThatTheSecondOfSeveralOwnersGrantedIsWaitedFor(t *testing.T) {
+	for _, c := range []struct {
+		earlier, delay, every time.Duration // of an earlier isolation; from the last one to the first restart; between two restarts
+		owners                int
+	}{{0, 0, time.Second, 4}, {0, 2 * time.Second, time.Second, 3}, {3 * time.Second, 0, time.Second, 4}, {3 * time.Second, 0, 300 * time.Millisecond, 6},
+		{1200 * time.Millisecond, 0, 2 * time.Second, 3}, {3 * time.Second, 2 * time.Second, time.Second, 3}} {
+		t.Run(fmt.Sprintf("isolated for %s before, first restart after %s, then every %s, %d owners", c.earlier, c.delay, c.every, c.owners), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newTakeoverRun(1)
+				for x.owner() == x.hostingAgent() {
+					x.killOwner()
+					time.Sleep(12 * time.Second)
+				}
+				host := x.hostingAgent()
+				x.restartExcept(kill, host)
+				time.Sleep(3 * time.Second)
+				if c.earlier > 0 {
+					x.rig.Network.SetIsolated(host.Name(), true)
+					time.Sleep(c.earlier)
+					x.rig.Network.ReconnectAll()
+					time.Sleep(3 * time.Second)
+				}
+				isolatedAt := time.Now()
+				x.rig.Network.SetIsolated(host.Name(), true)
+				time.Sleep(c.delay)
+				for n := range c.owners - 2 {
+					if n > 0 {
+						time.Sleep(c.every)
+					}
+					x.restartExcept(kill, host)
+				}
+				for x.rig.Ledger.RunningCount(longRunningJobID) > 0 && time.Since(isolatedAt) < maxAbsence {
+					time.Sleep(20 * time.Millisecond)
+				}
+				if held := time.Since(isolatedAt); held < defaultLease-time.Second {
+					t.Errorf("the worker's lease ended %s after the isolation: it was not renewed", held)
+				}
+				time.Sleep(12 * time.Second)
+				if n := x.rig.Ledger.RunningCount(longRunningJobID); n != 1 {
+					t.Errorf("%d runs of the long-running task", n)
+				}
+				x.rig.Stop()
+				if breaches := x.rig.Ledger.Breaches(); len(breaches) > 0 {
+					t.Error(breaches)
+				}
+			})
+		})
+	}
+}
