--- a/internal/flow/kqcontrol/lastgrants.go
+++ b/internal/flow/kqcontrol/lastgrants.go
@@ -130,8 +130,9 @@
 	if _, isKnown := row.Begins[c.row.Epoch]; !isKnown {
 		row.Begins[c.row.Epoch], _ = c.storedTime(l.acquiredAt)
 	}
+	// An entry in the far future is from before the store's clock started anew.
 	maps.DeleteFunc(row.LastGrants, func(_ string, s StoredTime) bool {
-		return s.ClockMS > newest.ClockMS || s.ClockMS < newest.ClockMS-lastGrantRetention.Milliseconds()
+		return max(s.ClockMS-newest.ClockMS, newest.ClockMS-s.ClockMS) > lastGrantRetention.Milliseconds()
 	})
 	l.barred = c.silentHosts(now)
 	for _, host := range l.barred {
--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -276,7 +276,7 @@
 		earlier, delay, every time.Duration // of an earlier isolation; from the last one to the first restart; between two restarts
 		owners                int
 	}{{0, 0, time.Second, 4}, {0, 2 * time.Second, time.Second, 3}, {3 * time.Second, 0, time.Second, 4}, {3 * time.Second, 0, 300 * time.Millisecond, 6},
-		{1200 * time.Millisecond, 0, 2 * time.Second, 3}, {3 * time.Second, 2 * time.Second, time.Second, 3}} {
+		{1200 * time.Millisecond, 0, 2 * time.Second, 3}, {3 * time.Second, 2 * time.Second, time.Second, 3}, {0, 900 * time.Millisecond, time.Second, 5}, {0, 1200 * time.Millisecond, time.Second, 4}} {
 		t.Run(fmt.Sprintf("isolated for %s before, first restart after %s, then every %s, %d owners", c.earlier, c.delay, c.every, c.owners), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				x := newTakeoverRun(1)
@@ -308,6 +308,11 @@
 				if held := time.Since(isolatedAt); held < defaultLease-time.Second {
 					t.Errorf("the worker's lease ended %s after the isolation: it was not renewed", held)
 				}
+				// A worker that only seems to be lost is waited for no longer than one that is.
+				x.awaitRun(isolatedAt)
+				if absence := time.Since(isolatedAt); absence > maxAbsence {
+					t.Errorf("the long-running task runs again after %s, at most %s is allowed", absence, maxAbsence)
+				}
 				time.Sleep(12 * time.Second)
 				if n := x.rig.Ledger.RunningCount(longRunningJobID); n != 1 {
 					t.Errorf("%d runs of the long-running task", n)
