kqmessage: one odd entry of a message no longer closes the stream to the owner again and again

What callers would see: one run, end, worker end or order of a message cannot be decoded, or the description of the worker cannot. The receiver closed the stream without a log line. The sender lists the same entry on the next stream, so the agent never registers, its leases expire and its runs are lost, or it never gets its orders.

Cause: each message was decoded as a whole.

Fix: DecodeToOwner and DecodeFromOwner leave out the entries that cannot be decoded, and both ends log them. A report without one of its runs is not complete. After a resync without one of its orders an agent stops no runs: the owner stops those that it does not know once they are reported. A message whose own fields cannot be decoded still ends the stream, now with a log line.

--- a/internal/flow/kqcontrol/message_test.go
+++ b/internal/flow/kqcontrol/message_test.go
@@ -28,7 +28,8 @@
 		`{"report":{"worker":"w","whole":true,"slowed":[{"run":{"task":"x"},"percent":-5}],"paces":{"a":-1}}}`,
 		`{"worker":{"worker":"w","service":"s","capacity":{"milli_processors":-9223372036854775808,"memory_bytes":-1}}}`,
 		`{"approved":{"step":"x.y","workers":[""],"answered":true}}`, `{"submit":{"number":1}}`, `{"rejected":{}}`, `{"unresolved":[""]}`,
-		`{"rejected":{"id":"x","queue":"q","age":-9223372036854775808,"work":1e308,"reserved":1e308}}`, `{"rejected":{"id":"x","queue":"q","age":9223372036854775807,"work":-1,"reserved":-1}}`, `{"registered":true,"ask":1}`} {
+		`{"rejected":{"id":"x","queue":"q","age":-9223372036854775808,"work":1e308,"reserved":1e308}}`, `{"rejected":{"id":"x","queue":"q","age":9223372036854775807,"work":-1,"reserved":-1}}`, `{"registered":true,"ask":1}`,
+		`{"report":{"worker":"w","whole":true,"running":[{"number":-1},{"task":"0000000000000001.0.0.0","number":1,"measure":5e-324}]},"worker":{"worker":7},"worker_ends":[7]}`} {
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -1,7 +1,6 @@
 package kqcontrol
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -83,19 +82,20 @@
 	}
 }
 
-// Receive handles a message of the session's peer. It closes the stream if the message
-// cannot be decoded.
+// Receive handles a message of the session's peer. It leaves out the entries that cannot be
+// decoded, and closes the stream if that is not enough.
 func (x *Session) Receive(body []byte) {
 	c := x.controller
 	began := c.config.Now()
 	c.receiving.Lock()
 	defer c.receiving.Unlock()
-	var m kqmessage.ToOwner
-	if err := json.Unmarshal(body, &m); err != nil {
+	m, omissions, err := kqmessage.DecodeToOwner(body)
+	now := c.config.Now()
+	x.logOmissions(now, omissions, err)
+	if err != nil {
 		x.stream.Close()
 		return
 	}
-	now := c.config.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sessions[x.hello.Name] != x || !c.tomb.Alive() {
--- a/internal/flow/kqexecutor/executor.go
+++ b/internal/flow/kqexecutor/executor.go
@@ -284,7 +284,7 @@
 		x.checkClaim(now, w)
 	}
 	if m.Resync {
-		x.resync(m.Orders)
+		x.resync(m.Orders, m.LacksOrders)
 	}
 	for _, o := range m.Orders {
 		x.applyOrder(o)
@@ -303,9 +303,13 @@
 }
 
 // resync stops the runs that are not among all orders of the owner: an unanswered start may
-// still be carried out. mu is held.
-func (x *Executor) resync(orders []*kqplan.Order) {
-	x.synced, x.knowsRuns = true, true
+// still be carried out. It stops none if the orders are incomplete; the owner then stops those that
+// it does not know once they are reported. mu is held.
+func (x *Executor) resync(orders []*kqplan.Order, incomplete bool) {
+	x.synced, x.knowsRuns = true, !incomplete
+	if incomplete {
+		return
+	}
 	known := make(map[kqexecution.Run]bool, len(orders))
 	for _, o := range orders {
 		known[o.Run] = true
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -120,6 +120,9 @@
 	Orders []*kqplan.Order `json:"orders,omitempty"`
 	// Resync is true if Orders lists all current orders for the host.
 	Resync bool `json:"resync,omitempty"`
+	// LacksOrders is true if an order of a received message cannot be decoded, so that Orders does
+	// not list all of them.
+	LacksOrders bool `json:"-"`
 	// Acknowledged is the number up to which the ends reported by the worker are
 	// acknowledged, so that the worker may forget them.
 	Acknowledged uint64 `json:"noted,omitempty"`
--- a/internal/flow/kqnode/connection.go
+++ b/internal/flow/kqnode/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
@@ -23,8 +22,9 @@
 // receive handles a message of the owner. It is called by one goroutine. It closes the stream
 // if the message cannot be decoded or the peer does not own the cell any more.
 func (o *ownerConnection) receive(s *kqstream.Stream, body []byte) {
-	var m kqmessage.FromOwner
-	if err := json.Unmarshal(body, &m); err != nil || m.NotOwner {
+	m, omissions, err := kqmessage.DecodeFromOwner(body)
+	o.node.logOmissions(omissions, err)
+	if err != nil || m.NotOwner {
 		s.Close()
 		return
 	}
--- a/internal/flow/kqnode/ownerrow.go
+++ b/internal/flow/kqnode/ownerrow.go
@@ -1,6 +1,7 @@
 package kqnode
 
 import (
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 )
@@ -28,3 +29,14 @@
 		c.Events.Emit(c.Now(), kqevent.RowUnreadable, kqevent.Process(c.Name), "unreadable ownership row: %v", err)
 	}
 }
+
+// logOmissions logs what was left out of a message of the owner, or why the message cannot be decoded.
+func (n *Node) logOmissions(omissions []kqdecode.Omission, err error) {
+	c := n.config.Control
+	for _, o := range omissions {
+		c.Events.Emit(c.Now(), kqevent.EntryOmitted, kqevent.Process(c.Name), "message of the owner: %s", o)
+	}
+	if err != nil {
+		c.Events.Emit(c.Now(), kqevent.EntryOmitted, kqevent.Process(c.Name), "message of the owner cannot be decoded, its stream is closed: %v", kqdecode.NewOmission("message", err))
+	}
+}
