kqcontrol: a submission under the name of another job no longer costs every owner its cell

What callers would see: another writer leaves a row in the submissions whose job has the ID of another job, and whose name sorts before that job's row. Each owner loads the job from it without the progress that is stored under the job's ID. Its first write expects no progress row, the store rejects it, and the owner gives the cell up; the next one does the same: nothing starts any more (LOST).

Cause: progress was looked up by the name of the submission's row and written by the ID of the job in it.

Fix: DecodeSubmission returns an error if the two differ, so that the row is logged and left alone.

--- a/internal/flow/kqcontrol/rows.go
+++ b/internal/flow/kqcontrol/rows.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"net/netip"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
@@ -86,8 +88,11 @@
 // row's name sorts between the two.
 func RangeEnd(name string) string { return name + "!" }
 
-// DecodeSubmission decodes a row of the SubmissionTable.
+// DecodeSubmission decodes a row of the SubmissionTable. It returns an error if the row is not
+// readable or holds a job with another ID: the progress of a job is found by the name of the row.
 func DecodeSubmission(r kqrows.Row) (s kqflow.Submission, err error) {
-	err = json.Unmarshal(r.Value, &s)
+	if err = json.Unmarshal(r.Value, &s); err == nil && s.Job.ID != r.Name {
+		err = eris.Errorf("submission %s holds a job with the ID %q", r.Name, s.Job.ID)
+	}
 	return s, err
 }
