kqcontrol, kqlearn: one odd estimate no longer costs an owner all that was learned

What callers would see: one estimate in the row of the learned interference cannot be decoded or is out of range. The next owner learns all pairs anew, or uses an interference of 1.8e308 or below zero and stores it again.

Fix: the row is decoded entry by entry on an error (kqdecode.List), and Restore leaves out estimates out of range.

Evidence: TestAnOddStoredEstimateIsRestored fails before in its 3 cases. It did not end the owner: what was stored could still be encoded.

--- a/internal/cell/kqlearn/image_interference.go
+++ b/internal/cell/kqlearn/image_interference.go
@@ -243,10 +243,19 @@
 	return out
 }
 
+// maxInterference limits a restored estimate. The headroom of a serving task is far below it.
+const maxInterference = 1e6
+
+// isValid reports whether an estimate is in range.
+func (p PairEstimate) isValid() bool { return p.Interference >= 0 && p.Interference <= maxInterference }
+
 // Restore loads pairs that KnownPairs returned earlier. Each gets the smallest evidence that
-// counts as known.
+// counts as known. A pair whose estimate is out of range is left out.
 func (m *ImageInterference) Restore(pairs []PairEstimate) {
 	for _, pair := range pairs {
+		if !pair.isValid() {
+			continue
+		}
 		f := m.fitOf(pair.Serving)
 		if i := f.indexOf(pair.Image); i >= 0 {
 			f.matrix[i][i] = priorPairWeight + minKnownEvidence
--- a/internal/cell/kqlearn/image_interference_test.go
+++ b/internal/cell/kqlearn/image_interference_test.go
@@ -1,7 +1,9 @@
 package kqlearn_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -57,3 +59,23 @@
 		g.Expect(known).To(BeFalse())
 	}
 }
+
+// Another writer leaves estimates that are out of range among the stored ones. Guards against owners
+// that use them and store them again.
+func TestAnOddStoredEstimateIsRestored(t *testing.T) {
+	for name, odd := range map[string]float64{"too large": math.MaxFloat64, "negative": -1, "out of range": 1e7} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var learned kqlearn.ImageInterference
+			learned.Restore([]kqlearn.PairEstimate{{Serving: "web", Image: "calm", Interference: 2}, {Serving: "web", Image: "odd", Interference: odd}, {Serving: "web", Image: "other", Interference: odd}})
+			g.Expect(learned.KnownPairs()).To(ConsistOf(And(HaveField("Image", "calm"), HaveField("Interference", BeNumerically("~", 2, 0.01)))))
+			for n := range 4 {
+				share := float64(n % 2)
+				learned.Observe("w", kqlearn.Sample{At: time.Unix(0, int64(n)*int64(400*time.Millisecond)), Headrooms: map[string]kqlearn.Headroom{"t": {Image: "web", Ratio: 4 - 2*share}},
+					ProcessorShares: map[string]float64{"calm": share, "odd": share, "other": share}})
+			}
+			_, err := json.Marshal(learned.KnownPairs())
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+}
--- a/internal/core/kqdecode/document.go
+++ b/internal/core/kqdecode/document.go
@@ -208,6 +208,9 @@
 // that cannot be decoded.
 func List[T any](b []byte) ([]T, []Omission, error) {
 	var x struct{ Elements []T }
+	if !json.Valid(cutDeep(b)) {
+		return nil, nil, json.Unmarshal(b, &x.Elements)
+	}
 	document := append(append([]byte(`{"Elements":`), b...), '}')
 	omissions, err := Document(document, &x)
 	return x.Elements, omissions, err
--- a/internal/core/kqdecode/document_test.go
+++ b/internal/core/kqdecode/document_test.go
@@ -64,6 +64,18 @@
 	g.Expect(d.Version).To(Equal(uint64(3)))
 }
 
+func TestAListIsDecodedElementByElement(t *testing.T) {
+	g := NewWithT(t)
+	list, omissions, err := kqdecode.List[entry]([]byte(`[{"name":"a"},` + nested() + `,{"port":70000},{"name":"b"}]`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(list).To(Equal([]entry{{Name: "a"}, {Name: "b"}}))
+	g.Expect(omissions).To(HaveLen(2))
+	for _, text := range []string{`{}`, ``, `[`, `[],"x":[]`, nested() + `]`} {
+		_, _, err := kqdecode.List[entry]([]byte(text))
+		g.Expect(err).To(HaveOccurred(), text[:min(len(text), 40)])
+	}
+}
+
 // FuzzDocument checks that a document decodes as json.Unmarshal decodes it if that succeeds.
 func FuzzDocument(f *testing.F) {
 	for _, s := range []string{`{"version":1,"entries":[{"name":"a","port":1},{"port":70000}],"extra":null,"counts":{"a":-1}}`, nested(), `{"entries":["\"]`, `{"a":"\\\\"}`} {
--- a/internal/flow/kqcontrol/learned.go
+++ b/internal/flow/kqcontrol/learned.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqlearn"
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
@@ -19,11 +19,14 @@
 	if l.err != nil || len(l.rows) == 0 {
 		return
 	}
-	var estimates []kqlearn.PairEstimate
-	if err := json.Unmarshal(l.rows[0].Value, &estimates); err != nil {
+	estimates, omissions, err := kqdecode.List[kqlearn.PairEstimate](l.rows[0].Value)
+	if err != nil {
 		c.config.Events.Emit(now, kqevent.RowUnreadable, kqevent.Process(c.config.Name), "unreadable learned interference: %v", err)
 		return
 	}
+	for _, o := range omissions {
+		c.config.Events.Emit(now, kqevent.EntryOmitted, kqevent.Process(c.config.Name), "learned interference: %s", o)
+	}
 	c.planner.RestoreLearned(estimates)
 }
 
