kqowner: one odd row no longer leaves a cell without an owner

What callers would see: another writer leaves one row that cannot be decoded, or a job with more tasks than an entry accepts, among the rows of a cell. An ownership row (deeply nested, port out of range, epoch too large): no worker acquires the cell. A job or a task: no worker can load the cell. A job of 4,294,967,295 tasks: each owner that loads it runs out of memory, and so does one that reads it through its inbox. An odd inbox row is read again and again, and a page of them hides those behind it.

Fix: an ownership row that cannot be decoded counts as one without an owner; the next epoch is above the highest one heard. The inbox row of an odd job is deleted.

--- a/internal/cell/kqowner/acquisition.go
+++ b/internal/cell/kqowner/acquisition.go
@@ -47,7 +47,7 @@
 	if !o.Committed {
 		return kqcell.Snapshot{}, kqcell.NotOwnerError(r.config.Cell)
 	}
-	loaded, err := loadSnapshot(ctx, r.config.Table, r.config.Cell)
+	loaded, err := loadSnapshot(ctx, r.config.Table, r.config.Cell, kqtable.LogUnreadable(r.config.Events, r.config.Now))
 	loaded.Ownership, loaded.OwnershipVersion = row, o.Version
 	return loaded, err
 }
--- a/internal/cell/kqowner/ownership.go
+++ b/internal/cell/kqowner/ownership.go
@@ -6,7 +6,6 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqcell"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
-	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
@@ -81,8 +80,12 @@
 		return
 	}
 	var j kqcell.JobRow
-	if found && kqtable.Decode(row, &j) != nil {
-		return
+	if found {
+		if j, err = readJob(row); err != nil {
+			// The inbox row is deleted, so that such rows do not fill the page.
+			kqtable.LogUnreadable(r.config.Events, r.config.Now)(row, err)
+			found = false
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,8 +104,11 @@
 			return
 		}
 		a := kqcell.AllotmentRow{Version: row.Version}
-		if found && kqtable.Decode(row, &a.Allotments) != nil {
-			return
+		if found {
+			if err := kqtable.Decode(row, &a.Allotments); err != nil {
+				kqtable.LogUnreadable(r.config.Events, r.config.Now)(row, err)
+				continue
+			}
 		}
 		r.mu.Lock()
 		ow.cell.SetAllotments(team, a)
@@ -137,31 +143,3 @@
 	}
 	return ow.cell.BatchRejected(now, o.FailedKey)
 }
-
-// loadSnapshot reads the jobs of a cell that have not ended, and their tasks.
-func loadSnapshot(ctx context.Context, table kqtable.Table, cell string) (kqcell.Snapshot, error) {
-	var s kqcell.Snapshot
-	jobs, err := table.ScanAll(ctx, kqcell.ActivePrefix(cell))
-	if err != nil {
-		return s, err
-	}
-	for _, row := range jobs {
-		var j kqmodel.Job
-		if err := kqtable.Decode(row, &j); err != nil {
-			return s, err
-		}
-		s.Jobs = append(s.Jobs, j)
-	}
-	tasks, err := table.ScanAll(ctx, kqcell.CellTasksPrefix(cell))
-	if err != nil {
-		return s, err
-	}
-	for _, row := range tasks {
-		var t kqmodel.Task
-		if err := kqtable.Decode(row, &t); err != nil {
-			return s, err
-		}
-		s.Tasks = append(s.Tasks, t)
-	}
-	return s, nil
-}
--- a/internal/cell/kqowner/runner.go
+++ b/internal/cell/kqowner/runner.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/cell/kqcell"
@@ -292,6 +293,9 @@
 	r.acquiring = acquiring
 }
 
+// maxEpoch limits an epoch. A cell that changes its owner once a second reaches it after 30,000 years.
+const maxEpoch = 1_000_000_000_000
+
 func (r *Runner) readRow() {
 	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), readTimeout)
 	defer cancel()
@@ -300,8 +304,16 @@
 		return
 	}
 	var owner kqcell.OwnershipRow
-	if found && kqtable.Decode(row, &owner) != nil {
-		return
+	if found {
+		if err = kqtable.Decode(row, &owner); err == nil && owner.Epoch > maxEpoch {
+			err = eris.Errorf("row %s: epoch %d is out of range", row.Key, owner.Epoch)
+		}
+		if err != nil {
+			// Its owner has lost the cell, and nobody would acquire it. The next epoch is above
+			// the highest one of a reply.
+			kqtable.LogUnreadable(r.config.Events, r.config.Now)(row, err)
+			owner = kqcell.OwnershipRow{}
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/core/kqmodel/job.go
+++ b/internal/core/kqmodel/job.go
@@ -45,6 +45,9 @@
 	return s.Class
 }
 
+// MaxTasks is the largest number of tasks of a job.
+const MaxTasks = 1000
+
 // TaskID identifies a task of a job.
 type TaskID struct {
 	// Job is the job's ID.
--- a/internal/entry/kqentry/job.go
+++ b/internal/entry/kqentry/job.go
@@ -21,7 +21,6 @@
 
 const (
 	maxJobBody = 64 << 10
-	maxTasks   = 1000
 	maxRunTime = 30 * 24 * time.Hour
 	// maxCancelAttempts limits the attempts to cancel a job while other writes of the same
 	// job conflict.
@@ -82,8 +81,8 @@
 		return badRequest("class: %q is not configured", s.Class)
 	case class.Kind == kqmodel.KindLatencyCritical:
 		return badRequest("class: %q is latency-critical and serves calls; a job needs a class of kind batch or watcher", s.Class)
-	case s.Tasks < 1 || s.Tasks > maxTasks:
-		return badRequest("tasks: %d is out of range: from 1 to %d", s.Tasks, maxTasks)
+	case s.Tasks < 1 || s.Tasks > kqmodel.MaxTasks:
+		return badRequest("tasks: %d is out of range: from 1 to %d", s.Tasks, kqmodel.MaxTasks)
 	case s.Resources.IsNegative() || s.Resources.MilliProcessors == 0 || s.Resources.MemoryBytes == 0:
 		return badRequest("resources: each task needs processors and memory above 0 and accelerators of 0 or more")
 	case class.Kind == kqmodel.KindBatch && (s.RunTime <= 0 || s.RunTime.Std() > maxRunTime):
