kqmember: one odd entry of the table no longer hides all others

What callers would see: one entry in the table cannot be decoded (deeply nested, port out of range, a number too large). ReadEntries returned an error for the whole list: an agent whose seeds do not answer finds no entry, agents do not learn of new entries, and entries that are gone are never removed.

--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -139,7 +139,7 @@
 		e.address = server.Addr()
 	}
 	e.announcer = kqmember.Start(kqmember.Config{SelfID: c.ID, Seeds: c.Seeds, Dialer: e.dialer, Table: c.Table, NewAnnouncement: e.announcement,
-		Holder: e.configHolder, Now: c.Now})
+		Holder: e.configHolder, Now: c.Now, Events: c.Events})
 	e.tomb.Go(e.loop)
 	server.Serve(e.handler())
 	c.Events.Emit(c.Now(), kqevent.ProcessStarted, kqevent.Process(c.ID), "entry process %s listens on %s", e.boot, server.Addr())
@@ -248,7 +248,8 @@
 	e := s.entry
 	t := kqtable.Transaction{Writes: []kqtable.Write{{Key: kqmember.EntryPrefix + e.config.ID,
 		Value: kqtable.Encode(kqmember.Entry{ID: e.config.ID, Address: e.address, RenewedAt: now.UTC()})}}}
-	if others, err := kqmember.ReadEntries(ctx, e.config.Table); err == nil {
+	// The announcer logs the rows that cannot be decoded.
+	if others, err := kqmember.ReadEntries(ctx, e.config.Table, func(kqtable.Row, error) {}); err == nil {
 		for _, other := range others {
 			if other.ID != e.config.ID && now.Sub(other.RenewedAt) > entryRowTTL {
 				t.Writes = append(t.Writes, kqtable.Write{Key: kqmember.EntryPrefix + other.ID, Delete: true})
--- a/internal/fleet/kqmember/announcer.go
+++ b/internal/fleet/kqmember/announcer.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"gopkg.in/tomb.v2"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqconfig"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
@@ -46,21 +47,14 @@
 // EntryPrefix is the key prefix of the rows of entries.
 const EntryPrefix = "entry/"
 
-// ReadEntries returns the entries that are listed in the table.
-func ReadEntries(ctx context.Context, t kqtable.Table) ([]Entry, error) {
+// ReadEntries returns the entries that are listed in the table. It calls onUnreadable with each row
+// that cannot be decoded, and leaves it out.
+func ReadEntries(ctx context.Context, t kqtable.Table, onUnreadable func(r kqtable.Row, err error)) ([]Entry, error) {
 	rows, err := t.ScanAll(ctx, EntryPrefix)
 	if err != nil {
 		return nil, err
 	}
-	var out []Entry
-	for _, r := range rows {
-		var e Entry
-		if err := kqtable.Decode(r, &e); err != nil {
-			return nil, err
-		}
-		out = append(out, e)
-	}
-	return out, nil
+	return kqtable.DecodeRows[Entry](rows, onUnreadable), nil
 }
 
 // Config holds the settings and dependencies of an Announcer.
@@ -80,6 +74,8 @@
 	Holder *kqconfig.Holder
 	// Now returns the current time.
 	Now func() time.Time
+	// Events records the rows that cannot be decoded; may be nil.
+	Events *kqevent.Log
 }
 
 // Announcer announces a process to all known entries and learns of further entries from
@@ -203,7 +199,7 @@
 	}
 	ctx, cancel := context.WithTimeout(a.tomb.Context(context.Background()), announceTimeout)
 	defer cancel()
-	if es, err := ReadEntries(ctx, a.config.Table); err == nil {
+	if es, err := ReadEntries(ctx, a.config.Table, kqtable.LogUnreadable(a.config.Events, a.config.Now)); err == nil {
 		a.AddEntries(es)
 	}
 }
--- a/internal/host/kqagent/agent.go
+++ b/internal/host/kqagent/agent.go
@@ -89,7 +89,7 @@
 	a.runner = runner
 	a.mu.Unlock()
 	a.announcer = kqmember.Start(kqmember.Config{Seeds: c.Seeds, Dialer: a.ownerClients.dialer, Table: c.Table, NewAnnouncement: a.announcement,
-		Holder: a.configHolder, Now: c.Now})
+		Holder: a.configHolder, Now: c.Now, Events: c.Events})
 	a.tomb.Go(a.loop)
 }
 
