kqconfig: one odd row no longer keeps a configuration out of force

What callers would see: one row of the configuration cannot be decoded. Each process that reads the table stays with the sequence before, or has no class and no quota after a start, and takes the table for unavailable. A row from a peer was left out without a log line.

Fix: such a row is left out and logged; the previous revision of its key stays in use where there is one.

--- a/internal/fleet/kqconfig/holder.go
+++ b/internal/fleet/kqconfig/holder.go
@@ -92,7 +92,7 @@
 		return
 	}
 	for _, r := range rows {
-		h.mergeRow(r)
+		h.mergeRow(now, r)
 	}
 	h.sequence = sequence
 	h.counter.Check(h.sequence >= before, kqinvariant.SequenceDecreased, "%s: configuration sequence went from %d to %d", h.processID, before, h.sequence)
@@ -103,12 +103,13 @@
 	}
 }
 
-func (h *Holder) mergeRow(r Row) {
+func (h *Holder) mergeRow(now time.Time, r Row) {
 	if old, ok := h.rows[r.Key]; ok && old.Sequence >= r.Sequence {
 		return
 	}
 	var a Revision
-	if json.Unmarshal(r.Value, &a) != nil {
+	if err := json.Unmarshal(r.Value, &a); err != nil {
+		h.events.Emit(now, kqevent.RowUnreadable, kqevent.Process(h.processID), "configuration %s is left out: %v", r.Key, err)
 		return
 	}
 	h.rows[r.Key], h.revisions[r.Key] = r, a
--- a/internal/fleet/kqconfig/store.go
+++ b/internal/fleet/kqconfig/store.go
@@ -219,7 +219,8 @@
 	return out, nil
 }
 
-// Refresh applies the stored configuration to h if the stored sequence is newer.
+// Refresh applies the stored configuration to h if the stored sequence is newer. A row that cannot
+// be decoded is left out and logged.
 func (s Store) Refresh(ctx context.Context, now func() time.Time, h *Holder) error {
 	stored, _, err := s.readHead(ctx)
 	if err != nil || stored.Sequence <= h.Sequence() {
@@ -233,7 +234,8 @@
 	for _, r := range rows {
 		var a Revision
 		if err := kqtable.Decode(r, &a); err != nil {
-			return err
+			kqtable.LogUnreadable(h.events, now)(r, err)
+			continue
 		}
 		out = append(out, Row{Key: r.Key[len(rowPrefix):], Sequence: a.Sequence, Value: r.Value})
 	}
