kqclaim: one odd claim no longer refuses the claims of other calls with it

What callers would see: the stored claim of one idempotency key cannot be decoded. All calls whose claims are in the same transaction are refused as if the table were unavailable, each time the key is used.

Fix: only the claim of that key is refused, and the others are committed without it.

Evidence: TestOneOddClaimRefusesTheWholeBatch fails in its 3 cases before.

--- a/internal/call/kqclaim/claim.go
+++ b/internal/call/kqclaim/claim.go
@@ -232,15 +232,17 @@
 		return nil
 	}
 	var holder Claim
-	if err := kqtable.Decode(row, &holder); err != nil {
-		return err
-	}
+	unreadable := kqtable.Decode(row, &holder)
 	for i, r := range b.requests {
 		if prefix+r.claim.Key != key {
 			continue
 		}
 		heldBySameCall := holder.CallID == r.claim.CallID
-		r.reply <- claimResult{holder: holder, held: !heldBySameCall, version: row.Version}
+		result := claimResult{holder: holder, held: !heldBySameCall, version: row.Version}
+		if unreadable != nil {
+			result = claimResult{err: kqresult.Errorf(kqresult.NotRunStoreUnavailable, "the stored claim of the idempotency key cannot be decoded: %v", unreadable).WithRetryAfter(storeRetryAfter)}
+		}
+		r.reply <- result
 		b.requests = append(b.requests[:i], b.requests[i+1:]...)
 		return nil
 	}
