kqentry: one odd job or task no longer hides the list of jobs

What operators would see: GET /v1/jobs and GET /v1/jobs/ID answer with an internal error as long as one row of a job or a task cannot be decoded, also for all jobs behind it.

--- a/internal/entry/kqentry/job.go
+++ b/internal/entry/kqentry/job.go
@@ -170,7 +170,7 @@
 }
 
 // viewJob builds the view of a job: from its summary if it has ended, otherwise from the
-// stored rows of its tasks.
+// stored rows of its tasks. A task whose row cannot be decoded is not counted.
 func (e *Entry) viewJob(ctx context.Context, r kqcell.JobRow) (JobView, *kqresult.Error) {
 	v := JobView{Job: r.Job, Counts: map[string]int{}}
 	if s := r.Summary; s != nil {
@@ -187,7 +187,8 @@
 	for _, row := range rows {
 		var t kqmodel.Task
 		if err := kqtable.Decode(row, &t); err != nil {
-			return v, toResultError(err)
+			kqtable.LogUnreadable(e.config.Events, e.config.Now)(row, err)
+			continue
 		}
 		v.Tasks = append(v.Tasks, t)
 		v.Counts[t.State]++
@@ -226,7 +227,7 @@
 }
 
 // listJobs serves GET /v1/jobs. The parameter team selects the jobs of one team; after
-// continues behind a key of an earlier page.
+// continues behind a key of an earlier page. A job whose row cannot be decoded is left out.
 func (e *Entry) listJobs(w http.ResponseWriter, q bunrouter.Request) error {
 	rows, err := e.config.Table.Scan(q.Context(), kqcell.JobPrefix, q.URL.Query().Get("after"), jobListLimit)
 	if err != nil {
@@ -237,7 +238,8 @@
 	for _, r := range rows {
 		var j kqcell.JobRow
 		if err := kqtable.Decode(r, &j); err != nil {
-			return kqresult.WriteHTTP(w, toResultError(err))
+			kqtable.LogUnreadable(e.config.Events, e.config.Now)(r, err)
+			continue
 		}
 		if team != "" && j.Job.Spec.Team != team {
 			continue
