kqdecode, kqmessage: parts of a message whose entries belong together are taken as a whole or not at all

Lists within a part are divided only where its type says so (kqdecode.Divisible), which today is a report. A message whose evacuated zones cannot be decoded ends the stream, because the next grant of the owner would confirm those known before.

Evidence: the added checks of TestOneOddEntryClosesTheStreamAgainAndAgain.

--- a/internal/core/kqdecode/document.go
+++ b/internal/core/kqdecode/document.go
@@ -30,6 +30,10 @@
 // String returns the path and the reason.
 func (o Omission) String() string { return o.Path + ": " + o.Reason }
 
+// Divisible marks a struct that stays in use if entries of its lists are left out, where a document
+// has a pointer to it.
+type Divisible interface{ Divisible() }
+
 // maxReasonBytes limits a reason, which may quote the document.
 const maxReasonBytes = 160
 
@@ -44,8 +48,8 @@
 
 // Document decodes a JSON document into the struct that v points to, like json.Unmarshal. If that
 // fails, it leaves out the parts that cannot be decoded and returns them: elements of lists, values
-// of maps and fields that are pointers to structs. An element that is no Salvager is decoded as a
-// whole or left out. It returns an error if any other part cannot be decoded.
+// of maps and fields that are pointers to structs. A part is decoded as a whole or left out, unless it
+// is a Salvager or Divisible. It returns an error if any other part cannot be decoded.
 func Document(b []byte, v any) ([]Omission, error) {
 	err := json.Unmarshal(b, v)
 	if err == nil {
@@ -79,6 +83,7 @@
 var (
 	unmarshaler     = reflect.TypeFor[json.Unmarshaler]()
 	textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+	divisible       = reflect.TypeFor[Divisible]()
 )
 
 // decode decodes a part of a valid document.
@@ -94,7 +99,13 @@
 		return d.decodeMap(path, b, to)
 	case to.Kind() == reflect.Pointer && to.Type().Elem().Kind() == reflect.Struct:
 		x := reflect.New(to.Type().Elem())
-		if err := d.decode(path, b, x.Elem()); err != nil {
+		var err error
+		if x.Type().Implements(divisible) {
+			err = d.decode(path, b, x.Elem())
+		} else {
+			err = json.Unmarshal(b, x.Interface())
+		}
+		if err != nil {
 			d.omit(path, err)
 			return nil
 		}
--- a/internal/flow/kqmessage/decode.go
+++ b/internal/flow/kqmessage/decode.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
 )
 
@@ -17,10 +19,16 @@
 	return m, omissions, err
 }
 
-// DecodeFromOwner decodes a message from the owner without the entries that cannot be decoded.
+// DecodeFromOwner decodes a message from the owner without the entries that cannot be decoded. The
+// evacuated zones may not be left out: the owner's next grant would confirm those known before.
 func DecodeFromOwner(body []byte) (m FromOwner, omissions []kqdecode.Omission, err error) {
 	omissions, err = kqdecode.Document(body, &m)
 	m.LacksOrders = lacksEntry(omissions, "orders")
+	for _, o := range omissions {
+		if o.Path == "zones" {
+			return FromOwner{}, omissions, eris.New(o.String())
+		}
+	}
 	return m, omissions, err
 }
 
--- a/internal/flow/kqmessage/decode_test.go
+++ b/internal/flow/kqmessage/decode_test.go
@@ -43,7 +43,17 @@
 			g.Expect(from.Grant.LeaseRequest).To(Equal(uint64(7)))
 		})
 	}
+	// The entries of these lists are known by their positions, or make up a whole.
 	g := NewWithT(t)
+	m, omissions, err := kqmessage.DecodeToOwner([]byte(`{"ask":1,"submit":{"number":1,"job":{"id":"x","steps":[{"count":1},{"count":` + deeplyNested + `}]}},"worker":{"worker":"w","labels":["a",7]}}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(omissions).To(HaveLen(2))
+	g.Expect(m).To(Equal(kqmessage.ToOwner{LeaseRequest: 1}), "a job without one of its steps is another job")
+	digest, _, err := kqmessage.DecodeFromOwner([]byte(`{"welcome":1,"digest":{"levels":[{"service":7},{"service":"s"}],"queues":{"q":{"level":0}}}}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(digest).To(Equal(kqmessage.FromOwner{Welcome: 1}))
+	_, _, err = kqmessage.DecodeFromOwner([]byte(`{"zones":` + deeplyNested + `,"grant":{"ask":7,"left":5}}`))
+	g.Expect(err).To(HaveOccurred(), "the grant would confirm zones that are out of date")
 	to, omissions, err := kqmessage.DecodeToOwner([]byte(`{"report":{"worker":"w","whole":true}}`))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(omissions).To(BeEmpty())
--- a/internal/flow/kqplan/range.go
+++ b/internal/flow/kqplan/range.go
@@ -9,6 +9,9 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 )
 
+// Divisible marks a report as usable without some of its runs and ends.
+func (*Report) Divisible() {}
+
 // CheckCapacity returns an error if the capacity of a worker is out of range: below zero, or above
 // what one task may request. The capacities of thousands of workers can be summed up to that limit.
 func (w WorkerInfo) CheckCapacity() error {
