kqplan: a failing test: a crash is blamed on an innocent suspect that has passed its trial

The trial is gone, the two crashes are kept until a run has been at work for 5 s. So it restarts among some fifty others at 34.6 and 38.6 s, each time beside, and counts as prime suspect both times: countCrashes skips all others (isExplained), and the crashes under runs 2 and 3 of the poison task are not counted. Two more crashes pass until it has two in isolation, so its run 6 is the third start after its third crash.

The test brings one such crash about in kqplan: what must hold is that the suspect is tried alone, or that the crash counts under the task beside it.

--- a/internal/flow/kqplan/crash_test.go
+++ b/internal/flow/kqplan/crash_test.go
@@ -236,6 +236,35 @@
 	g.Expect(f.states["j"]).To(Equal(kqflow.StateFailed))
 }
 
+// An innocent task that is suspected of two crashes has passed its trial. Its worker crashes for another
+// reason before the crashes under it are forgotten, and it restarts beside others without a trial. Guards
+// against the next crash there being blamed on it alone: the poison task beside it is then not suspected,
+// and starts again and again.
+func TestACrashIsBlamedOnASuspectThatHasPassedItsTrial(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCell(1), runTime: func(kqplan.Order) time.Duration { return time.Hour }}
+	f.addWorker("h1", crashCapacity)
+	f.submitLong("innocent", nil)
+	f.submitLong("poison", nil)
+	f.advance(2*time.Second, nil)
+	for n := range 2 {
+		f.WorkerEnded(f.now, "h1", kqplan.WorkerEnd{Worker: kqexecution.Incarnation(rune('a' + n)), Crashed: true, SilentFor: time.Duration(n) * time.Second,
+			Runs: []kqplan.StartedRun{{Run: kqexecution.Run{Task: "innocent.0.0.0", Number: 1}, RunTime: time.Duration(n) * 290 * time.Millisecond}}})
+	}
+	f.advance(time.Second, nil)
+	w := f.workers[0]
+	f.crash(3*time.Second, w) // the suspect is tried, and passes
+	f.crash(2*time.Second, w)
+	poison, beside := w.runs[w.startOrder[len(w.startOrder)-1]], w.runs[w.startOrder[0]]
+	counted := len(f.records["poison"].Tasks[0].Crashes)
+	g.Expect(f.workerOf("poison")).NotTo(BeNil())
+	if poison.startedAt.Sub(beside.startedAt) >= 300*time.Millisecond {
+		return // the suspect was tried alone
+	}
+	f.crash(0, w)
+	g.Expect(f.records["poison"].Tasks[0].Crashes).To(HaveLen(counted + 1))
+}
+
 // The suspects of one crash are tried on hosts of their own. Guards against suspects that crash the same
 // innocent work again, or each other.
 func TestSuspectsAreTriedBesideEachOther(t *testing.T) {
