kqcontrol: an odd departure no longer ends a worker that is present

What callers would see: a row under the name of a live worker in the departures, whose content cannot be decoded or names no host, counts as a verified departure. Its runs are given up at once and start elsewhere while it runs them.

Cause: only the name of the row was read.

If the worker has left, its agent tells the owner, or its lease expires.

Evidence: TestAnOddDepartureEndsALiveWorker fails before (4 contents). The table of odd rows of the owner has departures, claims and a LeasesRow in a far future as well; these passed before.

--- a/internal/flow/kqcontrol/departures.go
+++ b/internal/flow/kqcontrol/departures.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqexecutor"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
@@ -84,10 +86,25 @@
 			}
 			continue
 		}
+		if _, err := decodeDeparture(r); err != nil {
+			if !known {
+				c.config.Events.Emit(now, kqevent.RowUnreadable, kqevent.Worker(r.Name), "unreadable departure, the worker counts as present: %v", err)
+			}
+			continue
+		}
 		c.departed(now, kqexecution.Incarnation(r.Name), "known from the store")
 	}
 }
 
+// decodeDeparture decodes a row of the DepartureTable. It returns an error if the row does not tell which
+// host has stored it: the name alone, which another writer may have used, ends no worker.
+func decodeDeparture(r kqrows.Row) (row departureRow, err error) {
+	if err = json.Unmarshal(r.Value, &row); err == nil && row.Host == "" {
+		err = eris.Errorf("departure %s has no host", r.Name)
+	}
+	return row, err
+}
+
 // departed passes a departure to the planner; mu is held, or the controller is still loading.
 func (c *Controller) departed(now time.Time, worker kqexecution.Incarnation, why string) {
 	if c.planner.WorkerEnded(now, "", kqplan.WorkerEnd{Worker: worker, Departed: true}) {
--- a/internal/flow/kqcontrol/odd_test.go
+++ b/internal/flow/kqcontrol/odd_test.go
@@ -25,6 +25,18 @@
 		Steps: []kqflow.Step{{Count: 1, Resources: kqmodel.Resources{MilliProcessors: 1000}, Estimate: time.Second}}}}
 }
 
+// acquire returns the running owner of a cell that nobody owned before.
+func acquire(g *WithT, store kqrows.Store, events *kqevent.Log) *kqcontrol.Controller {
+	c, err := kqcontrol.Acquire(context.Background(), kqcontrol.Config{Cell: leasesCell, Name: "owner", Boot: "b", Store: store, Lease: 7 * time.Second, CrossRackSlowdown: 1, Retention: time.Minute,
+		Policy: func() *kqflow.Policy {
+			return &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{"q": {Name: "q", Service: "s", MaxAttempts: 2}}}
+		},
+		Now: time.Now, WallClock: time.Now, Counter: &kqinvariant.Counter{}, Events: events}, kqcontrol.OwnerRow{}, 0, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.Start()
+	return c
+}
+
 // Another writer leaves a row in a table of the owner before it acquires the cell, and the same row
 // again while it owns it. Guards against owners that lose the cell one after another, and against an
 // owner that takes no more jobs.
@@ -46,6 +58,11 @@
 		"progress number too large":     {Key: progress, Value: []byte(`{"state":"running","revision":1e300}`)},
 		"progress count out of range":   {Key: progress, Value: []byte(`{"state":"running","occurrences":9223372036854775807}`)},
 		"learned deeply nested":         {Key: kqcontrol.LearnedKey(leasesCell), Value: []byte(deeplyNested)},
+		"departure deeply nested":       {Key: kqcontrol.DepartureKey("w@5"), Value: []byte(deeplyNested)},
+		"departure without a name":      {Key: kqcontrol.DepartureKey(""), Value: []byte(`{"host":"h"}`)},
+		"claim deeply nested":           {Key: kqcontrol.DepartureClaimKey("w@5"), Value: []byte(deeplyNested)},
+		"claim without a name":          {Key: kqcontrol.DepartureClaimKey(""), Value: []byte(`{"host":7}`)},
+		"leases in a far future":        {Key: kqcontrol.LeasesKey(leasesCell), Value: []byte(`{"hosts":{"a":18446744073709551615},"begins":{"1":{"clock":9223372036854775807,"wall":9223372036854775807}},"last_grants":{"a":{"clock":-9223372036854775808,"wall":-9223372036854775808}}}`)},
 		"leases out of range":           {Key: kqcontrol.LeasesKey(leasesCell), Value: []byte(`{"hosts":{"a":-1},"floor":1e300}`)},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -58,13 +75,7 @@
 				}
 				put(odd, kqrows.Put{Key: kqcontrol.SubmissionKey(loaded), Value: kqtable.Encode(cancelledJob(loaded))},
 					kqrows.Put{Key: kqcontrol.ProgressKey(loaded), Value: kqcontrol.EncodeRecord(kqflow.JobRecord{State: kqflow.StateQueued, Epoch: 1, Revision: 1})})
-				c, err := kqcontrol.Acquire(context.Background(), kqcontrol.Config{Cell: leasesCell, Name: "owner", Boot: "b", Store: store, Lease: 7 * time.Second, CrossRackSlowdown: 1, Retention: time.Minute,
-					Policy: func() *kqflow.Policy {
-						return &kqflow.Policy{Version: 1, Queues: map[string]kqflow.Queue{"q": {Name: "q", Service: "s", MaxAttempts: 2}}}
-					},
-					Now: time.Now, WallClock: time.Now, Counter: &kqinvariant.Counter{}, Events: kqevent.New(kqevent.Config{})}, kqcontrol.OwnerRow{}, 0, nil)
-				g.Expect(err).NotTo(HaveOccurred())
-				c.Start()
+				c := acquire(g, store, kqevent.New(kqevent.Config{}))
 				time.Sleep(time.Second)
 				if odd.Key.Table != kqcontrol.LeaseTable {
 					put(odd)
@@ -93,3 +104,26 @@
 		})
 	}
 }
+
+// Another writer leaves a row under the name of a worker that has not left, or the content of a departure
+// is lost. Guards against work that is started again elsewhere while that worker runs it.
+func TestAnOddDepartureEndsALiveWorker(t *testing.T) {
+	deeplyNested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for name, value := range map[string]string{"deeply nested": deeplyNested, "number too large": `{"host":1e300}`, "without a host": `{}`, "no content": ``} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				store := kqrowstore.New(1).Client("owner")
+				departed := kqrows.Put{Key: kqcontrol.DepartureKey("left@5"), Value: []byte(`{"host":"h"}`)}
+				_, err := store.Transact(context.Background(), kqrows.Tx{Puts: []kqrows.Put{departed, {Key: kqcontrol.DepartureKey("live@5"), Value: []byte(value)}}})
+				g.Expect(err).NotTo(HaveOccurred())
+				events := kqevent.New(kqevent.Config{})
+				c := acquire(g, store, events)
+				time.Sleep(time.Second)
+				c.Abandon()
+				g.Expect(events.BySubject(kqevent.Worker("left@5"))).To(ConsistOf(HaveField("Number", kqevent.WorkerDeparted)))
+				g.Expect(events.BySubject(kqevent.Worker("live@5"))).To(ConsistOf(HaveField("Number", kqevent.RowUnreadable)))
+			})
+		})
+	}
+}
