--- a/internal/flow/kqcontrol/lastgrants.go
+++ b/internal/flow/kqcontrol/lastgrants.go
@@ -137,6 +137,7 @@
 	l.barred = c.silentHosts(now)
 	for _, host := range l.barred {
 		row.LastGrants[host], _ = c.storedTime(l.granted[host].confirmedAt)
+		c.planner.WithholdLease(host)
 	}
 	return row
 }
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -80,6 +80,8 @@
 	info      WorkerInfo
 	// leaseExpiresAt is when the lease of the worker has certainly expired.
 	leaseExpiresAt time.Time
+	// leaseWithheld is true from when no lease is granted to the host until one is granted again.
+	leaseWithheld bool
 	// lastReportAt is when the agent last connected, reported or got a lease.
 	lastReportAt time.Time
 	runs         kqordered.Map[kqexecution.Run, *run]
--- a/internal/flow/kqplan/lease.go
+++ b/internal/flow/kqplan/lease.go
@@ -33,12 +33,16 @@
 		// The worker may hold a longer lease of an earlier owner.
 		h.leaseExpiresAt = p.priorGrantsUntil(name).Add(p.maxLeaseDuration(p.config.Lease))
 	}
-	h.lastReportAt = now
+	h.lastReportAt, h.leaseWithheld = now, false
 	h.leaseExpiresAt = later(h.leaseExpiresAt, now.Add(p.maxLeaseDuration(lease)))
 	p.passRequested = p.passRequested || !wasUsable && h.usable(now)
 	return lease
 }
 
+// WithholdLease records that a host is granted no lease for now. It gets no new work until it is granted
+// one: its worker may be another incarnation, which has no lease yet.
+func (p *Planner) WithholdLease(name string) { p.host(name).leaseWithheld = true }
+
 // expireLeases marks the runs of hosts whose lease has expired as lost. The agent of such a
 // host may still be connected and may be about to start a run, and would carry out that start
 // under its next lease. It is therefore ordered to stop the run before it is granted another
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -271,7 +271,7 @@
 
 // usable reports whether the worker of a host may get new work.
 func (h *host) usable(now time.Time) bool {
-	return h.connected && h.info.Worker != "" && !h.info.Draining && !h.info.Unresponsive &&
+	return h.connected && h.info.Worker != "" && !h.info.Draining && !h.info.Unresponsive && !h.leaseWithheld &&
 		h.leaseExpiresAt.Sub(now) > minLeaseLeft && now.Sub(h.lastReportAt) < reportTimeout && len(h.orphans) == 0 && len(h.givenUp) == 0
 }
 
--- a/internal/flow/kqplan/takeover_test.go
+++ b/internal/flow/kqplan/takeover_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 )
@@ -69,3 +70,23 @@
 	owner.tickUntilIdle()
 	g.Expect(owner.takeOrders()).To(HaveLen(1))
 }
+
+// An agent reconnects with the next incarnation of its worker, and its lease request waits until the store no
+// longer lists the host as one that is granted nothing. Guards against a run that is started there without a
+// lease, which lapses at once and counts as a start.
+func TestARunIsPlacedOnAHostWhoseLeaseIsWithheld(t *testing.T) {
+	g := NewWithT(t)
+	c := newCell(1)
+	c.addHost("h1", "w1", 8)
+	c.AgentDisconnected(c.now, "h1")
+	c.WithholdLease("h1")
+	c.UpdateWorker(c.now, "h1", kqplan.WorkerInfo{Worker: "w2", Service: "s", Capacity: kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 1 << 40}})
+	c.ApplyReport(c.now, "h1", kqplan.Report{Worker: "w2", Complete: true})
+	c.AgentConnected(c.now, "h1")
+	c.Submit(c.now, job("a", "urgent", c.now, newStep(1, 1)), nil, 0)
+	c.tickUntilIdle()
+	g.Expect(c.takeOrders()).To(BeEmpty())
+	c.LeaseGranted(c.now, "h1", 7*time.Second)
+	c.tickUntilIdle()
+	g.Expect(c.takeOrders()).To(HaveLen(1))
+}
