kqexecutor: a worker that repeats its leave message and runs on is heard again

What callers saw: a worker that said several times that it leaves, and ran on, was never heard again: its check-ins (capacity, draining, warm-up) were dropped until its agent restarted. Cause: a repeated message replaces the claim that is being verified. The end of the verification removes only the claim that it began with, and check-ins were dropped for any claim, however old. Evidence: kqexecutor NeverHeardAgain, the case with repeated messages, failed before. Fix: a claim holds check-ins back for the time for which it is verified, no longer.

--- a/internal/flow/kqexecutor/departure_test.go
+++ b/internal/flow/kqexecutor/departure_test.go
@@ -120,12 +120,20 @@
 	})
 }
 
-// A worker says that it leaves and runs on. Guards against one whose check-ins are dropped for good.
+// A worker says that it leaves, once or again and again, and runs on. Guards against one whose check-ins are
+// dropped for good.
 func TestAWorkerThatRunsOnAfterItsLeaveMessageIsNeverHeardAgain(t *testing.T) {
-	withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
-		m.executor.Departed(first)
-		g.Expect(m.executor.CheckIn(info(first), 10)).To(BeFalse())
-		time.Sleep(20 * time.Second)
-		g.Expect(m.executor.CheckIn(info(first), 11)).To(BeTrue())
-	})
+	for name, messages := range map[string]int{"one message": 1, "repeated messages": 3} {
+		t.Run(name, func(t *testing.T) {
+			withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
+				for range messages {
+					m.executor.Departed(first)
+					time.Sleep(time.Second)
+				}
+				g.Expect(m.executor.CheckIn(info(first), 10)).To(BeFalse())
+				time.Sleep(20 * time.Second)
+				g.Expect(m.executor.CheckIn(info(first), 11)).To(BeTrue())
+			})
+		})
+	}
 }
--- a/internal/flow/kqexecutor/incarnation.go
+++ b/internal/flow/kqexecutor/incarnation.go
@@ -28,7 +28,7 @@
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !x.mayBeCurrent(now, w.Worker, sourceCheckIn) || x.departed[w.Worker] || x.hasSaidThatItLeaves(w.Worker) {
+	if !x.mayBeCurrent(now, w.Worker, sourceCheckIn) || x.departed[w.Worker] || x.hasSaidThatItLeaves(now, w.Worker) {
 		return false
 	}
 	current := x.info.Worker
--- a/internal/flow/kqexecutor/leaveclaim.go
+++ b/internal/flow/kqexecutor/leaveclaim.go
@@ -36,8 +36,9 @@
 
 // hasSaidThatItLeaves reports whether an incarnation has sent a leave message, after which it sends no
 // check-ins; mu is held.
-func (x *Executor) hasSaidThatItLeaves(worker kqexecution.Incarnation) bool {
-	return worker != "" && x.claims[worker.ID()].sender == worker
+func (x *Executor) hasSaidThatItLeaves(now time.Time, worker kqexecution.Incarnation) bool {
+	c := x.claims[worker.ID()]
+	return worker != "" && c.sender == worker && now.Sub(c.at) <= leaveClaimTime
 }
 
 // checkClaim starts to verify that an incarnation has left, if it may have sent a leave message; mu is held.
