kqcontrol: an owner recognizes its writes of the leases row, also one that changes nothing

What callers would see: an owner that has been deposed takes itself for confirmed as of a write that was never applied, and may grant leases on that, which the next owner does not wait for (TWICE). Cause: kqrows.Commit recognizes a write whose answer was lost by the value of the row. Since last grants are stored, the row may be written unchanged: a last grant was due, and is not any more when the write is made up (the host has asked again, or the reading of the store's clock is too old after a suspension). Evidence: kqcontrol DeposedOwnerTakes failed before: the owner wrote on after the store had rejected its write. Fix: the row numbers its writes, so that each differs from the stored value.

--- a/internal/flow/kqcontrol/leases.go
+++ b/internal/flow/kqcontrol/leases.go
@@ -31,6 +31,9 @@
 	// LastGrants maps the hosts that seem to be lost to when they were last granted a lease. They
 	// are granted none until a row without them is stored.
 	LastGrants map[string]StoredTime `json:"last_grants,omitempty"`
+	// Write numbers the writes of the row, so that each has another value than the stored row: by its value
+	// kqrows.Commit recognizes a write whose answer was lost.
+	Write uint64 `json:"write,omitempty"`
 }
 
 // lastEpoch returns the epoch of the last owner that may have granted a host a lease.
@@ -39,7 +42,7 @@
 // withHosts returns the row with more hosts recorded for an epoch. Entries that are
 // maxEpochsKept or more epochs old are dropped; the floor covers them.
 func (r LeasesRow) withHosts(epoch uint64, hosts map[string]bool) LeasesRow {
-	out := LeasesRow{Hosts: map[string]uint64{}, Floor: r.Floor, Begins: map[uint64]StoredTime{}, LastGrants: map[string]StoredTime{}}
+	out := LeasesRow{Hosts: map[string]uint64{}, Floor: r.Floor, Begins: map[uint64]StoredTime{}, LastGrants: map[string]StoredTime{}, Write: r.Write + 1}
 	maps.Copy(out.LastGrants, r.LastGrants)
 	if epoch > maxEpochsKept {
 		out.Floor = max(out.Floor, epoch-maxEpochsKept)
--- a/internal/flow/kqcontrol/leases_test.go
+++ b/internal/flow/kqcontrol/leases_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -17,6 +19,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
 )
 
@@ -100,3 +103,58 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(leasedHosts(g, rows.Client("test"))).To(HaveLen(3))
 }
+
+// The last grant of a host is due, the owner is suspended before it writes the row, and finds no usable clock:
+// the row stays as it is. The first attempt is lost, and another process takes over. Guards against a deposed
+// owner that takes the row, which has the value that it sent, for its own write and thus its ownership for
+// confirmed.
+func TestADeposedOwnerTakesAnUnchangedLeasesRowForItsWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		rows := kqrowstore.New(1)
+		store := rows.Client("owner")
+		transact := store.Transact
+		var suspended atomic.Int64
+		var armed atomic.Bool
+		var attempts atomic.Int32
+		store.Transact = func(ctx context.Context, tx kqrows.Tx) (kqrows.Outcome, error) {
+			if suspended.Load() == 0 {
+				return transact(ctx, tx)
+			}
+			if len(tx.Puts) > 0 && tx.Puts[0].Key == kqcontrol.LeasesKey(leasesCell) {
+				switch attempts.Add(1) {
+				case 1:
+					_, err := rows.Client("next").Transact(ctx, kqrows.Tx{Puts: []kqrows.Put{{Key: kqcontrol.OwnerKey(leasesCell), Value: kqtable.Encode(kqcontrol.OwnerRow{Name: "next", Epoch: 2})}}})
+					g.Expect(err).NotTo(HaveOccurred())
+					return kqrows.Outcome{}, kqrows.ErrUnknown
+				case 2:
+					return transact(ctx, tx)
+				}
+			}
+			<-ctx.Done()
+			return kqrows.Outcome{}, kqrows.ErrUnknown
+		}
+		wallClock := func() time.Time {
+			if armed.CompareAndSwap(true, false) {
+				suspended.Store(int64(3 * time.Second))
+			}
+			return time.Now()
+		}
+		c, err := kqcontrol.Acquire(context.Background(), kqcontrol.Config{Cell: leasesCell, Name: "owner", Boot: "b", Store: store, Lease: 7 * time.Second, CrossRackSlowdown: 1,
+			Retention: time.Minute, Policy: func() *kqflow.Policy { return nil }, Now: func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) },
+			WallClock: wallClock, Counter: &kqinvariant.Counter{}}, kqcontrol.OwnerRow{}, 0, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		c.Start()
+		defer c.Abandon()
+		x := newGrantee(c)
+		defer x.stream.Close()
+		b, err := json.Marshal(kqmessage.ToOwner{Registered: true, LeaseRequest: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		x.session.Receive(b)
+		time.Sleep(500 * time.Millisecond)
+		armed.Store(true)
+		c.Detach(x.session)
+		time.Sleep(time.Second)
+		g.Expect(attempts.Load()).To(BeEquivalentTo(2), "it writes on after the store has rejected its write")
+	})
+}
