kqcontrol: a claimed departure ends no run as the agent that verifies it disconnects

What callers would see: a task starts elsewhere while its worker runs it (TWICE). The worker has said that it leaves and its acknowledgement was lost, or it runs on; its agent polls it and has answers. The agent's connection to the owner breaks for a moment, and the owner gives the worker up at once. Cause: the owner counted LeaveTime from when it had read the claim, although the agent was connected and verifying until a moment ago. It also kept a claim that the agent had refuted, for as long as the row is kept. Fix: LeaveTime counts from when the agent was last seen connected; a claim that a connected agent has not verified in the time for which it tries is void.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -220,7 +220,7 @@
 	for _, r := range state.submissions.rows {
 		c.applySubmission(now, r, records)
 	}
-	c.departures = departures{version: state.departures.at, readAt: map[string]time.Time{}, claims: map[kqexecution.Incarnation]departureRow{}}
+	c.departures = departures{version: state.departures.at, readAt: map[string]time.Time{}, claims: map[kqexecution.Incarnation]*departureClaim{}}
 	c.applyDepartures(now, state.departures.rows)
 }
 
--- a/internal/flow/kqcontrol/departures.go
+++ b/internal/flow/kqcontrol/departures.go
@@ -63,11 +63,20 @@
 	version uint64
 	// readAt holds when each row was first read, claims the claimed departures among them.
 	readAt map[string]time.Time
-	claims map[kqexecution.Incarnation]departureRow
+	claims map[kqexecution.Incarnation]*departureClaim
 	// isRemoving is true while a removal is in flight.
 	isRemoving bool
 }
 
+// departureClaim is a claimed departure. The agent that has heard the claim verifies it while it is connected.
+type departureClaim struct {
+	row departureRow
+	// unverifiedSince is when the row was read or, if that is later, when the agent was last seen connected.
+	unverifiedSince time.Time
+	// isRefuted is true if the agent was connected for as long as it verifies a claim: the worker runs on.
+	isRefuted bool
+}
+
 // applyDepartures passes departures that were read to the planner; mu is held, or the controller is still
 // loading.
 func (c *Controller) applyDepartures(now time.Time, rows []kqrows.Row) {
@@ -127,20 +136,24 @@
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		c.config.Events.Emit(now, kqevent.RowUnreadable, kqevent.Worker(r.Name), "unreadable departure: %v", err)
 	}
-	c.departures.claims[worker] = row
+	c.departures.claims[worker] = &departureClaim{row: row, unverifiedSince: now}
 	for _, s := range c.sessions {
 		s.sendClaims([]kqexecution.Incarnation{worker})
 	}
 }
 
-// applyUnverifiedDepartures gives up the workers that have said LeaveTime ago that they leave, if the agent
-// that has heard it is gone and cannot verify it. mu is held.
+// applyUnverifiedDepartures gives up the workers that have said that they leave, if the agent that has heard it
+// is gone since LeaveTime and cannot verify it. mu is held.
 func (c *Controller) applyUnverifiedDepartures(now time.Time) {
-	for worker, row := range c.departures.claims {
-		if !row.SenderKnown || c.sessions[row.Host] != nil || now.Sub(c.departures.readAt[string(worker)+claimSuffix]) < kqplan.LeaveTime {
-			continue
+	for worker, claim := range c.departures.claims {
+		switch {
+		case !claim.row.SenderKnown || claim.isRefuted:
+		case c.sessions[claim.row.Host] != nil:
+			claim.isRefuted = now.Sub(c.departures.readAt[string(worker)+claimSuffix]) > kqplan.MaxStartDelay
+			claim.unverifiedSince = now
+		case now.Sub(claim.unverifiedSince) >= kqplan.LeaveTime:
+			c.departed(now, worker, "its leave message is known from the store, and its agent is gone")
 		}
-		c.departed(now, worker, "its leave message is known from the store, and its agent is gone")
 	}
 }
 
--- a/internal/flow/kqcontrol/leases_test.go
+++ b/internal/flow/kqcontrol/leases_test.go
@@ -54,7 +54,7 @@
 }
 
 // joinAgent connects an agent that registers and requests a lease.
-func joinAgent(g Gomega, c *kqcontrol.Controller, name string) {
+func joinAgent(g Gomega, c *kqcontrol.Controller, name string) *kqcontrol.Session {
 	near, far := net.Pipe()
 	go func() {
 		b := make([]byte, 4096)
@@ -69,6 +69,7 @@
 	b, err := json.Marshal(kqmessage.ToOwner{Registered: true, LeaseRequest: 1})
 	g.Expect(err).NotTo(HaveOccurred())
 	s.Receive(b)
+	return s
 }
 
 // leasedHosts returns the hosts of the stored LeasesRow with their epochs.
--- a/internal/flow/kqcontrol/lost_host_test.go
+++ b/internal/flow/kqcontrol/lost_host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,8 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqrows"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 	"github.com/kumquatswitch/kumquatswitch/internal/standin/kqrowstore"
@@ -173,3 +176,37 @@
 		})
 	}
 }
+
+// A worker says that it leaves, and its agent is connected while it ends. Guards against an owner that takes the
+// worker for ended as soon as the agent disconnects, because the message is older than the time within which a
+// worker ends: the agent may have had an answer of it a moment ago.
+func TestAClaimedDepartureEndsARunAsItsAgentDisconnects(t *testing.T) {
+	for name, c := range map[string]struct {
+		connected, min, max time.Duration
+	}{
+		"never connected":       {min: kqplan.LeaveTime, max: testLease},
+		"disconnects":           {connected: 6 * time.Second, min: kqplan.LeaveTime, max: testLease},
+		"the worker has run on": {connected: 20 * time.Second, min: testLease - time.Second, max: 2 * testLease},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newLostHostCell(NewWithT(t))
+				x.write(kqrows.Put{Key: kqcontrol.DepartureClaimKey("w"), Value: []byte(`{"host":"` + lostHost + `","sender_known":true}`)})
+				owner := x.acquire()
+				defer owner.Abandon()
+				if c.connected > 0 {
+					agent := joinAgent(x.g, owner, lostHost)
+					for n := range c.connected / time.Second {
+						b, err := json.Marshal(kqmessage.ToOwner{LeaseRequest: uint64(n) + 2})
+						x.g.Expect(err).NotTo(HaveOccurred())
+						agent.Receive(b)
+						time.Sleep(time.Second)
+					}
+					owner.Detach(agent)
+				}
+				since := time.Now()
+				x.g.Expect(x.awaitGivenUp().Sub(since)).To(And(BeNumerically(">=", c.min), BeNumerically("<", c.max)))
+			})
+		})
+	}
+}
