kqexecutor: a worker is not taken for ended because its agent was suspended

What callers would see: a task starts elsewhere while its worker runs it (TWICE). The worker has said that it leaves and still runs, its agent's process stops for over 4 s and runs again. Cause: a known sender that has answered nothing for 4 s counts as ended. After a suspension the time limit of the one poll in flight has passed, and so have the 4 s, although the worker was asked nothing meanwhile. Evidence: kqexecutor WithoutABirthTime, 'it names itself, suspended agent', failed before. A sender that is silent throughout is still found ended ('it names itself and is then silent'). Fix: three polls in a row must have timed out as well, as three must be refused.

--- a/internal/flow/kqexecutor/departure_test.go
+++ b/internal/flow/kqexecutor/departure_test.go
@@ -21,11 +21,24 @@
 	return kqexecution.Held{}, errNoAnswer
 }
 
+// suspend stops the agent's process for longer than a worker takes to end: the time limits of its calls have
+// passed when it runs again.
+func suspend(m *machine) {
+	m.setPollChange(func(kqexecution.Held) (kqexecution.Held, error) {
+		time.Sleep(5 * time.Second)
+		return kqexecution.Held{}, errNoAnswer
+	})
+	time.Sleep(time.Second)
+	m.setPollChange(nil)
+	time.Sleep(5 * time.Second)
+}
+
 // A leave message has no birth time, and may be of an earlier incarnation of the worker. Guards against a
 // message that is ignored, so that the end is learned as the lease expires, and against one that ends an
 // incarnation that runs.
 func TestALeaveMessageWithoutABirthTimeIsIgnoredOrEndsALaterIncarnation(t *testing.T) {
 	claim := func(m *machine) { m.executor.Departed("w") }
+	nameItself := func(m *machine) { m.executor.Departed(kqexecution.NewIncarnation("w", m.current().born)) }
 	for name, c := range map[string]struct {
 		act  func(m *machine)
 		left bool
@@ -36,9 +49,12 @@
 		"the message is repeated":              {left: true, act: func(m *machine) { claim(m); m.setPollChange(refuse); time.Sleep(time.Second); claim(m) }},
 		"another agent has heard the message":  {left: true, act: func(m *machine) { m.setPollChange(refuse); m.claimFromOwner() }},
 		"the worker runs":                      {act: claim},
-		"the message names it and it runs on":  {act: func(m *machine) { m.executor.Departed(kqexecution.NewIncarnation("w", m.current().born)) }},
+		"the message names it and it runs on":  {act: nameItself},
 		"the worker runs and crashes later":    {act: func(m *machine) { claim(m); time.Sleep(2 * time.Second); m.setPollChange(refuse) }},
 		"the worker is behind a partition":     {act: func(m *machine) { claim(m); m.setPollChange(hang) }},
+		"it names itself and is then silent":   {left: true, act: func(m *machine) { nameItself(m); m.setPollChange(hang); time.Sleep(5 * time.Second) }},
+		"the agent is suspended":               {act: func(m *machine) { claim(m); suspend(m) }},
+		"it names itself, suspended agent":     {act: func(m *machine) { nameItself(m); suspend(m) }},
 		"the worker has restarted":             {act: func(m *machine) { m.restart(); claim(m) }},
 		"the message is about another worker":  {act: func(m *machine) { m.executor.Departed("other"); m.setPollChange(refuse) }},
 		"the message names a past incarnation": {act: func(m *machine) { m.executor.Departed("w@5"); m.setPollChange(refuse) }},
--- a/internal/flow/kqexecutor/leaveclaim.go
+++ b/internal/flow/kqexecutor/leaveclaim.go
@@ -15,6 +15,9 @@
 	// leaveGrace is how long an incarnation that may have sent a leave message may answer polls. One that
 	// answers later has not sent it.
 	leaveGrace = time.Second
+	// minSilentPolls is the number of polls in a row that a worker that has ended leaves unanswered. The time
+	// limit of a single one may have passed while this process was suspended.
+	minSilentPolls = 3
 	// leaveClaimTime is how long a leave message is checked. The leases of a worker that answers nothing have
 	// ended by then.
 	leaveClaimTime = kqplan.MaxStartDelay
@@ -64,8 +67,9 @@
 	worker     kqexecution.Incarnation
 	connection kqexecution.Worker
 	claim      leaveClaim
-	// refused counts the latest polls in a row that failed at once: no process accepts them.
-	refused int
+	// refused counts the latest polls in a row that failed at once: no process accepts them. timedOut counts
+	// the latest ones in a row whose time limit passed.
+	refused, timedOut int
 	// answeredAt is when a poll was last answered; zero if none was.
 	answeredAt time.Time
 	// done is closed when the check has ended.
@@ -112,19 +116,20 @@
 		// A later incarnation has started. Runs of this one may yet start there.
 		return true
 	case err == nil, errors.Is(err, kqexecution.ErrBirth):
-		c.refused, c.answeredAt = 0, now
+		c.refused, c.timedOut, c.answeredAt = 0, 0, now
 		if c.claim.sender == "" && now.Sub(c.claim.at) >= leaveGrace {
 			return true
 		}
 		return isOver
 	case timedOut:
 		c.refused = 0
-		if c.claim.sender == "" || now.Sub(c.lastAnswer()) < kqplan.LeaveTime {
+		if c.timedOut++; c.claim.sender == "" || c.timedOut < minSilentPolls || now.Sub(c.lastAnswer()) < kqplan.LeaveTime {
 			return isOver
 		}
 		x.depart(now, c.worker, "its leave message, and it does not answer any more")
 		return true
 	}
+	c.timedOut = 0
 	if c.refused++; c.refused < maxRefusedPolls {
 		return false
 	}
