platform, kqexecutor: an answer that cannot be read is no sign that a worker has ended

What callers would see: a task starts elsewhere while its worker runs it (TWICE), a tenth of a second after a leave message of an earlier incarnation, or one that its worker has not acted on yet. Cause: a response whose body cannot be decoded was reported like a broken connection. Three of them in a row counted as a process that accepts no connections. Evidence: kqexecutor WithoutABirthTime, 'its answers cannot be read', failed before. Fix: the worker's operations tell such an answer (ErrUnreadable); it shows that the process runs.

--- a/internal/flow/kqexecutor/departure_test.go
+++ b/internal/flow/kqexecutor/departure_test.go
@@ -21,6 +21,11 @@
 	return kqexecution.Held{}, errNoAnswer
 }
 
+// garble makes a worker answer what cannot be read.
+func garble(kqexecution.Held) (kqexecution.Held, error) {
+	return kqexecution.Held{}, kqexecution.ErrUnreadable
+}
+
 // suspend stops the agent's process for longer than a worker takes to end: the time limits of its calls have
 // passed when it runs again.
 func suspend(m *machine) {
@@ -55,6 +60,7 @@
 		"it names itself and is then silent":   {left: true, act: func(m *machine) { nameItself(m); m.setPollChange(hang); time.Sleep(5 * time.Second) }},
 		"the agent is suspended":               {act: func(m *machine) { claim(m); suspend(m) }},
 		"it names itself, suspended agent":     {act: func(m *machine) { nameItself(m); suspend(m) }},
+		"its answers cannot be read":           {act: func(m *machine) { claim(m); m.setPollChange(garble) }},
 		"the worker has restarted":             {act: func(m *machine) { m.restart(); claim(m) }},
 		"the message is about another worker":  {act: func(m *machine) { m.executor.Departed("other"); m.setPollChange(refuse) }},
 		"the message names a past incarnation": {act: func(m *machine) { m.executor.Departed("w@5"); m.setPollChange(refuse) }},
--- a/internal/flow/kqexecutor/leaveclaim.go
+++ b/internal/flow/kqexecutor/leaveclaim.go
@@ -115,7 +115,7 @@
 	case err == nil && kqexecution.NewIncarnation(c.worker.ID(), h.Born).Supersedes(c.worker):
 		// A later incarnation has started. Runs of this one may yet start there.
 		return true
-	case err == nil, errors.Is(err, kqexecution.ErrBirth):
+	case err == nil, errors.Is(err, kqexecution.ErrBirth), errors.Is(err, kqexecution.ErrUnreadable):
 		c.refused, c.timedOut, c.answeredAt = 0, 0, now
 		if c.claim.sender == "" && now.Sub(c.claim.at) >= leaveGrace {
 			return true
--- a/internal/seam/kqexecution/execution.go
+++ b/internal/seam/kqexecution/execution.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
@@ -144,8 +145,11 @@
 	Omissions []kqdecode.Omission
 }
 
+// ErrUnreadable means that a worker has answered, and that its answer cannot be read.
+var ErrUnreadable = errors.New("worker: the answer cannot be read")
+
 // Worker holds the operations of one incarnation of a worker. An error means that no answer
-// arrived; the order may still be carried out later.
+// arrived, or ErrUnreadable; the order may still be carried out later.
 type Worker struct {
 	// Start starts a run.
 	Start func(ctx context.Context, s Start) (Answer, Clock, error)
