--- a/internal/flow/kqcontrol/departures.go
+++ b/internal/flow/kqcontrol/departures.go
@@ -71,7 +71,9 @@
 // departureClaim is a claimed departure. The agent that has heard the claim verifies it while it is connected.
 type departureClaim struct {
 	row departureRow
-	// unverifiedSince is when the row was read or, if that is later, when the agent was last seen connected.
+	// isVerifying is true while the agent is connected. unverifiedSince is when the row was read or, if that
+	// is later, when the agent was first seen to be gone.
+	isVerifying     bool
 	unverifiedSince time.Time
 	// isRefuted is true if the agent was connected for as long as it verifies a claim: the worker runs on.
 	isRefuted bool
@@ -150,7 +152,9 @@
 		case !claim.row.SenderKnown || claim.isRefuted:
 		case c.sessions[claim.row.Host] != nil:
 			claim.isRefuted = now.Sub(c.departures.readAt[string(worker)+claimSuffix]) > kqplan.MaxStartDelay
-			claim.unverifiedSince = now
+			claim.isVerifying = true
+		case claim.isVerifying:
+			claim.isVerifying, claim.unverifiedSince = false, now
 		case now.Sub(claim.unverifiedSince) >= kqplan.LeaveTime:
 			c.departed(now, worker, "its leave message is known from the store, and its agent is gone")
 		}
