--- a/internal/flow/kqexecutor/workerend_test.go
+++ b/internal/flow/kqexecutor/workerend_test.go
@@ -101,3 +101,34 @@
 		g.Expect(last.Worker.Unresponsive).To(BeTrue())
 	})
 }
+
+// A worker crashes 10 ms after the start of a run, while its agent waits for the owner to acknowledge an end
+// and has no call in flight. Guards against the time until the next call being taken for time at work.
+func TestTheTimeAtWorkIncludesTheTimeUntilTheNextCall(t *testing.T) {
+	w := &fakeWorker{}
+	var ends []kqplan.WorkerEnd
+	withExecutor(t, w, func(_ *WithT, x *kqexecutor.Executor, o *fakeOwner) {
+		w.mu.Lock()
+		w.ended = []kqexecution.RunEnd{{Number: 1, Run: kqexecution.Run{Task: "k.0.0.0", Number: 1}, Reason: kqexecution.EndDone}}
+		w.mu.Unlock()
+		for len(o.ends()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		x.Receive(kqmessage.FromOwner{Orders: []*kqplan.Order{order()}})
+		time.Sleep(10 * time.Millisecond)
+		w.mu.Lock()
+		w.pollsUnanswered, w.startsUnanswered = true, true
+		w.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		x.CheckIn(kqplan.WorkerInfo{Worker: "w2", Zone: "a", Capacity: kqmodel.Resources{MilliProcessors: 4000}}, 1)
+		w.mu.Lock()
+		w.pollsUnanswered = false
+		w.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		ends = o.workerEnds()
+	})
+	g := NewWithT(t)
+	g.Expect(ends).To(HaveLen(1))
+	g.Expect(ends[0].Runs).To(HaveLen(1))
+	g.Expect(ends[0].Runs[0].RunTime).To(BeNumerically("<=", 50*time.Millisecond), "crashes up to 50 ms after the start count as quick")
+}
