kqflowrig: a test waits for its submissions before it stops the cell

TestAUsualStoreIsCalledMoreOften panicked with 'blocked goroutines remain' in 2 of 15 runs on: the last submissions were still under way as the cell was stopped. It waits for them now; what it measures is unchanged. 20 of 20 repeats pass.

--- a/internal/trial/kqflowrig/slow_store_faults_test.go
+++ b/internal/trial/kqflowrig/slow_store_faults_test.go
@@ -51,7 +51,7 @@
 		if calls["read"] > 0 || calls["transact"] > maxTransactions {
 			t.Errorf("store calls within %s: %v", defaultLoadTime, calls)
 		}
-		x.rig.Stop()
+		x.stop()
 	})
 }
 
--- a/internal/trial/kqflowrig/slow_store_test.go
+++ b/internal/trial/kqflowrig/slow_store_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -37,6 +38,7 @@
 	events    *kqevent.Log
 	rng       *rand.Rand
 	created   int
+	submits   sync.WaitGroup
 	submitted atomic.Int64
 	stored    atomic.Int64
 	outcomes  [4]atomic.Int64
@@ -72,10 +74,17 @@
 func (x *slowStoreRun) submitJobs(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(time.Duration(x.rng.ExpFloat64() * float64(time.Second) / slowJobRate))
-		go x.submit(kqflow.Job{ID: x.newID(), Queue: "urgent", Payload: "p", Steps: []kqflow.Step{newStep(3, 2000, shortEstimate)}})
+		j := kqflow.Job{ID: x.newID(), Queue: "urgent", Payload: "p", Steps: []kqflow.Step{newStep(3, 2000, shortEstimate)}}
+		x.submits.Go(func() { x.submit(j) })
 	}
 }
 
+// stop waits for the answers to all submissions and stops the cell.
+func (x *slowStoreRun) stop() {
+	x.submits.Wait()
+	x.rig.Stop()
+}
+
 // lostRuns returns the number of runs that the owner declared lost or that ended with their lease,
 // except those on one worker; "" excludes none.
 func (x *slowStoreRun) lostRuns(except string) int {
