kqcontrol: a claimed departure that is refuted is removed from the store

What callers would see: a task starts elsewhere while its worker runs it (TWICE): a worker has said that it leaves and runs on; within the next minute the owner changes while the worker's agent restarts. Cause: the claim stayed in the store, and the next owner, to which the agent is not connected, believes it after 4 s. Evidence: kqcontrol ClaimedDepartureEnds, 'the worker has run on', failed before. Fix: the owner that sees a claim refuted removes the row.

--- a/internal/flow/kqcontrol/departures.go
+++ b/internal/flow/kqcontrol/departures.go
@@ -187,14 +187,22 @@
 	}}
 }
 
-// sweepDepartures removes the departures that were read more than departureRetention ago; mu is held.
+// isRefuted reports whether a row holds a claim that is refuted, which the next owner must not read.
+func (d *departures) isRefuted(name string) bool {
+	claimed, isClaim := strings.CutSuffix(name, claimSuffix)
+	claim := d.claims[kqexecution.Incarnation(claimed)]
+	return isClaim && claim != nil && claim.isRefuted
+}
+
+// sweepDepartures removes the departures that were read more than departureRetention ago, and those that are
+// refuted; mu is held.
 func (c *Controller) sweepDepartures(now time.Time) {
 	if c.departures.isRemoving {
 		return
 	}
 	x := &departureRemoval{controller: c}
 	for name, at := range c.departures.readAt {
-		if now.Sub(at) > departureRetention && len(x.keys) < maxBatchRecords {
+		if (now.Sub(at) > departureRetention || c.departures.isRefuted(name)) && len(x.keys) < maxBatchRecords {
 			x.keys = append(x.keys, kqrows.Key{Table: DepartureTable, Name: name})
 		}
 	}
