kqplan: a host is kept for a long-running task that has lost its worker, until it fits there

Cause: room was kept only on a host where preemption of runs of lower priority frees enough. Elsewhere each finite run that ended made way for the next finite task, which is smaller; and tasks of queues of a higher priority were placed before the restart in any case.

A pass now places restarts of long-running tasks first. One that fits nowhere, not even by preemption, claims the host where it will fit soonest by the expected remaining time of the finite runs there, in view of the other claims, labels, tasks per worker, trials, tickets and evacuated zones. The claim lasts for one pass, so the task claims another host once it fits there earlier, and one that fits on no host claims nothing. A claim counts for what a task itself needs: filling tasks, which reserve memory only, go on beside a claim that waits for processors.

The tests failed before: of 1, 1, 3, 3 and 2 tasks 0, 0, 2, 1 and 0 ran 9 s after their worker had departed; now all run within the longest run time of the finite tasks and 0.2 s.

--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -108,8 +108,7 @@
 	pendingApprovals int
 
 	// longRunningClaims holds the resources that long-running tasks of the latest pass will use
-	// once preempted runs have stopped. Without it, each run that stops makes way for the next
-	// filling task.
+	// once runs have stopped or ended. Without it, each of these makes way for the next finite task.
 	longRunningClaims kqmodel.Resources
 	// overdueStops holds the resources of the runs whose stop was overdue in the latest pass.
 	overdueStops kqmodel.Resources
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -26,9 +26,11 @@
 	deadline       time.Time
 	state          kqflow.State
 	committedState kqflow.State
-	// fillingOnly is true if all steps consist of filling tasks.
-	fillingOnly bool
-	tasks       []*task
+	// fillingOnly is true if all steps consist of filling tasks, hasLongRunning if some consist of
+	// long-running tasks.
+	fillingOnly    bool
+	hasLongRunning bool
+	tasks          []*task
 	// unfinished is the number of tasks that are not done, for each step of each occurrence.
 	unfinished []int
 	started    bool
@@ -77,8 +79,10 @@
 	// barredUntil holds, by name, the hosts that have refused the task, with the end of refusalBar.
 	// It is empty for finite tasks.
 	barredUntil map[string]time.Time
-	// waitLogged is true if it was logged why the task waits.
-	waitLogged bool
+	// waitLogged is true if it was logged why the task waits, and claimedHost is the host for which a
+	// claim of the task was logged last.
+	waitLogged  bool
+	claimedHost string
 	// waitingSince is when the gang of the task began to wait for capacity.
 	waitingSince time.Time
 }
@@ -129,7 +133,8 @@
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
 	j := &job{spec: spec, state: kqflow.StateQueued, committedState: kqflow.StateQueued,
-		fillingOnly: !slices.ContainsFunc(spec.Steps, func(s kqflow.Step) bool { return !s.Fills })}
+		fillingOnly:    !slices.ContainsFunc(spec.Steps, func(s kqflow.Step) bool { return !s.Fills }),
+		hasLongRunning: slices.ContainsFunc(spec.Steps, func(s kqflow.Step) bool { return s.LongRunning })}
 	j.setQueue(q)
 	return j
 }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -36,12 +36,14 @@
 type pass struct {
 	// includesFilling is true if the pass places filling tasks too.
 	includesFilling bool
-	// claimed holds the resources that tasks waiting for preempted runs to stop will use on a host.
+	// claimed holds the resources that tasks waiting for runs to stop or to end will use on a host.
 	claimed map[*host]kqmodel.Resources
+	claims
 	// unplaceable holds the tasks for which no host has capacity; unpreemptable holds those for
-	// which preemption cannot free any either.
+	// which preemption cannot free any either, and unclaimable those that can claim no host.
 	unplaceable   map[placementKey]bool
 	unpreemptable map[placementKey]bool
+	unclaimable   map[placementKey]bool
 	// withheld holds the long-running steps that have to leave the free capacity to finite jobs.
 	withheld map[stepKey]bool
 	// fillingMisses counts the steps of filling tasks that no host accepts.
@@ -116,7 +118,7 @@
 // placeAll runs a scheduling pass: it starts, in the order of orderedJobs, every task that is due and
 // for which there is capacity.
 func (p *Planner) placeAll(now time.Time) {
-	ps := &pass{claimed: map[*host]kqmodel.Resources{}, unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
+	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
@@ -126,10 +128,10 @@
 		h.updateOverdueStops(now)
 	}
 	p.placeTrials(now, ps)
-	waiting := 0
+	waiting := p.placeRestarts(now, ps)
 	for _, j := range p.orderedJobs(now, ps.includesFilling) {
 		for _, t := range j.tasks {
-			if t.step.Fills && !ps.includesFilling {
+			if t.step.Fills && !ps.includesFilling || t.step.LongRunning && ps.restarts[t] {
 				continue
 			}
 			n := p.placeIfDue(now, t, ps)
@@ -233,11 +235,18 @@
 }
 
 // waitOrPreempt handles a task that no host has capacity for: it is logged, and if its job is still
-// in time, runs of lower priority are preempted for it.
+// in time, runs of lower priority are preempted for it. A long-running task that has lost its run
+// otherwise claims a host.
 func (p *Planner) waitOrPreempt(now time.Time, t *task, ps *pass) {
 	p.logWaiting(now, t, p.noCapacityReason())
 	if key := t.placementKey(now); !ps.unpreemptable[key] && t.job.phase(now) == phaseInTime {
-		ps.unpreemptable[key] = !p.preempt(now, t, ps.claimed) && !t.hasBarredHosts(now)
+		if p.preempt(now, t, ps.claimed) {
+			return
+		}
+		ps.unpreemptable[key] = !t.hasBarredHosts(now)
+	}
+	if t.isRestart() {
+		p.claimHost(now, t, ps)
 	}
 }
 
@@ -252,7 +261,7 @@
 	t.runs = append(t.runs, r)
 	h.addRun(r)
 	p.checkCapacity(h)
-	t.waitLogged = false
+	t.waitLogged, t.claimedHost = false, ""
 	if j.state == kqflow.StateQueued {
 		j.state = kqflow.StateRunning
 	}
@@ -322,11 +331,11 @@
 // reserve for the top priority must stay free as well, unless the task has that priority, fills or is a
 // restart.
 func (h *host) hasCapacity(t *task) bool {
-	need, free := t.step.Reserved(), h.free()
+	need := t.step.Reserved()
 	if t.job.queue.Priority > 0 && !t.step.Fills && !t.isRestart() {
 		need = h.withTopPriorityReserve(need)
 	}
-	return need.FitsIn(free) && (h.longRunningClaims.IsZero() || need.Add(h.longRunningClaims).FitsIn(free.Add(h.usage.stoppingReserved).Sub(h.overdueStops)))
+	return need.FitsIn(h.free()) && (h.longRunningClaims.IsZero() || h.leavesClaims(need))
 }
 
 // withTopPriorityReserve adds the reserve of a host for the top priority to what a task needs.
--- a/internal/flow/kqplan/trial.go
+++ b/internal/flow/kqplan/trial.go
@@ -239,13 +239,7 @@
 
 // hasFiniteCapacity reports whether the resources that a task reserves are free on a host, or will be as
 // its finite runs end.
-func (h *host) hasFiniteCapacity(t *task) bool {
-	free := h.free()
-	for _, x := range h.usage.finite {
-		free = free.Add(x.reserved)
-	}
-	return t.step.Reserved().FitsIn(free)
-}
+func (h *host) hasFiniteCapacity(t *task) bool { return t.step.Reserved().FitsIn(h.freeOfFinite()) }
 
 // trialRisk returns the cost of a trial on a host: the share of its processors that other runs use, with
 // the cost of the task's placement there.
