kqplan: claims of long-running tasks leave finite jobs what they need on average

Cause: restarts claimed host after host until every piece that is large enough was theirs, and finite jobs were left with the remainders. Something has to wait there; what finite jobs use on average, they used before too.

A restart claims a host, and is placed before other work, only if finite jobs of at least its priority keep their mean demand on the usable workers; a task that may only lose its run claims what leaves them their whole share. Beyond that long-running tasks are placed in the usual order where they fit, as before.

--- a/internal/flow/kqplan/demand.go
+++ b/internal/flow/kqplan/demand.go
@@ -66,13 +66,13 @@
 			capacity += h.info.Capacity.MilliProcessors
 		}
 	}
-	return float64(longRunning) <= (1-p.finiteJobShare(now, q, capacity))*float64(capacity)
+	return float64(longRunning) <= (1-p.finiteJobShare(now, q, capacity, demandMargin))*float64(capacity)
 }
 
 // finiteJobShare returns the share of a queue's service, from 0 to 1, that long-running tasks leave
-// to finite jobs of at least the queue's priority; capacity is the processors of the service, in
-// thousandths.
-func (p *Planner) finiteJobShare(now time.Time, q kqflow.Queue, capacity int64) float64 {
+// to finite jobs of at least the queue's priority: margin times their mean demand. capacity is the
+// processors of the service, in thousandths.
+func (p *Planner) finiteJobShare(now time.Time, q kqflow.Queue, capacity int64, margin float64) float64 {
 	demand := 0.0
 	for name, stats := range p.queueStats {
 		if other := p.queues[name]; other.Service == q.Service && other.Priority <= q.Priority {
@@ -82,7 +82,7 @@
 	// A new owner has observed little demand: it assumes that the reserve for the top priority is
 	// needed, and relies on that assumption less as time passes.
 	initial := math.Exp(-now.Sub(p.config.AcquiredAt).Seconds()/initialDemandDecay.Seconds()) * topPriorityReserve / fullPercent
-	share := max(initial, demandMargin*demand*milliPerProcessor/float64(max(1, capacity)))
+	share := max(initial, margin*demand*milliPerProcessor/float64(max(1, capacity)))
 	if share < minFiniteJobShare {
 		return 0
 	}
--- a/internal/flow/kqplan/doubt.go
+++ b/internal/flow/kqplan/doubt.go
@@ -13,16 +13,14 @@
 const claimLead = 3 * time.Second
 
 // claimForDoubtful lets the long-running tasks that will probably lose their run claim hosts, in addition
-// to those that have. A worker whose agent is away for a moment, or which does not answer for one, is
+// to those that have. What they claim is unused until then, so finite jobs keep their whole share. A worker whose agent is away for a moment, or which does not answer for one, is
 // back before claimLead. A new owner waits until the agents have connected.
 func (p *Planner) claimForDoubtful(now time.Time, ps *pass) {
 	if now.Sub(p.config.AcquiredAt) < zoneCheckDelay {
 		return
 	}
 	for _, x := range p.doubtfulRuns(now) {
-		if t := x.run.task; p.leavesUsableShare(now, t) {
-			p.claimHost(now, t, ps)
-		}
+		p.claimHost(now, x.run.task, ps, demandMargin)
 	}
 }
 
@@ -71,18 +69,3 @@
 		h.leavesAt = at
 	}
 }
-
-// leavesUsableShare reports whether the usable workers of a service keep the share for finite jobs free
-// if a long-running task is placed there besides those that run there or have claimed a host. So what is
-// kept for tasks that may be lost does not stop finite jobs, however many workers are in doubt.
-func (p *Planner) leavesUsableShare(now time.Time, t *task) bool {
-	q := t.job.queue
-	longRunning, capacity := t.step.Resources.MilliProcessors, int64(0)
-	for _, h := range p.hosts.All() {
-		if h.info.Service == q.Service && !p.inEvacuatedZone(h) && h.usable(now) {
-			longRunning += h.usage.longRunning + h.longRunningClaims.MilliProcessors
-			capacity += h.info.Capacity.MilliProcessors
-		}
-	}
-	return float64(longRunning) <= (1-p.finiteJobShare(now, q, capacity))*float64(capacity)
-}
--- a/internal/flow/kqplan/relocate.go
+++ b/internal/flow/kqplan/relocate.go
@@ -173,6 +173,6 @@
 		finite += h.usage.reserved.MilliProcessors - h.usage.longRunning
 	}
 	need := kqmodel.Resources{MilliProcessors: t.step.Reserved().MilliProcessors * int64(count)}
-	expectedDemand := int64(p.finiteJobShare(now, t.job.queue, capacity)*float64(capacity)) - finite
+	expectedDemand := int64(p.finiteJobShare(now, t.job.queue, capacity, demandMargin)*float64(capacity)) - finite
 	return free-need.MilliProcessors >= max(capacity*minFreePercent/fullPercent, expectedDemand)
 }
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -12,7 +12,7 @@
 
 // claims is the capacity of hosts that the long-running tasks of a pass wait for, see claimHost.
 type claims struct {
-	// restarts holds the tasks that placeRestarts has placed or that wait for capacity.
+	// restarts holds the tasks that placeRestarts has placed, or has found no capacity for.
 	restarts map[*task]bool
 	// tasks lists the tasks that have claimed a host.
 	tasks map[*host][]*task
@@ -25,11 +25,15 @@
 }
 
 // placeRestarts places the long-running tasks that have lost their run, before a pass places any other
-// work: they serve nobody while they wait, and their users were served before. Then those that will
-// probably lose theirs claim hosts. It returns how many wait for capacity.
+// work: they serve nobody while they wait, and their users were served before. Those that do not leave
+// finite jobs what they need are placed in the usual order instead. Then those that will probably lose
+// their run claim hosts. It returns how many wait for capacity.
 func (p *Planner) placeRestarts(now time.Time, ps *pass) int {
 	waiting := 0
 	for _, t := range p.dueRestarts(now) {
+		if !p.leavesFiniteDemand(now, t, 1) {
+			continue
+		}
 		ps.restarts[t] = true
 		if n := p.placeIfDue(now, t, ps); n > 0 {
 			waiting += n
@@ -65,10 +69,11 @@
 
 // claimHost keeps other work from the host on which a long-running task will fit soonest, until the next
 // pass. Otherwise each finite run that ends there makes way for the next finite task, and a task that is
-// larger than each of them never fits.
-func (p *Planner) claimHost(now time.Time, t *task, ps *pass) {
+// larger than each of them never fits. Nothing is claimed of what finite jobs need, see
+// leavesFiniteDemand.
+func (p *Planner) claimHost(now time.Time, t *task, ps *pass, margin float64) {
 	key := t.placementKey(now)
-	if p.onHold || p.trials[t.stepKey()] != nil || ps.unclaimable[key] {
+	if p.onHold || p.trials[t.stepKey()] != nil || ps.unclaimable[key] || !p.leavesFiniteDemand(now, t, margin) {
 		return
 	}
 	h, after := p.soonestHost(now, t, ps)
@@ -87,9 +92,14 @@
 	h.longRunningClaims = h.longRunningClaims.Add(need)
 }
 
+// minClaimGain is how much sooner a long-running task must be expected to fit on another host than on the
+// one that it has claimed to give up what has become free there: about the time between two reports.
+const minClaimGain = 400 * time.Millisecond
+
 // soonestHost returns the host on which a long-running task will fit soonest, besides the tasks that
-// have claimed it already, and after which time; nil if it will fit nowhere. Among hosts on which it fits
-// at the same time, the one that it claimed last comes first, then the one with the most free processors.
+// have claimed it already, and after which time; nil if it will fit nowhere. The host that it claimed last
+// is left only if another is earlier by minClaimGain; among hosts on which it fits at the same time, the
+// one with the most free processors comes first.
 func (p *Planner) soonestHost(now time.Time, t *task, ps *pass) (best *host, after time.Duration) {
 	for _, h := range p.hosts.All() {
 		need := t.step.Reserved().Add(ps.claimed[h])
@@ -100,7 +110,11 @@
 		if !fits {
 			continue
 		}
-		if best == nil || d < after || d == after && best.name != t.claimedHost && (h.name == t.claimedHost || ps.unclaimed(h) > ps.unclaimed(best)) {
+		if h.name == t.claimedHost {
+			// The expected times vary with each report.
+			d -= minClaimGain
+		}
+		if best == nil || d < after || d == after && ps.unclaimed(h) > ps.unclaimed(best) {
 			best, after = h, d
 		}
 	}
@@ -110,6 +124,22 @@
 // unclaimed returns the free processors of a host, in thousandths, that no task has claimed.
 func (ps *pass) unclaimed(h *host) int64 { return h.free().Sub(ps.claimed[h]).MilliProcessors }
 
+// leavesFiniteDemand reports whether the usable workers of a service have processors for a long-running
+// task besides the long-running tasks that run there or have claimed a host and margin times the mean
+// demand of finite jobs of at least its priority. They have not if the service has shrunk or if much of
+// it is in doubt; long-running tasks are then placed only where they fit, so that finite jobs go on.
+func (p *Planner) leavesFiniteDemand(now time.Time, t *task, margin float64) bool {
+	q := t.job.queue
+	longRunning, capacity := t.step.Resources.MilliProcessors, int64(0)
+	for _, h := range p.hosts.All() {
+		if h.info.Service == q.Service && !p.inEvacuatedZone(h) && h.usable(now) {
+			longRunning += h.usage.longRunning + h.longRunningClaims.MilliProcessors
+			capacity += h.info.Capacity.MilliProcessors
+		}
+	}
+	return float64(longRunning) <= (1-p.finiteJobShare(now, q, capacity, margin))*float64(capacity)
+}
+
 // countClaims returns how many tasks of the step of t have claimed a host.
 func (c *claims) countClaims(h *host, t *task) int {
 	n := 0
