--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -196,7 +196,7 @@
 	{FlowContention, "flow_crowded", "Tasks wait for free capacity: which tasks hold the processors of the cell and which wait for them."},
 	{FlowSuspected, "flow_suspected", "A worker has crashed under a task; if further workers do while nothing else can be the cause, the task is given up and its job fails."},
 	{FlowTrial, "flow_trial", "The tasks of a step under which a worker has crashed are tried on a host where nothing else starts meanwhile."},
-	{FlowClaim, "flow_claim", "A host is kept for a long-running task that has lost its worker, or may lose it, until the task fits there."},
+	{FlowClaim, "flow_claim", "A host is kept for a long-running task that has lost its worker, until the task fits there."},
 	{FlowRejected, "flow_rejected", "An entry has rejected a job of steps, which will not run, because it cannot end while its result has any value."},
 	{FlowResubmitted, "flow_returned", "A job of steps that was rejected before was submitted again and accepted; it is scheduled by the time of its first submission."},
 	{PeerConnected, "peer_linked", "A process of the system has connected."},
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -116,8 +116,6 @@
 	warmUpUntil time.Time
 	// silentSince is when the unresponsive worker stopped answering.
 	silentSince time.Time
-	// leavesAt is when the draining worker is expected to leave.
-	leavesAt time.Time
 	// trial is the trial that keeps other work from the host, or nil.
 	trial *trial
 }
@@ -171,7 +169,6 @@
 	}
 	previous := h.info
 	drainBegins := w.Draining && !previous.Draining
-	h.updateLeavesAt(now, w)
 	h.info = w
 	if w.Worker != "" {
 		p.handleIncarnation(now, h, w.Worker, previous)
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -246,7 +246,7 @@
 		ps.unpreemptable[key] = !t.hasBarredHosts(now)
 	}
 	if t.isRestart() {
-		p.claimHost(now, t, ps, 1)
+		p.claimHost(now, t, ps)
 	}
 }
 
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -26,12 +26,12 @@
 
 // placeRestarts places the long-running tasks that have lost their run, before a pass places any other
 // work: they serve nobody while they wait, and their users were served before. Those that do not leave
-// finite jobs what they need are placed in the usual order instead. Then those that will probably lose
-// their run claim hosts. It returns how many wait for capacity.
+// finite jobs what they need are placed in the usual order instead. It returns how many wait for
+// capacity.
 func (p *Planner) placeRestarts(now time.Time, ps *pass) int {
 	waiting := 0
 	for _, t := range p.dueRestarts(now) {
-		if !p.leavesFiniteDemand(now, t, 1) {
+		if !p.leavesFiniteDemand(now, t) {
 			continue
 		}
 		ps.restarts[t] = true
@@ -40,7 +40,6 @@
 			ps.contention.addWaiting(t, n)
 		}
 	}
-	p.claimForDoubtful(now, ps)
 	// Hosts on the list may have been claimed since.
 	ps.shortlist = nil
 	return waiting
@@ -71,9 +70,9 @@
 // pass. Otherwise each finite run that ends there makes way for the next finite task, and a task that is
 // larger than each of them never fits. Nothing is claimed of what finite jobs need, see
 // leavesFiniteDemand.
-func (p *Planner) claimHost(now time.Time, t *task, ps *pass, margin float64) {
+func (p *Planner) claimHost(now time.Time, t *task, ps *pass) {
 	key := t.placementKey(now)
-	if p.onHold || p.trials[t.stepKey()] != nil || ps.unclaimable[key] || !p.leavesFiniteDemand(now, t, margin) {
+	if p.onHold || p.trials[t.stepKey()] != nil || ps.unclaimable[key] || !p.leavesFiniteDemand(now, t) {
 		return
 	}
 	h, after := p.soonestHost(now, t, ps)
@@ -125,10 +124,10 @@
 func (ps *pass) unclaimed(h *host) int64 { return h.free().Sub(ps.claimed[h]).MilliProcessors }
 
 // leavesFiniteDemand reports whether the usable workers of a service have processors for a long-running
-// task besides the long-running tasks that run there or have claimed a host and margin times the mean
-// demand of finite jobs of at least its priority. They have not if the service has shrunk or if much of
-// it is in doubt; long-running tasks are then placed only where they fit, so that finite jobs go on.
-func (p *Planner) leavesFiniteDemand(now time.Time, t *task, margin float64) bool {
+// task besides the long-running tasks that run there or have claimed a host and the mean demand of finite
+// jobs of at least its priority. They have not if the service has shrunk; long-running tasks are then
+// placed only where they fit, so that finite jobs go on.
+func (p *Planner) leavesFiniteDemand(now time.Time, t *task) bool {
 	q := t.job.queue
 	longRunning, capacity := t.step.Resources.MilliProcessors, int64(0)
 	for _, h := range p.hosts.All() {
@@ -137,7 +136,7 @@
 			capacity += h.info.Capacity.MilliProcessors
 		}
 	}
-	return float64(longRunning) <= (1-p.finiteJobShare(now, q, capacity, margin))*float64(capacity)
+	return float64(longRunning) <= (1-p.finiteJobShare(now, q, capacity, 1))*float64(capacity)
 }
 
 // countClaims returns how many tasks of the step of t have claimed a host.
--- a/internal/flow/kqplan/restart_test.go
+++ b/internal/flow/kqplan/restart_test.go
@@ -26,19 +26,17 @@
 	*fleet
 	step  kqflow.Step
 	homes []*fleetWorker
-	// slowdown multiplies the run times of the finite tasks.
-	slowdown float64
 }
 
 func newCrowdedFleet(g *WithT, queue string, step kqflow.Step, others ...int64) *crowdedFleet {
 	started := 0
-	f := &crowdedFleet{fleet: &fleet{cell: newCell(1), stopTime: func() time.Duration { return 0 }}, step: step, slowdown: 1}
+	f := &crowdedFleet{fleet: &fleet{cell: newCell(1), stopTime: func() time.Duration { return 0 }}, step: step}
 	f.runTime = func(o kqplan.Order) time.Duration {
 		if o.Size.MilliProcessors != 1000 {
 			return 0
 		}
 		started++
-		return time.Duration(f.slowdown * float64(quickTime-time.Duration(started%8)*100*time.Millisecond))
+		return quickTime - time.Duration(started%8)*100*time.Millisecond
 	}
 	for n := range min(step.Count, max(1, step.Count*step.MaxPerWorker)) {
 		f.addWorker(fmt.Sprint("home", n), kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 1 << 40})
@@ -74,18 +72,12 @@
 		f.WorkerDeparted(f.now, w.worker)
 	}
 	f.workers = f.workers[len(f.homes):]
-	return f.advanceAndCount(limit)
-}
-
-// advanceAndCount returns after which time all long-running tasks were started, how many were within a
-// limit, and how many finite tasks were.
-func (f *crowdedFleet) advanceAndCount(limit time.Duration) (delay time.Duration, running, quick int) {
-	begin, delay := f.now, limit
+	departedAt, delay := f.now, limit
 	f.advance(limit, func(o kqplan.Order) {
 		if o.Size.MilliProcessors == 1000 {
 			quick++
 		} else if running++; running == f.step.Count {
-			delay = f.now.Sub(begin)
+			delay = f.now.Sub(departedAt)
 		}
 	})
 	return delay, running, quick
