--- a/internal/flow/kqexecutor/departure.go
+++ b/internal/flow/kqexecutor/departure.go
@@ -18,13 +18,13 @@
 	storeTime     = 15 * time.Second
 )
 
-// Departed handles a leave message, which worker has sent if its sender is known: then worker has a birth
+// ReceiveLeave handles a leave message, which worker has sent if its sender is known: then worker has a birth
 // time, or is the current incarnation. A worker ends once its message is acknowledged, and some seconds later
 // if it is not, so it has left only when polls show that.
 //
 // A message without a birth time does not tell which of the incarnations with its id has sent it. It must not
 // end a later one, and is checked against the latest that is known.
-func (x *Executor) Departed(worker kqexecution.Incarnation) {
+func (x *Executor) ReceiveLeave(worker kqexecution.Incarnation) {
 	now := x.config.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/flow/kqexecutor/departure_test.go
+++ b/internal/flow/kqexecutor/departure_test.go
@@ -42,8 +42,8 @@
 // message that is ignored, so that the end is learned as the lease expires, and against one that ends an
 // incarnation that runs.
 func TestALeaveMessageWithoutABirthTimeIsIgnoredOrEndsALaterIncarnation(t *testing.T) {
-	claim := func(m *machine) { m.executor.Departed("w") }
-	nameItself := func(m *machine) { m.executor.Departed(kqexecution.NewIncarnation("w", m.current().born)) }
+	claim := func(m *machine) { m.executor.ReceiveLeave("w") }
+	nameItself := func(m *machine) { m.executor.ReceiveLeave(kqexecution.NewIncarnation("w", m.current().born)) }
 	for name, c := range map[string]struct {
 		act  func(m *machine)
 		left bool
@@ -62,8 +62,8 @@
 		"it names itself, suspended agent":     {act: func(m *machine) { nameItself(m); suspend(m) }},
 		"its answers cannot be read":           {act: func(m *machine) { claim(m); m.setPollChange(garble) }},
 		"the worker has restarted":             {act: func(m *machine) { m.restart(); claim(m) }},
-		"the message is about another worker":  {act: func(m *machine) { m.executor.Departed("other"); m.setPollChange(refuse) }},
-		"the message names a past incarnation": {act: func(m *machine) { m.executor.Departed("w@5"); m.setPollChange(refuse) }},
+		"the message is about another worker":  {act: func(m *machine) { m.executor.ReceiveLeave("other"); m.setPollChange(refuse) }},
+		"the message names a past incarnation": {act: func(m *machine) { m.executor.ReceiveLeave("w@5"); m.setPollChange(refuse) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
@@ -83,7 +83,7 @@
 
 // leave sends a leave message and ends the worker, as it does when the message is acknowledged.
 func (m *machine) leave(w kqexecution.Incarnation) {
-	m.executor.Departed(w)
+	m.executor.ReceiveLeave(w)
 	m.setPollChange(refuse)
 	time.Sleep(leaveCheckTime)
 }
@@ -133,7 +133,7 @@
 func TestAProcessThatStopsForgetsADeparture(t *testing.T) {
 	withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
 		m.setPollChange(refuse)
-		m.executor.Departed("w")
+		m.executor.ReceiveLeave("w")
 		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 		defer cancel()
 		m.executor.Settle(ctx)
@@ -149,7 +149,7 @@
 		t.Run(name, func(t *testing.T) {
 			withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
 				for range messages {
-					m.executor.Departed(first)
+					m.executor.ReceiveLeave(first)
 					time.Sleep(time.Second)
 				}
 				g.Expect(m.executor.CheckIn(info(first), 10)).To(BeFalse())
--- a/internal/flow/kqexecutor/executor_test.go
+++ b/internal/flow/kqexecutor/executor_test.go
@@ -100,7 +100,7 @@
 
 // leave sends a leave message and ends the worker, as it does when the message is acknowledged.
 func (w *fakeWorker) leave(x *kqexecutor.Executor) {
-	x.Departed("w")
+	x.ReceiveLeave("w")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.pollsUnanswered, w.startsUnanswered = true, true
--- a/internal/flow/kqexecutor/incarnation_test.go
+++ b/internal/flow/kqexecutor/incarnation_test.go
@@ -199,7 +199,7 @@
 		m.sync()
 		earlier, _ := first.Born()
 		g.Expect(m.executor.CheckIn(info(first), 12)).To(BeFalse())
-		m.executor.Departed(first)
+		m.executor.ReceiveLeave(first)
 		g.Expect(m.executor.Drives(second)).To(BeTrue())
 		m.setPollChange(func(h kqexecution.Held) (kqexecution.Held, error) {
 			h.Born = earlier
@@ -216,7 +216,7 @@
 func TestAMessageWithoutAValidBirthNamesNoWorker(t *testing.T) {
 	withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
 		g.Expect(m.executor.CheckIn(info("w"), 99)).To(BeFalse())
-		m.executor.Departed("w")
+		m.executor.ReceiveLeave("w")
 		g.Expect(m.executor.Drives(first)).To(BeTrue())
 		g.Expect(m.events.Counts()).To(HaveKeyWithValue("birth_refused", uint64(2)))
 		for _, bad := range []func(h kqexecution.Held) (kqexecution.Held, error){
@@ -389,7 +389,7 @@
 func TestALeaveMessageOfALaterIncarnationEndsTheOneThatIsDriven(t *testing.T) {
 	withMachine(t, func(g *WithT, m *machine, first kqexecution.Incarnation) {
 		second := m.restart()
-		m.executor.Departed(second)
+		m.executor.ReceiveLeave(second)
 		g.Expect(m.executor.Drives(first)).To(BeFalse())
 		m.leave(second)
 		g.Expect(m.executor.CheckIn(info(second), 2)).To(BeFalse())
--- a/internal/flow/kqexecutor/workerend_test.go
+++ b/internal/flow/kqexecutor/workerend_test.go
@@ -38,7 +38,7 @@
 	}{
 		"it crashes":                      {crashed: true, runTime: 300 * time.Millisecond, end: func(*kqexecutor.Executor, *fakeWorker) {}},
 		"it crashes while no owner hears": {crashed: true, runTime: 300 * time.Millisecond, ownerLeaves: true, end: func(*kqexecutor.Executor, *fakeWorker) {}},
-		"it leaves":                       {end: func(x *kqexecutor.Executor, _ *fakeWorker) { x.Departed("w") }},
+		"it leaves":                       {end: func(x *kqexecutor.Executor, _ *fakeWorker) { x.ReceiveLeave("w") }},
 		"it drains": {end: func(x *kqexecutor.Executor, _ *fakeWorker) {
 			x.CheckIn(kqplan.WorkerInfo{Worker: "w", Zone: "a", Draining: true}, 2)
 		}},
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -148,7 +148,7 @@
 	m.isDraining.Store(false)
 	left := m.Host.Incarnation()
 	m.Host.Restart(m.Name())
-	m.executor.Load().Departed(left)
+	m.executor.Load().ReceiveLeave(left)
 }
 
 // Drain makes the worker report that it is about to leave.
@@ -157,7 +157,7 @@
 // Leave sends the agent's process a leave message that names told, and returns when it is acknowledged.
 func (m *Machine) Leave(told kqexecution.Incarnation) {
 	x := m.executor.Load()
-	x.Departed(told)
+	x.ReceiveLeave(told)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	x.AwaitRecorded(ctx)
