--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -19,6 +19,7 @@
 	"flapping":      {size: size{agents: 10, entries: 2, cpu: 64000, memMB: 256000, racks: 3, labelled: true}, queue: "first", play: playFlapping},
 	"last-attempt":  {size: size{agents: 11, entries: 2, cpu: 64000, memMB: 256000, racks: 4, labelled: true}, queue: "first", play: playLastAttempt},
 	"large-task":    {size: size{agents: 6, entries: 2, cpu: 64000, memMB: 256000, racks: 3, larger: true}, queue: "first", play: playLargeTask},
+	"advised-chain": {size: size{agents: 4, entries: 2, cpu: 64000, memMB: 256000, racks: 2}, queue: "first", play: playAdvisedChain},
 	"stale-pending": {size: size{agents: 4, entries: 2, cpu: 64000, memMB: 256000, racks: 2}, queue: "first", play: playStalePending},
 }
 
@@ -451,3 +452,72 @@
 	}
 	return state == "completed", nil
 }
+
+// playAdvisedChain: a larger job comes to a queue with advice: a chain of steps. It and the jobs of the other
+// queue must be run.
+func playAdvisedChain(c *cluster, trouble bool) (bool, error) {
+	c.configure("first", advisedQueue)
+	time.Sleep(2500 * time.Millisecond)
+	chain := func(steps, tasks int) jobBody {
+		b := jobBody{Spec: "work=300"}
+		for n := range steps {
+			x := step{Count: tasks, CPU: 500, MemMB: 256, EstimateMS: 300}
+			if n > 0 {
+				x.After = []int{n - 1}
+			}
+			b.Steps = append(b.Steps, x)
+		}
+		return b
+	}
+	hand := func(queue string, b jobBody) (string, error) {
+		id := newID()
+		if !c.submit(queue, id, b.text()) {
+			return "", fmt.Errorf("a job of queue %s was not accepted", queue)
+		}
+		c.record.add("caller: job %s of queue %s is accepted: %d steps of %d tasks", id, queue, len(b.Steps), b.Steps[0].Count)
+		return id, nil
+	}
+	first, err := hand(advisedQueue, chain(2, 8))
+	if err != nil {
+		return false, err
+	}
+	jobs := map[string]string{first: advisedQueue}
+	time.Sleep(3 * time.Second)
+	c.record.add("caller: job %s: state %s", first, c.state(advisedQueue, first))
+	if trouble {
+		id, err := hand(advisedQueue, chain(8, 24))
+		if err != nil {
+			return false, err
+		}
+		jobs[id] = advisedQueue
+	}
+	time.Sleep(time.Second)
+	for range 3 {
+		id, err := hand("first", chain(1, 4))
+		if err != nil {
+			return false, err
+		}
+		jobs[id] = "first"
+		time.Sleep(time.Second)
+	}
+	for range 9 {
+		time.Sleep(4 * time.Second)
+		running := 0
+		for _, h := range c.workers {
+			n, _ := h.worker().counts()
+			running += n
+		}
+		owner := "nobody"
+		if p := c.owner(); p != nil {
+			owner = p.name
+		}
+		c.record.add("caller: runs at work on all workers: %d; the cell's owner: %s", running, owner)
+	}
+	held := true
+	for id, queue := range jobs {
+		state := c.state(queue, id)
+		c.record.add("caller: job %s of queue %s: state %s, %d starts", id, queue, state, c.record.runsOf(id))
+		held = held && state == "completed"
+	}
+	return held, nil
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -39,6 +39,9 @@
 	store   *store
 	server  *http.Server
 	address string
+	// adviser is the service at `advice`.
+	adviser *http.Server
+	advice  string
 	workers []*workerHost
 	agents  []*process
 	entries []*process
@@ -52,6 +55,8 @@
 const (
 	hostName    = "jobs.example"
 	serviceName = "svc"
+	// advisedQueue is the name of queues that have advice.
+	advisedQueue = "advised"
 )
 
 // freePort returns a port that is free at an address.
@@ -117,7 +122,13 @@
 	}
 	c.address = l.Addr().String()
 	c.server = &http.Server{Handler: c.store.handler()}
-	go func() { _ = c.server.Serve(l) }()
+	go func(l net.Listener) { _ = c.server.Serve(l) }(l)
+	if l, err = net.Listen("tcp", ip(251)+":0"); err != nil {
+		return nil, err
+	}
+	c.advice = l.Addr().String()
+	c.adviser = &http.Server{Handler: (&policy{callers: map[string]*sync.Mutex{}}).handler()}
+	go func(l net.Listener) { _ = c.adviser.Serve(l) }(l)
 	for i := range x.agents {
 		a, host := ip(10+i), ip(110+i)
 		ports := make([]string, 3)
@@ -159,7 +170,7 @@
 func (c *cluster) settings(p *process, class, port, extra, listen string) string {
 	return fmt.Sprintf("node = %q\nrole = %q\nclass = %q\nserves = [%q]\nip = %q\nzone = \"z1\"\nregion = \"r1\"\nportRange = [%s,%s]\nseeds = []\nbootstrap = true\nlossCounts = false\ndiscovery = \"local\"\nentry = \"vip\"\nheartbeatMs = 1500\n",
 		p.name, class, class, class, p.ip, port, port) +
-		"contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"rpc\"\n" + extra +
+		"contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"rpc\"\n" + fmt.Sprintf("advice = %q\n", c.advice) + extra +
 		"[zones]\nz1 = \"r1\"\n[listen]\n" + listen +
 		"[limits]\ncpuShare = 1.0\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n[faultTolerance]\nmachines = 2\nzones = 0\nregions = 0\n" +
 		"[bounds]\nseedLagS = 3\nreuseAfterS = 2\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nmaxSkewMs = 5000\nrecoveryS = 12\nholdMaxMs = 10000\nstopTimeoutMs = 900\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nfarX = 1.5\ncheckpointS = 1\nrestoreMs = 600\nnoticeMs = 4500\nmoveS = 1.5\nmaintenanceS = 2\nfencingRequired = false\nleaseMs = 3000\nthawMs = 300\npaceMs = 100\nharmMs = 4000\n" +
@@ -225,7 +236,11 @@
 	c.mu.Unlock()
 	var routes []map[string]any
 	for _, q := range queues {
-		routes = append(routes, map[string]any{"name": q, "host": hostName, "pathPrefix": "/" + q + "/", "service": serviceName, "priority": 1, "attempts": 4, "stretch": 2.0, "targetLatencyMs": 250})
+		r := map[string]any{"name": q, "host": hostName, "pathPrefix": "/" + q + "/", "service": serviceName, "priority": 1, "attempts": 4, "stretch": 2.0, "targetLatencyMs": 250}
+		if q == advisedQueue {
+			r["advice"] = map[string]any{"decideMs": adviceDecide.Milliseconds(), "periodMs": adviceEach.Milliseconds(), "validMs": adviceValid.Milliseconds()}
+		}
+		routes = append(routes, r)
 	}
 	ver := c.store.put("op", "config", map[string]any{"version": version, "routes": routes, "services": []map[string]any{{"name": serviceName, "admissionCheck": false}}, "limits": map[string]any{"maxBodyBytes": 262144}})
 	c.record.add("operator: manifest version %d with the queues %v is stored", version, queues)
@@ -283,6 +298,7 @@
 		}
 	}
 	_ = c.server.Close()
+	_ = c.adviser.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(c.dir)
 	} else {
