--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -18,7 +18,7 @@
 	"late-cancel":   {size: size{agents: 4, entries: 2, cpu: 64000, memMB: 256000, racks: 2}, queue: "first", play: playLateCancel},
 	"flapping":      {size: size{agents: 10, entries: 2, cpu: 64000, memMB: 256000, racks: 3, labelled: true}, queue: "first", play: playFlapping},
 	"last-attempt":  {size: size{agents: 11, entries: 2, cpu: 64000, memMB: 256000, racks: 4, labelled: true}, queue: "first", play: playLastAttempt},
-	"large-task":    {size: size{agents: 6, entries: 2, cpu: 64000, memMB: 256000, racks: 3, larger: true}, queue: "first", play: playLargeTask},
+	"large-task":    {size: size{agents: 7, entries: 2, cpu: 64000, memMB: 256000, racks: 3, larger: true}, queue: "first", play: playLargeTask},
 	"advised-chain": {size: size{agents: 4, entries: 2, cpu: 64000, memMB: 256000, racks: 2}, queue: "first", play: playAdvisedChain},
 	"stale-pending": {size: size{agents: 4, entries: 2, cpu: 64000, memMB: 256000, racks: 2}, queue: "first", play: playStalePending},
 }
@@ -429,7 +429,7 @@
 	return state == "completed" || state == "failed" && c.record.runsOf(id) >= 4, nil
 }
 
-// playLargeTask: the larger workers are lost for good. A task that fits each of the others must run there.
+// playLargeTask: the larger worker is lost for good. A task that fits each of the others must run there.
 func playLargeTask(c *cluster, trouble bool) (bool, error) {
 	if trouble {
 		for _, h := range c.workers {
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -98,7 +98,7 @@
 	racks           int
 	// labelled is true if the last worker has a label of its own.
 	labelled bool
-	// larger is true if every third worker is one and a half times as large.
+	// larger is true if one worker is one and a half times as large.
 	larger bool
 }
 
@@ -139,7 +139,7 @@
 		}
 		name := fmt.Sprintf("side-%d", i+1)
 		h := &workerHost{name: name, ip: host, address: host + ":" + ports[2], control: a + ":" + ports[0], service: serviceName, zone: "z1", rack: fmt.Sprintf("r1-%d", i%max(1, x.racks)), cpu: x.cpu, memMB: x.memMB, kind: "a", record: record}
-		if x.larger && i%3 == 2 {
+		if x.larger && i == 2 {
 			h.cpu, h.memMB = x.cpu*3/2, x.memMB*3/2
 		}
 		if x.labelled && i == x.agents-1 {
