--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -57,20 +57,19 @@
 	id   string
 	born time.Time
 
-	mu        sync.Mutex
-	token     uint64
-	deadline  time.Duration
-	running   map[string]*taskRun
-	ends      []ended
-	endCount  uint64
-	seen      uint64
-	highest   map[string]uint64
-	changed   chan struct{}
-	dead      bool
-	listener  net.Listener
-	server    *http.Server
-	sequence  uint64
-	lateStart map[string]time.Duration
+	mu       sync.Mutex
+	token    uint64
+	deadline time.Duration
+	running  map[string]*taskRun
+	ends     []ended
+	endCount uint64
+	seen     uint64
+	highest  map[string]uint64
+	changed  chan struct{}
+	dead     bool
+	listener net.Listener
+	server   *http.Server
+	sequence uint64
 }
 
 // workerHost is the machine of a worker.
