Planner: each decision costs no more than the size of a job

Cause: timeUntilReady asked each task of the earlier steps for the time until its own step is ready, again through each task before it: 24^7 visits for the last step, every 50 ms, with the owner's lock held. Confirmed by the stack of the new test, which never leaves timeUntilReady on. The same kind of fault, found by the test's other rows (processor time of one update on, 40 workers, four jobs of 2,400 tasks): - members of a gang that fail or end each went over the whole gang, its failed runs included: 1.01 s; - a worker's crash asked of each of its runs whether other workers failed at the same time, and a trial asked of each task of its step whether the step is suspected of several crashes: 1.47 s; - approval requests were made in the order of submission until no agent had a free slot, so 2,400 occurrences of one job kept a small job of the same queue waiting for over 9 s; each response was compared with the name of each step.

Change: a job keeps the graph of its steps without repeated dependencies, and counters for each step (unfinished tasks, unfinished dependencies, active runs, failed runs). The time until a step is ready is computed for all steps in one pass. Jobs take turns in requesting approval. Gang members use the shortlist, and a search that cannot find hosts for all is skipped. A trial's strictness and the hosts that do not accept its tasks are determined once per pass.

Test: TestTheLargestJobsDelayNoOtherJob, 13 shapes with and without approval.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -8,6 +8,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
+	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
@@ -71,7 +72,13 @@
 }
 
 // name returns the step's name in approval requests: job.occurrence.step.
-func (k stepKey) name(job string) string { return fmt.Sprintf("%s.%d.%d", job, k.occurrence, k.step) }
+func (k stepKey) name() string { return fmt.Sprintf("%s.%d.%d", k.job, k.occurrence, k.step) }
+
+// parseStepName parses the form that name returns.
+func parseStepName(name string) (k stepKey, ok bool) {
+	id, err := kqflow.ParseTaskID(name + ".0")
+	return stepKey{id.Job, id.Occurrence, id.Step}, err == nil
+}
 
 // ticketFor returns the ticket with which a task may start on a host, and whether it is still valid.
 func (p *Planner) ticketFor(now time.Time, t *task, h *host) (string, bool) {
@@ -93,67 +100,132 @@
 	return ok
 }
 
-// requestApprovals requests approval of workers for the steps that start soon.
+// lacksApproval reports whether no worker has been approved for a task, so that no host needs to be
+// considered for it. A restart may claim a host meanwhile.
+func (p *Planner) lacksApproval(t *task) bool {
+	if !t.job.queue.Approval.Required || t.isRestart() {
+		return false
+	}
+	a := p.approvals[t.stepKey()]
+	return a == nil || len(a.tickets) == 0
+}
+
+// requestApprovals requests approval of workers for the steps that start soon. Agents have few requests
+// open, so jobs take turns: those of higher priority come first, then those with the fewest open
+// requests, so that a job with many steps does not delay the others.
 func (p *Planner) requestApprovals(now time.Time) {
 	if now.Sub(p.approvalsRequestedAt) < approvalCheckInterval {
 		return
 	}
 	p.approvalsRequestedAt = now
 	p.pruneApprovals()
+	open := p.openApprovalRequests(now)
+	var waiting []*approvalQueue
 	for _, j := range p.jobs.All() {
-		if !j.queue.Approval.Required || j.state.Final() {
-			continue
-		}
-		checked := map[stepKey]bool{}
-		for _, t := range j.tasks {
-			if k := t.stepKey(); !t.done && !checked[k] {
-				checked[k] = true
-				p.requestApproval(now, t)
-			}
+		if j.queue.Approval.Required && !j.state.Final() {
+			waiting = append(waiting, &approvalQueue{job: j, open: open[j.spec.ID]})
 		}
 	}
+	slices.SortStableFunc(waiting, func(a, b *approvalQueue) int {
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.open, b.open))
+	})
+	for len(waiting) > 0 {
+		waiting = slices.DeleteFunc(waiting, func(q *approvalQueue) bool { return !p.requestNextApproval(now, q) })
+	}
 }
 
 // approvalCheckInterval is the least time between two checks for steps that need approved workers.
 const approvalCheckInterval = 50 * time.Millisecond
 
-// requestApproval requests approval of workers for a step, unless enough are approved, a request is
-// open or the step cannot start soon.
-func (p *Planner) requestApproval(now time.Time, t *task) {
+// approvalQueue lists the steps of a job for which a check may request approval. steps is made once it is
+// the turn of the job.
+type approvalQueue struct {
+	job  *job
+	open int
+	// listed is true once steps, which holds a task of each step, was made.
+	listed bool
+	steps  []*task
+}
+
+// openApprovalRequests returns the number of open requests by job.
+func (p *Planner) openApprovalRequests(now time.Time) map[string]int {
+	out := map[string]int{}
+	for k, a := range p.approvals {
+		if now.Before(a.responseDueBy) {
+			out[k.job]++
+		}
+	}
+	return out
+}
+
+// requestNextApproval makes at most one request for a job. It returns false once the job needs no further
+// request in this check, or no agent may have another one open.
+func (p *Planner) requestNextApproval(now time.Time, q *approvalQueue) bool {
+	agent := p.approvalAgent(now)
+	if agent == nil {
+		return false
+	}
+	if !q.listed {
+		q.listed, q.steps = true, q.job.stepsStartingWithin(q.job.queue.Approval.DecisionTime+approvalLead)
+	}
+	for len(q.steps) > 0 {
+		t := q.steps[0]
+		q.steps = q.steps[1:]
+		if p.requestApproval(now, t, agent) {
+			return true
+		}
+	}
+	return false
+}
+
+// stepsStartingWithin returns a task of each unfinished step that is expected to be able to start within
+// a time.
+func (j *job) stepsStartingWithin(limit time.Duration) []*task {
+	var out []*task
+	for occurrence := range j.occurrences {
+		durations := make([]time.Duration, len(j.spec.Steps))
+		for step := range durations {
+			for _, t := range j.stepTasks(occurrence, step) {
+				if !t.done {
+					durations[step] = max(durations[step], t.remainingTime())
+				}
+			}
+		}
+		for step, delay := range j.graph.startDelays(durations) {
+			if delay <= limit && j.progress(occurrence, step).unfinished > 0 {
+				out = append(out, j.stepTasks(occurrence, step)[0])
+			}
+		}
+	}
+	return out
+}
+
+// requestApproval requests approval of workers for a step through an agent, unless enough are approved,
+// a request is open, or no worker can be asked for. It reports whether it did.
+func (p *Planner) requestApproval(now time.Time, t *task, agent *host) bool {
 	a := p.approvals[t.stepKey()]
 	if a == nil {
 		a = &approval{denied: map[kqexecution.Incarnation]bool{}, tickets: map[kqexecution.Incarnation]ticket{}}
 		p.approvals[t.stepKey()] = a
 	}
-	if now.Before(a.responseDueBy) || now.Before(a.retryAt) || t.timeUntilReady() > t.job.queue.Approval.DecisionTime+approvalLead {
-		return
+	if now.Before(a.responseDueBy) || now.Before(a.retryAt) {
+		return false
 	}
 	a.retryAt = now.Add(approvalRetryPause)
 	needed := p.missingWorkers(now, t, a)
 	if needed <= 0 {
-		return
+		return false
 	}
 	workers := p.approvalCandidates(now, t, a, needed*(100+approvalSparePercent)/100)
-	agent := p.approvalAgent(now)
-	if len(workers) == 0 || agent == nil {
-		return
+	if len(workers) == 0 {
+		return false
 	}
 	policy := t.job.queue.Approval
 	a.agent, a.responseDueBy = agent.name, now.Add(policy.DecisionTime+time.Duration(len(workers))*policy.DecisionTimePerWorker+approvalSlack)
 	agent.pendingApprovals++
 	p.config.Events.Emit(now, kqevent.ApprovalRequested, kqevent.Job(t.job.spec.ID), "step %d: approval of %d workers requested through %s, %d more are needed", t.id.Step, len(workers), agent.name, needed)
-	p.effects = append(p.effects, Effect{Host: agent.name, ApprovalRequest: &ApprovalRequest{Step: t.stepKey().name(t.job.spec.ID), Workers: workers}})
-}
-
-// timeUntilReady returns the estimated time until the steps before a task's step have ended.
-func (t *task) timeUntilReady() time.Duration {
-	longest := time.Duration(0)
-	for _, m := range t.job.tasks {
-		if m.id.Occurrence == t.id.Occurrence && !m.done && slices.Contains(t.step.After, m.id.Step) {
-			longest = max(longest, m.remainingTime()+m.timeUntilReady())
-		}
-	}
-	return longest
+	p.effects = append(p.effects, Effect{Host: agent.name, ApprovalRequest: &ApprovalRequest{Step: t.stepKey().name(), Workers: workers}})
+	return true
 }
 
 // missingWorkers returns how many more approved workers a step needs.
@@ -164,6 +236,9 @@
 			waiting++
 		}
 	}
+	if waiting == 0 {
+		return 0
+	}
 	for _, h := range p.hosts.All() {
 		if tk, ok := a.tickets[h.info.Worker]; ok && now.Before(tk.validUntil) && h.usable(now) && !p.inEvacuatedZone(h) {
 			waiting -= t.countPlaceable(h)
@@ -244,29 +319,27 @@
 func (p *Planner) RecordApproval(now time.Time, agent string, resp ApprovalResponse) {
 	h := p.host(agent)
 	h.pendingApprovals = max(0, h.pendingApprovals-1)
-	for k, a := range p.approvals {
-		j := p.jobs.Get(k.job)
-		if j == nil || a.agent != agent || k.name(k.job) != resp.Step {
-			continue
-		}
-		a.responseDueBy = time.Time{}
-		if !resp.Answered {
-			a.retryAt = now.Add(approvalRetryPause)
-			return
-		}
-		for _, w := range resp.Workers {
-			a.denied[w] = true
-		}
-		for _, tk := range resp.Answer.Tickets {
-			w := resp.incarnation(tk.Worker)
-			delete(a.denied, w)
-			a.tickets[w] = ticket{text: tk.Ticket, validUntil: now.Add(max(0, resp.Answer.ValidFor-ticketMargin))}
-		}
-		p.config.Events.Emit(now, kqevent.ApprovalReceived, kqevent.Job(k.job), "step %d: %d of %d workers approved for %s", k.step, len(resp.Answer.Tickets), len(resp.Workers), resp.Answer.ValidFor)
-		a.retryAt = time.Time{}
-		p.passRequested = true
+	k, ok := parseStepName(resp.Step)
+	a := p.approvals[k]
+	if !ok || a == nil || a.agent != agent {
+		return
+	}
+	a.responseDueBy = time.Time{}
+	if !resp.Answered {
+		a.retryAt = now.Add(approvalRetryPause)
 		return
 	}
+	for _, w := range resp.Workers {
+		a.denied[w] = true
+	}
+	for _, tk := range resp.Answer.Tickets {
+		w := resp.incarnation(tk.Worker)
+		delete(a.denied, w)
+		a.tickets[w] = ticket{text: tk.Ticket, validUntil: now.Add(max(0, resp.Answer.ValidFor-ticketMargin))}
+	}
+	p.config.Events.Emit(now, kqevent.ApprovalReceived, kqevent.Job(k.job), "step %d: %d of %d workers approved for %s", k.step, len(resp.Answer.Tickets), len(resp.Workers), resp.Answer.ValidFor)
+	a.retryAt = time.Time{}
+	p.passRequested = true
 }
 
 // incarnation returns the requested incarnation with a worker ID: the policy service knows only IDs.
--- a/internal/flow/kqplan/crash.go
+++ b/internal/flow/kqplan/crash.go
@@ -94,6 +94,13 @@
 func (p *Planner) countCrashes(now time.Time, c workerCrash, e WorkerEnd, runs []crashedRun) {
 	hasPrimeSuspects := !e.inferred && slices.ContainsFunc(runs, c.isPrimeSuspect)
 	isolated := c.onlyRecentJob()
+	sharedByJob := map[*job]bool{}
+	isShared := func(j *job) bool {
+		if _, ok := sharedByJob[j]; !ok {
+			sharedByJob[j] = p.isShared(c, j)
+		}
+		return sharedByJob[j]
+	}
 	var suspects []crashedRun
 	for _, r := range runs {
 		t := r.task
@@ -103,7 +110,7 @@
 			continue
 		}
 		x := kqflow.CrashRecord{Worker: e.Worker, Host: c.host, RunTime: r.RunTime}
-		x.Suspected = !e.inferred && r.hadJustStarted() && !p.isShared(c, t.job)
+		x.Suspected = !e.inferred && r.hadJustStarted() && !isShared(t.job)
 		x.Isolated = x.Suspected && isolated == t.job.spec.ID
 		p.countCrash(now, r, x)
 		if x.Suspected && !t.job.state.Final() {
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -21,48 +21,32 @@
 	gangStallShare   = 0.6
 )
 
-// stepTasks returns the tasks of the same step and occurrence as t, t included: the members of its
-// gang if the step is a gang.
-func (t *task) stepTasks() []*task {
-	var out []*task
-	for _, m := range t.job.tasks {
-		if m.step == t.step && m.id.Occurrence == t.id.Occurrence {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // saveCheckpoint stores the checkpoint of a task. The checkpoint of a gang member is valid for the
-// whole gang.
-func (t *task) saveCheckpoint(checkpoint string) {
-	if !t.step.Gang {
-		t.checkpoint = checkpoint
-		return
-	}
-	for _, m := range t.stepTasks() {
-		m.checkpoint = checkpoint
+// whole gang and is kept with its first member.
+func (t *task) saveCheckpoint(checkpoint string) { t.checkpointHolder().checkpoint = checkpoint }
+
+// savedCheckpoint returns the checkpoint from which a task resumes, or "".
+func (t *task) savedCheckpoint() string { return t.checkpointHolder().checkpoint }
+
+func (t *task) checkpointHolder() *task {
+	if t.step.Gang {
+		return t.stepTasks()[0]
 	}
+	return t
 }
 
 // countFailures returns how many runs of a task, or of its gang, have failed.
 func (t *task) countFailures() int {
-	if !t.step.Gang {
-		return len(t.failedRuns)
-	}
-	numbers := map[uint64]bool{}
-	for _, m := range t.stepTasks() {
-		for _, n := range m.failedRuns {
-			numbers[n] = true
-		}
+	if t.step.Gang {
+		return len(t.progress().failedRuns)
 	}
-	return len(numbers)
+	return len(t.failedRuns)
 }
 
 // stopGang stops all runs of a task's gang, because one member no longer runs. It does nothing if the
 // step is no gang or the task is done.
 func (p *Planner) stopGang(t *task) {
-	if !t.step.Gang || t.done {
+	if !t.step.Gang || t.done || t.progress().activeRuns == 0 {
 		return
 	}
 	for _, m := range t.stepTasks() {
@@ -170,35 +154,56 @@
 	return out
 }
 
-// chooseHosts returns a permitted host for each member, or nil.
-// The resources of the members that have a host are reserved while hosts for the others are chosen.
+// chooseHosts returns a permitted host for each member, or nil. The resources of the members that have a
+// host are reserved while hosts for the others are chosen.
 func (p *Planner) chooseHosts(now time.Time, members []*task, permitted func(*host) bool) []*host {
-	if p.onHold {
+	t := members[0]
+	if p.onHold || !p.mayFitGang(t, len(members), permitted) {
 		return nil
 	}
 	chosen := map[*host]int{}
 	defer func() {
 		for h, n := range chosen {
 			for range n {
-				h.usage.reserved = h.usage.reserved.Sub(members[0].step.Reserved())
+				h.usage.reserved = h.usage.reserved.Sub(t.step.Reserved())
 			}
 		}
 	}()
+	accepts := func(h *host) bool {
+		return permitted(h) && (t.step.MaxPerWorker == 0 || chosen[h]+h.countSameStep(t) < t.step.MaxPerWorker)
+	}
+	list := p.newShortlist(now, t, false, accepts)
 	out := make([]*host, 0, len(members))
 	for _, m := range members {
-		h := p.chooseHostAmong(now, m, func(h *host) bool {
-			return permitted(h) && (m.step.MaxPerWorker == 0 || chosen[h]+h.countSameStep(m) < m.step.MaxPerWorker)
-		})
+		h := list.cheapest(m)
+		if m.hasBarredHosts(now) {
+			h = p.chooseHostAmong(now, m, accepts)
+		}
 		if h == nil {
 			return nil
 		}
 		chosen[h]++
-		h.usage.reserved = h.usage.reserved.Add(m.step.Reserved())
+		h.usage.reserved = h.usage.reserved.Add(t.step.Reserved())
+		list.rescore(p, now, t, h)
 		out = append(out, h)
 	}
 	return out
 }
 
+// mayFitGang reports whether the permitted hosts may have enough free capacity for count members of t's
+// gang. It costs little compared with a search that finds hosts for all members but the last.
+func (p *Planner) mayFitGang(t *task, count int, permitted func(*host) bool) bool {
+	for _, h := range p.hosts.All() {
+		if count <= 0 {
+			break
+		}
+		if h.info.Service == t.job.queue.Service && permitted(h) {
+			count -= t.countFitting(h.free())
+		}
+	}
+	return count <= 0
+}
+
 // couldFitGang reports whether a gang of count tasks would fit outside the evacuated zones if
 // nothing else ran.
 func (p *Planner) couldFitGang(now time.Time, t *task, count int) bool {
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -40,7 +40,7 @@
 		}
 	case kqexecution.EndDone:
 		x.failureStreak, x.probeAt = 0, time.Time{}
-		if r != nil && r.task.checkpoint == "" && !r.task.step.Fills && !r.startedAt.Before(r.host.warmUpUntil) {
+		if r != nil && r.task.savedCheckpoint() == "" && !r.task.step.Fills && !r.startedAt.Before(r.host.warmUpUntil) {
 			x.recordDuration(now.Sub(r.startedAt), r.task.step.Estimate)
 		}
 	case kqexecution.EndRefused:
@@ -297,7 +297,7 @@
 func (p *Planner) moveSlowRun(now time.Time, h *host, r *run, remaining time.Duration, stalled bool) {
 	s := r.task.step
 	restartTime := s.Estimate
-	if s.Checkpoints && r.task.checkpoint != "" {
+	if s.Checkpoints && r.task.savedCheckpoint() != "" {
 		restartTime = time.Duration(float64(s.Estimate) * (fullPercent - r.percent) / fullPercent)
 	}
 	restartTime += restartOverhead
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -218,8 +218,20 @@
 	h.updatePaces(r)
 	h.countOmissions(now, r.Worker)
 	p.learnInterference(now, h)
+	p.dropEndedOrphans(h, r.Running)
+}
+
+// dropEndedOrphans drops the orphans of a host that a complete report does not list.
+func (p *Planner) dropEndedOrphans(h *host, running []kqexecution.RunStatus) {
+	if len(h.orphans) == 0 {
+		return
+	}
+	isRunning := make(map[kqexecution.Run]bool, len(running))
+	for _, x := range running {
+		isRunning[x.Run] = true
+	}
 	for k := range h.orphans {
-		if !slices.ContainsFunc(r.Running, func(x kqexecution.RunStatus) bool { return x.Run == k }) {
+		if !isRunning[k] {
 			delete(h.orphans, k)
 			p.passRequested = true
 		}
@@ -423,6 +435,7 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, number)
+	t.progress().addFailure(number)
 	t.avoidedHost = h.name
 	if n := t.countFailures(); n >= max(1, t.job.queue.MaxAttempts) {
 		p.config.Events.Emit(now, kqevent.FlowFailed, kqevent.Job(t.job.spec.ID), "task %s has failed %d times", t.id, n)
@@ -437,10 +450,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping = true
-	if r.host.runs.Get(r.key()) == r {
-		r.host.usage.countStopping(r, 1)
-	}
+	r.markStopping()
 	if !r.ordered {
 		return
 	}
@@ -449,6 +459,15 @@
 	p.markDirty(j)
 }
 
+// markStopping counts a run as being stopped, for its step and its host.
+func (r *run) markStopping() {
+	r.stopping = true
+	r.task.progress().activeRuns--
+	if r.host.runs.Get(r.key()) == r {
+		r.host.usage.countStopping(r, 1)
+	}
+}
+
 // markLost removes a run that certainly does not execute on its host any more.
 func (p *Planner) markLost(now time.Time, r *run, why string) {
 	p.config.Events.EmitFields(now, kqevent.FlowRunLost, kqevent.Task(r.task.name), []kqevent.Field{kqevent.Run(r.number)},
--- a/internal/flow/kqplan/incarnation.go
+++ b/internal/flow/kqplan/incarnation.go
@@ -80,8 +80,7 @@
 		"run %d on %s: its worker restarted as %s, where the run is stopped before it is marked lost", r.number, r.worker, worker)
 	r.worker, r.transferred = worker, true
 	if !r.stopping {
-		r.stopping = true
-		r.host.usage.countStopping(r, 1)
+		r.markStopping()
 	}
 	p.effects = append(p.effects, Effect{Host: r.host.name, Order: r.stopOrder()})
 	p.markDirty(r.task.job)
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -31,9 +31,12 @@
 	fillingOnly    bool
 	hasLongRunning bool
 	tasks          []*task
-	// unfinished is the number of tasks that are not done, for each step of each occurrence.
-	unfinished []int
-	started    bool
+	graph          stepGraph
+	// steps holds the progress of each step of each occurrence.
+	steps []stepProgress
+	// runCount is the number of runs of all tasks.
+	runCount int
+	started  bool
 
 	// revision counts the decided changes of the job, storedRevision is the revision in the
 	// store and version the version of the stored record.
@@ -132,7 +135,7 @@
 }
 
 func newJob(spec kqflow.Job, q kqflow.Queue) *job {
-	j := &job{spec: spec, state: kqflow.StateQueued, committedState: kqflow.StateQueued,
+	j := &job{spec: spec, state: kqflow.StateQueued, committedState: kqflow.StateQueued, graph: newStepGraph(spec.Steps),
 		fillingOnly:    !slices.ContainsFunc(spec.Steps, func(s kqflow.Step) bool { return !s.Fills }),
 		hasLongRunning: slices.ContainsFunc(spec.Steps, func(s kqflow.Step) bool { return s.LongRunning })}
 	j.setQueue(q)
@@ -165,7 +168,7 @@
 func (j *job) addTasks(occurrence int) {
 	for n := range j.spec.Steps {
 		s := &j.spec.Steps[n]
-		j.unfinished = append(j.unfinished, s.Count)
+		j.steps = append(j.steps, stepProgress{unfinished: s.Count, blockedBy: len(j.graph.dependencies[n])})
 		for i := range s.Count {
 			id := kqflow.TaskID{Job: j.spec.ID, Occurrence: occurrence, Step: n, Index: i}
 			j.tasks = append(j.tasks, &task{id: id, name: id.String(), job: j, step: s})
@@ -179,16 +182,7 @@
 	if id.Occurrence >= j.occurrences || id.Step >= len(steps) || id.Index >= steps[id.Step].Count || len(j.tasks) == 0 {
 		return nil
 	}
-	return j.tasks[id.Occurrence*len(j.tasks)/j.occurrences+j.stepOffset(id.Step)+id.Index]
-}
-
-// stepOffset returns the number of tasks of an occurrence that precede those of a step.
-func (j *job) stepOffset(step int) int {
-	n := 0
-	for _, s := range j.spec.Steps[:step] {
-		n += s.Count
-	}
-	return n
+	return j.stepTasks(id.Occurrence, id.Step)[id.Index]
 }
 
 // restoreJob loads the progress of a job that an earlier owner stored. Hosts of restored runs
@@ -224,11 +218,13 @@
 	if r.Done {
 		t.markDone()
 	}
+	for _, n := range r.FailedRuns {
+		t.progress().addFailure(n)
+	}
 	for _, x := range r.Runs {
 		h := p.host(x.Host)
 		n := &run{task: t, number: x.Number, host: h, worker: x.Worker, stopping: x.Stopping, transferred: x.Transferred, ordered: true, startedAt: now, progressedAt: now, pace: fullPercent}
-		t.runs = append(t.runs, n)
-		h.addRun(n)
+		t.addRun(n)
 		h.leaseExpiresAt = later(h.leaseExpiresAt, p.priorGrantsUntil(x.Host).Add(p.maxLeaseDuration(p.config.Lease)))
 	}
 }
@@ -262,19 +258,12 @@
 	return r
 }
 
-func (j *job) hasNoRuns() bool {
-	for _, t := range j.tasks {
-		if len(t.runs) > 0 {
-			return false
-		}
-	}
-	return true
-}
+func (j *job) hasNoRuns() bool { return j.runCount == 0 }
 
 func (t *task) record() kqflow.TaskRecord {
 	r := kqflow.TaskRecord{Done: t.done, FailedRuns: slices.Clone(t.failedRuns), LastRun: t.lastRun}
 	if !t.done {
-		r.Checkpoint, r.Crashes = t.checkpoint, slices.Clone(t.crashes)
+		r.Checkpoint, r.Crashes = t.savedCheckpoint(), slices.Clone(t.crashes)
 	}
 	for _, x := range t.runs {
 		r.Runs = append(r.Runs, kqflow.RunRecord{Number: x.number, Host: x.host.name, Worker: x.worker, Stopping: x.stopping, Transferred: x.transferred})
@@ -282,39 +271,31 @@
 	return r
 }
 
-// ready reports whether the steps that the task's step depends on are done.
-func (t *task) ready() bool {
-	for _, a := range t.step.After {
-		if !t.job.stepDone(t.id.Occurrence, a) {
-			return false
-		}
-	}
-	return true
-}
-
-func (j *job) stepDone(occurrence, step int) bool {
-	return j.unfinished[occurrence*len(j.spec.Steps)+step] == 0
+// allDone reports whether all tasks of all occurrences are done.
+func (j *job) allDone() bool {
+	return j.occurrences >= j.spec.Occurrences() && !slices.ContainsFunc(j.steps, func(s stepProgress) bool { return s.unfinished > 0 })
 }
 
-// markDone marks a task as done and updates the counter of its step.
-func (t *task) markDone() {
-	if !t.done {
-		t.done = true
-		t.job.unfinished[t.id.Occurrence*len(t.job.spec.Steps)+t.id.Step]--
+// addRun adds a run to its task and its host.
+func (t *task) addRun(r *run) {
+	t.runs = append(t.runs, r)
+	t.job.runCount++
+	if !r.stopping {
+		t.progress().activeRuns++
 	}
+	r.host.addRun(r)
 }
 
-// allDone reports whether all tasks of all occurrences are done.
-func (j *job) allDone() bool {
-	return j.occurrences >= j.spec.Occurrences() && !slices.ContainsFunc(j.unfinished, func(n int) bool { return n > 0 })
-}
-
+// removeRun removes a run from its task and its host.
 func (t *task) removeRun(r *run) {
-	for i, x := range t.runs {
-		if x == r {
-			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			break
-		}
+	n := slices.Index(t.runs, r)
+	if n < 0 {
+		return
+	}
+	t.runs = slices.Delete(t.runs, n, n+1)
+	t.job.runCount--
+	if !r.stopping {
+		t.progress().activeRuns--
 	}
 	r.host.removeRun(r)
 }
@@ -335,7 +316,7 @@
 		return r.stopOrder()
 	}
 	s := r.task.step
-	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Interference: r.interference, TimeLeft: r.task.job.deadline.Sub(now), Payload: r.task.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+	return &Order{Run: r.key(), Worker: r.worker, Image: r.task.step.Image, Interference: r.interference, TimeLeft: r.task.job.deadline.Sub(now), Payload: r.task.job.spec.Payload, Checkpoint: r.task.savedCheckpoint(), Ticket: r.ticket,
 		Size: s.Resources, Fills: s.Fills, TailTarget: s.TailTarget}
 }
 
--- a/internal/flow/kqplan/order.go
+++ b/internal/flow/kqplan/order.go
@@ -166,13 +166,8 @@
 		w.remaining += cores * r.Seconds()
 		stepRemaining[t.id.Step] = max(stepRemaining[t.id.Step], r)
 	}
-	stepEnds := make([]time.Duration, len(stepRemaining))
-	for n, s := range j.spec.Steps {
-		for _, a := range s.After {
-			stepEnds[n] = max(stepEnds[n], stepEnds[a])
-		}
-		stepEnds[n] += stepRemaining[n]
-		w.criticalPath = max(w.criticalPath, stepEnds[n])
+	for n, delay := range j.graph.startDelays(stepRemaining) {
+		w.criticalPath = max(w.criticalPath, delay+stepRemaining[n])
 	}
 	return w
 }
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -44,6 +44,10 @@
 	unplaceable   map[placementKey]bool
 	unpreemptable map[placementKey]bool
 	unclaimable   map[placementKey]bool
+	// noTrialHost holds the tasks for which there is no host for a trial, with whether they may wait for
+	// one; notOnTrialHost holds those that the host of their trial does not accept.
+	noTrialHost    map[placementKey]bool
+	notOnTrialHost map[placementKey]bool
 	// withheld holds the long-running steps that have to leave the free capacity to finite jobs.
 	withheld map[stepKey]bool
 	// fillingMisses counts the steps of filling tasks that no host accepts.
@@ -118,7 +122,7 @@
 // placeAll runs a scheduling pass: it starts, in the order of orderedJobs, every task that is due and
 // for which there is capacity.
 func (p *Planner) placeAll(now time.Time) {
-	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
+	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, noTrialHost: map[placementKey]bool{}, notOnTrialHost: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
@@ -194,6 +198,10 @@
 		p.logWaiting(now, t, "the service keeps its free processors for finite jobs")
 		return false
 	}
+	if p.lacksApproval(t) {
+		p.logWaiting(now, t, "no worker has been approved for its step")
+		return false
+	}
 	if x := p.trials[t.stepKey()]; x != nil {
 		if started, isFree := p.placeInTrial(now, t, x, ps); started || !isFree {
 			return started
@@ -258,8 +266,7 @@
 	t.lastRun++
 	r := &run{task: t, number: t.lastRun, host: h, worker: h.info.Worker, startedAt: now, progressedAt: now, pace: fullPercent, interference: p.interferenceByImage(t.step, h)}
 	r.ticket, _ = p.ticketFor(now, t, h)
-	t.runs = append(t.runs, r)
-	h.addRun(r)
+	t.addRun(r)
 	p.checkCapacity(h)
 	t.waitLogged, t.claimedHost = false, ""
 	if j.state == kqflow.StateQueued {
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -11,6 +11,8 @@
 	jobIdle    bool
 	fleet      fleetView
 	candidates []candidate
+	// accepts reports whether a host may be on the list; nil means that any may.
+	accepts func(*host) bool
 }
 
 // candidate is a host that has capacity for a task, and the cost of the task there.
@@ -33,20 +35,20 @@
 	}
 	jobIdle := t.step.Fills && t.job.idleTime(now) >= maxJobIdleTime
 	if l := ps.shortlist; l == nil || l.key != t.placementKey(now) || l.jobIdle != jobIdle {
-		ps.shortlist = p.newShortlist(now, t, jobIdle)
+		ps.shortlist = p.newShortlist(now, t, jobIdle, nil)
 	}
 	return ps.shortlist.cheapest(t)
 }
 
-// newShortlist scores all hosts for a task.
-func (p *Planner) newShortlist(now time.Time, t *task, jobIdle bool) *shortlist {
-	l := &shortlist{key: t.placementKey(now), jobIdle: jobIdle}
+// newShortlist scores all hosts that are accepted for a task; accepts may be nil.
+func (p *Planner) newShortlist(now time.Time, t *task, jobIdle bool, accepts func(*host) bool) *shortlist {
+	l := &shortlist{key: t.placementKey(now), jobIdle: jobIdle, accepts: accepts}
 	for _, h := range p.hosts.All() {
 		if !h.hasCapacity(t) {
 			continue
 		}
 		p.scored++
-		if !p.eligible(now, t, h) {
+		if !l.permits(h) || !p.eligible(now, t, h) {
 			continue
 		}
 		if len(l.candidates) == 0 {
@@ -57,6 +59,8 @@
 	return l
 }
 
+func (l *shortlist) permits(h *host) bool { return l.accepts == nil || l.accepts(h) }
+
 // cheapest returns the host with the lowest cost for a task of the step, or nil.
 func (l *shortlist) cheapest(t *task) *host {
 	var best candidate
@@ -82,7 +86,7 @@
 			continue
 		}
 		p.scored++
-		if p.eligible(now, t, h) {
+		if l.permits(h) && p.eligible(now, t, h) {
 			l.candidates[i].cost = p.stepCost(t.step, h, l.fleet) + p.warmUpCost(now, t, h) + t.reserveCost(h)
 		} else {
 			l.candidates = append(l.candidates[:i], l.candidates[i+1:]...)
--- a/internal/flow/kqplan/trial.go
+++ b/internal/flow/kqplan/trial.go
@@ -49,6 +49,9 @@
 	hosts        []*host
 	// placed is true once a run was placed.
 	placed bool
+	// isStrict is true if a task of the step was suspected of two crashes or more at the latest update. Its
+	// tasks then wait for a trial as long as it takes.
+	isStrict bool
 }
 
 // release lets other work start on the hosts of the trial.
@@ -59,10 +62,9 @@
 	x.hosts, x.placed = nil, false
 }
 
-// isStrict reports whether a task of the step is suspected of two crashes or more. Its tasks then wait
-// for a trial as long as it takes.
-func (x *trial) isStrict() bool {
-	return x.anyTask(func(t *task) bool { return !t.done && t.suspectedCrashes() > 1 })
+// updateStrict brings isStrict up to date.
+func (x *trial) updateStrict() {
+	x.isStrict = x.anyTask(func(t *task) bool { return !t.done && t.suspectedCrashes() > 1 })
 }
 
 // includes reports whether a task takes part in the trial.
@@ -81,7 +83,8 @@
 	added := 0
 	for _, r := range suspects {
 		key := r.task.stepKey()
-		if p.trials[key] != nil {
+		if x := p.trials[key]; x != nil {
+			x.updateStrict()
 			continue
 		}
 		if r.task.suspectedCrashes() == 1 {
@@ -90,7 +93,9 @@
 			}
 			added++
 		}
-		p.trials[key] = &trial{task: r.task, requiredAt: now}
+		x := &trial{task: r.task, requiredAt: now}
+		x.updateStrict()
+		p.trials[key] = x
 	}
 }
 
@@ -109,6 +114,7 @@
 func (p *Planner) updateTrials(now time.Time) {
 	for key, x := range p.trials {
 		isOver := x.isOver()
+		x.updateStrict()
 		if !isOver && (x.isWaiting(now) || x.isInProgress(now)) {
 			continue
 		}
@@ -136,7 +142,7 @@
 	switch {
 	case len(x.hosts) > 0:
 		return false
-	case x.isStrict():
+	case x.isStrict:
 		return true
 	case x.waitingSince.IsZero():
 		return x.anyTask((*task).isPending)
@@ -148,7 +154,7 @@
 // trialTime or that is still to be placed.
 func (x *trial) isInProgress(now time.Time) bool {
 	limit := maxTrialTime
-	if !x.placed && !x.isStrict() {
+	if !x.placed && !x.isStrict {
 		limit = maxClaimTime
 	}
 	return len(x.hosts) > 0 && (!x.placed || x.anyTask((*task).hasUnprovenRun)) &&
@@ -187,13 +193,12 @@
 	if x.waitingSince.IsZero() {
 		x.waitingSince = now
 	}
-	isStrict := x.isStrict()
 	if len(x.hosts) == 0 {
-		h, mayWait := p.chooseTrialHost(now, t)
+		h, mayWait := p.chooseTrialHostInPass(now, t, ps)
 		switch {
 		case h != nil:
 			p.claimForTrial(now, x, h)
-		case mayWait || !isStrict:
+		case mayWait || !x.isStrict:
 			p.passRequested = true
 			return false, !mayWait
 		default:
@@ -201,8 +206,9 @@
 			return false, false
 		}
 	}
-	h := x.hosts[0]
-	if !p.eligible(now, t, h) || h.hasJustStartedOthers(now, x) {
+	h, key := x.hosts[0], t.placementKey(now)
+	if ps.notOnTrialHost[key] || !p.eligible(now, t, h) || h.hasJustStartedOthers(now, x) {
+		ps.notOnTrialHost[key] = !t.hasBarredHosts(now)
 		p.passRequested = true
 		return false, false
 	}
@@ -218,6 +224,20 @@
 	p.config.Events.Emit(now, kqevent.FlowTrial, kqevent.Task(x.task.name), "the tasks of step %d are tried on host %s, where nothing else starts meanwhile; processors in use by other runs: %d of %d", x.task.id.Step, h.name, h.usedProcessors(), h.processors())
 }
 
+// chooseTrialHostInPass is chooseTrialHost, which is called once in a pass for the tasks that the same
+// hosts accept: as long as it finds no host for one of them, it finds none for the others.
+func (p *Planner) chooseTrialHostInPass(now time.Time, t *task, ps *pass) (best *host, mayWait bool) {
+	key := t.placementKey(now)
+	if mayWait, ok := ps.noTrialHost[key]; ok {
+		return nil, mayWait
+	}
+	best, mayWait = p.chooseTrialHost(now, t)
+	if best == nil && !t.hasBarredHosts(now) {
+		ps.noTrialHost[key] = mayWait
+	}
+	return best, mayWait
+}
+
 // chooseTrialHost returns the host for a trial on which the crash of the worker would cost the least, or
 // nil if the trials that run are enough or no host can run the task; mayWait is true in the first case.
 // The host need not have capacity at present, since nothing else that starts takes what becomes free.
@@ -299,7 +319,11 @@
 		if n > len(candidates) {
 			return nil
 		}
-		if out := p.chooseHosts(now, members, func(h *host) bool { return slices.Contains(candidates[:n], h) }); out != nil {
+		permitted := make(map[*host]bool, n)
+		for _, h := range candidates[:n] {
+			permitted[h] = true
+		}
+		if out := p.chooseHosts(now, members, func(h *host) bool { return permitted[h] }); out != nil {
 			for _, h := range out {
 				if h.trial == nil {
 					p.claimForTrial(now, x, h)
