Owner: a hang while loading or in the first step ends its heartbeats, and its process may own the cell again

Causes, two: - isHung was false until the scheduling loop had finished a step. A successor reads the same job and hangs in its first step, so its heartbeats went on for ever. - A process whose own controller hangs took it for the owner, since the controller never ends: IsOwner stayed true, and the process replaced no later owner.

Change: progress counts from the end of the reads that load the cell (the acquisition has its own time limit for these), with each stored job that is loaded, then with each step. A process that reads a later epoch than its controller's drops the controller without waiting for it; an owner's own connection checks for that too.

--- a/internal/flow/kqcontrol/confirmation.go
+++ b/internal/flow/kqcontrol/confirmation.go
@@ -16,7 +16,9 @@
 	heartbeatAt time.Time
 	// writesInFlight is the number of writes of any kind without an answer.
 	writesInFlight int
-	// progressAt is when the scheduling loop last finished a step; zero before its first one.
+	// progressAt is when the owner last made progress: it finished a step of the scheduling loop, or loaded
+	// a part of the state of earlier owners. It is zero until that state has been read, for which the
+	// acquisition has a time limit.
 	progressAt time.Time
 }
 
@@ -84,14 +86,15 @@
 	return now.Sub(f.heartbeatAt) >= HeartbeatInterval/2
 }
 
-// progressed records that the scheduling loop has finished a step.
+// progressed records that the owner has made progress.
 func (f *confirmation) progressed(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.progressAt = now
 }
 
-// isHung reports whether the scheduling loop has not finished a step for a given time.
+// isHung reports whether the owner has made no progress for a given time, after it has read the state of
+// earlier owners.
 func (f *confirmation) isHung(now time.Time, limit time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -172,6 +172,7 @@
 		x.tomb.Kill(err)
 		return nil, err
 	}
+	x.confirmation.progressed(c.Now())
 	x.restoreLeases(stored.leases.rows, old, epochs, acquiredAt)
 	x.planner = kqplan.New(kqplan.Config{Epoch: row.Epoch, AcquiredAt: sent, PriorGrantsUntil: x.priorGrantsUntil,
 		Lease: c.Lease, CrossRackSlowdown: c.CrossRackSlowdown, LimitWarmUp: c.LimitWarmUp, RecordOutcome: c.RecordOutcome, Events: c.Events, Counter: c.Counter})
@@ -195,6 +196,11 @@
 	c.tomb.Go(c.followSubmissions().loop)
 	c.tomb.Go(c.followDepartures().loop)
 	c.loop()
+	if c.tomb.Err() == ErrLost {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.closeSessions()
+	}
 	return nil
 }
 
@@ -219,6 +225,7 @@
 	c.restoreLearned(now, state.learned)
 	for _, r := range state.submissions.rows {
 		c.applySubmission(now, r, records)
+		c.confirmation.progressed(c.config.Now())
 	}
 	c.departures = departures{version: state.departures.at, readAt: map[string]time.Time{}, claims: map[kqexecution.Incarnation]bool{}}
 	c.applyDepartures(now, state.departures.rows)
@@ -320,11 +327,20 @@
 // stop ends the controller and closes all sessions; mu is held.
 func (c *Controller) stop() {
 	c.tomb.Kill(ErrLost)
+	c.closeSessions()
+}
+
+// closeSessions closes the streams of all sessions; mu is held.
+func (c *Controller) closeSessions() {
 	for _, s := range c.sessions {
 		s.stream.Close()
 	}
 }
 
+// Superseded ends the controller of an ownership that has passed to another process. It does not wait,
+// since the scheduling loop may hang.
+func (c *Controller) Superseded() { c.tomb.Kill(ErrLost) }
+
 // Abandon stops the controller without handing the cell over, as the death of the process
 // would.
 func (c *Controller) Abandon() {
--- a/internal/flow/kqcontrol/heartbeat.go
+++ b/internal/flow/kqcontrol/heartbeat.go
@@ -8,9 +8,8 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
-// hungLeaseShare is the share of a lease, as its denominator, after which an owner whose scheduling loop
-// finishes no step writes no heartbeats any more: it grants no leases either, and a successor needs the
-// rest of the lease.
+// hungLeaseShare is the share of a lease, as its denominator, after which an owner that makes no progress
+// writes no heartbeats any more: it grants no leases either, and a successor needs the rest of the lease.
 const hungLeaseShare = 2
 
 // heartbeater writes heartbeats, which also confirm the ownership.
--- a/internal/flow/kqnode/connection.go
+++ b/internal/flow/kqnode/connection.go
@@ -67,7 +67,7 @@
 			return true
 		case <-tick.C:
 		}
-		if n.config.Role == kqmessage.RoleAgent && !n.IsOwner() && o.replaceOwner(ctx, s) {
+		if n.config.Role == kqmessage.RoleAgent && o.replaceOwner(ctx, s) {
 			return true
 		}
 	}
@@ -99,7 +99,8 @@
 
 // replaceOwner replaces an owner that the store has not confirmed for suspectAge, if it
 // should be replaced. It returns true if this process should end the connection, because
-// another process owns the cell or this one has tried to acquire it.
+// another process owns the cell or this one has tried to acquire it. A process that is the owner
+// itself only checks whether it was replaced: its controller does not learn of that while it hangs.
 func (o *ownerConnection) replaceOwner(ctx context.Context, s *kqstream.Stream) bool {
 	n := o.node
 	if _, report := n.ownerState(); n.config.Control.Now().Sub(report.ConfirmedAt()) < suspectAge || !n.readOwnership(ctx) {
@@ -108,7 +109,7 @@
 	if o.isSuperseded() {
 		return true
 	}
-	if !o.shouldReplace() {
+	if n.IsOwner() || !o.shouldReplace() {
 		return false
 	}
 	if n.awaitAcquireDelay(ctx, func() bool { return o.shouldReplace() && !o.isSuperseded() && !isDone(s) }) {
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -304,8 +304,14 @@
 	n.observer.Observe(c.Now(), observed, c.Now().Sub(sent))
 	n.epochs = n.epochs.Record(c.Now(), owner.Epoch)
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.owner, n.version = owner, observed.Version
-	n.mu.Unlock()
+	if c := n.controller; c != nil && owner.Epoch > c.Epoch() {
+		// A controller that hangs does not learn that it was replaced. As long as it counts as the
+		// owner, this process would never replace another one.
+		n.controller = nil
+		c.Superseded()
+	}
 	return true
 }
 
--- a/internal/flow/kqnode/owner_test.go
+++ b/internal/flow/kqnode/owner_test.go
@@ -35,9 +35,15 @@
 	loadTime     atomic.Int64
 }
 
-// startAgent starts an agent. While holdsLock is not 0, each pass of its controller holds the lock for
-// that time; loadTime is how long it takes to load the cell.
+// startAgent starts an agent with a lease of 7 s, see startAgentWithLease.
 func startAgent(t *testing.T, store kqrows.Store, name string, loadTime time.Duration) *agent {
+	t.Helper()
+	return startAgentWithLease(t, store, name, loadTime, 7*time.Second)
+}
+
+// startAgentWithLease starts an agent. While holdsLock is not 0, each pass of its controller holds the
+// lock for that time; loadTime is how long it takes to load the cell.
+func startAgentWithLease(t *testing.T, store kqrows.Store, name string, loadTime, lease time.Duration) *agent {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -51,7 +57,7 @@
 			Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 				return dialer.DialContext(ctx, "tcp", to.String())
 			}},
-		Control: kqcontrol.Config{Cell: cell, Name: name, Boot: name + "1", Address: a.address, Store: store, Lease: 7 * time.Second, CrossRackSlowdown: 1, Retention: time.Minute,
+		Control: kqcontrol.Config{Cell: cell, Name: name, Boot: name + "1", Address: a.address, Store: store, Lease: lease, CrossRackSlowdown: 1, Retention: time.Minute,
 			Policy: func() *kqflow.Policy { time.Sleep(time.Duration(a.loadTime.Load())); return nil },
 			Evacuation: kqcontrol.EvacuationSource{KnownAt: func() time.Time {
 				time.Sleep(time.Duration(a.holdsLock.Load()))
@@ -82,11 +88,16 @@
 
 // startCell starts an owner and another agent that is connected to it.
 func startCell(t *testing.T, g *WithT) (owner, other *agent) {
+	t.Helper()
+	return startCellWithLease(t, g, 7*time.Second)
+}
+
+func startCellWithLease(t *testing.T, g *WithT, lease time.Duration) (owner, other *agent) {
 	t.Helper()
 	store := kqrowstore.New(1)
-	owner = startAgent(t, store.Client("a"), "a", 0)
+	owner = startAgentWithLease(t, store.Client("a"), "a", 0, lease)
 	g.Eventually(owner.node.IsOwner).WithTimeout(3 * time.Second).Should(BeTrue())
-	other = startAgent(t, store.Client("b"), "b", 0)
+	other = startAgentWithLease(t, store.Client("b"), "b", 0, lease)
 	for _, a := range []*agent{owner, other} {
 		g.Eventually(a.connections.Load).WithTimeout(3 * time.Second).Should(BeEquivalentTo(1))
 	}
@@ -105,6 +116,20 @@
 	t.Log("replaced after", time.Since(began).Round(10*time.Millisecond))
 }
 
+// The owner hangs, then its successor, while the first process goes on. Guards against a process that
+// takes its own hanging controller for the owner of the cell and therefore never replaces a later one.
+func TestAProcessWhoseControllerHangsNeverOwnsTheCellAgain(t *testing.T) {
+	g := NewWithT(t)
+	owner, other := startCellWithLease(t, g, 2*time.Second)
+	const hang = 10 * time.Second
+	owner.holdsLock.Store(int64(hang))
+	g.Eventually(other.node.IsOwner).WithTimeout(hang / 2).Should(BeTrue())
+	owner.holdsLock.Store(0)
+	g.Eventually(owner.node.IsOwner).WithTimeout(time.Second).Should(BeFalse())
+	other.holdsLock.Store(int64(hang))
+	g.Eventually(owner.node.IsOwner).WithTimeout(hang / 2).Should(BeTrue())
+}
+
 // The owner's lock is held for longer than kqstream.SilenceTimeout. Guards against the pipe of the
 // owner's own agent, which holds no message back, being closed while TCP connections outlast it.
 func TestAnOwnersOwnAgentIsCutOffByALongPass(t *testing.T) {
