Owner: the newest policy and zones apply, whenever they arrive

Cause: Node passed a policy to the controller that was active at that moment. While a process acquires the cell and loads it, there is none, and the policy had been read before: it was dropped, and the next one came with the operator's next change. Zones had the same gap and were read again after the start; a policy read again there would have raced with a newer one, as nothing compared versions.

Change: OperatorState holds the newest policy and zones of a process for all its controllers. Node sets them there, whether or not a controller is active; older versions are ignored; each step, and each grant of a lease, applies what is newer. The watcher of the operator's rows no longer waits for the controller's lock. The age of the zones is read before the zones, so that neither a start nor a grant counts zones as known that are not applied yet.

--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -47,8 +47,11 @@
 	CrossRackSlowdown float64
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
-	// Policy returns the operator's policy that this process currently applies; it may
-	// return nil.
+	// Operator holds the operator's policy and evacuated zones; nil means that the controller creates
+	// its own.
+	Operator *OperatorState
+	// Policy returns the operator's policy that this process currently applies, nil if there is none.
+	// It is read once, before the stored state is loaded.
 	Policy func() *kqflow.Policy
 	// LimitWarmUp is true if workers that report that they are warming up get only part of
 	// their capacity.
@@ -118,6 +121,7 @@
 	// mu guards the fields below, except for heartbeats and wallOffset.
 	mu           sync.Mutex
 	planner      *kqplan.Planner
+	policy       *kqflow.Policy
 	zones        kqevacuate.Zones
 	zoneStatuses []kqevacuate.ZoneStatus
 	// sessions holds the session of each connected host by the host's name.
@@ -150,6 +154,9 @@
 		c.TimedStore = kqrows.NewTimedStore(c.Store, c.Now)
 	}
 	c.Store = c.TimedStore.Store
+	if c.Operator == nil {
+		c.Operator = &OperatorState{}
+	}
 	sent := c.Now()
 	row := OwnerRow{Name: c.Name, Boot: c.Boot, Address: c.Address, Epoch: old.Epoch + 1, LeasesRecorded: true}
 	key := OwnerKey(c.Cell)
@@ -212,16 +219,20 @@
 
 // load applies the policy and the stored state of the cell to the planner.
 func (c *Controller) load(state *storedState) {
-	if p := c.config.Policy(); p != nil {
-		c.planner.SetPolicy(p)
+	now := c.config.Now()
+	c.config.Operator.SetPolicy(c.config.Policy())
+	if f := c.config.Evacuation.Zones; f != nil {
+		c.config.Operator.SetZones(now, f())
 	}
+	c.applyOperatorState(now)
 	records := make(map[string]kqrows.Row, len(state.progress.rows))
 	for _, r := range state.progress.rows {
 		records[r.Name] = r
 	}
 	c.submissionsVersion = state.submissions.at
-	now := c.config.Now()
-	c.loadZones(now, state.zones)
+	now = c.config.Now()
+	c.zones, _ = c.zones.ApplyNotice(now, state.zones.notice)
+	c.planner.SetZones(now, c.zones)
 	c.restoreLearned(now, state.learned)
 	for _, r := range state.submissions.rows {
 		c.applySubmission(now, r, records)
@@ -257,13 +268,9 @@
 	c.planner.Submit(now, s, &record, stored.Version)
 }
 
-// SetPolicy applies a new policy.
-func (c *Controller) SetPolicy(p *kqflow.Policy) {
-	c.mu.Lock()
-	c.planner.SetPolicy(p)
-	c.mu.Unlock()
-	c.wake()
-}
+// OperatorStateChanged triggers a step that applies the new state of Config.Operator. It does not wait
+// for the controller, which may be busy.
+func (c *Controller) OperatorStateChanged() { c.wake() }
 
 // wake triggers a step without waiting for the next tick.
 func (c *Controller) wake() {
@@ -310,7 +317,10 @@
 	defer c.mu.Unlock()
 	now := c.config.Now()
 	c.logStats(now)
-	c.planner.SetHold(!c.isFeedCurrent(now) || c.config.Evacuation.isOutdated(now))
+	// The age of the zones is read before the zones, so that no zone is newer than it says.
+	isOutdated := c.config.Evacuation.isOutdated(now)
+	c.applyOperatorState(now)
+	c.planner.SetHold(!c.isFeedCurrent(now) || isOutdated)
 	c.planner.Tick(now)
 	c.planner.RecordTickDuration(now, c.config.Now().Sub(now))
 	c.write(now)
--- a/internal/flow/kqcontrol/evacuation.go
+++ b/internal/flow/kqcontrol/evacuation.go
@@ -48,36 +48,6 @@
 	}
 }
 
-// loadZones applies the zones that this process knows and the requests that were read with
-// the stored state.
-func (c *Controller) loadZones(now time.Time, r zonesRead) {
-	if f := c.config.Evacuation.Zones; f != nil {
-		c.zones = f()
-	}
-	c.zones, _ = c.zones.ApplyNotice(now, r.notice)
-	c.planner.SetZones(now, c.zones)
-}
-
-// SetZones applies the evacuated zones and sends them to the agents: an agent that cannot
-// reach the store learns of them only from the owner.
-func (c *Controller) SetZones(z kqevacuate.Zones) {
-	now := c.config.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	zones, applied := c.zones.ApplyNotice(now, z.Notice())
-	if !applied {
-		return
-	}
-	c.zones = zones
-	c.planner.SetZones(now, zones)
-	for _, s := range c.sessions {
-		if s.hello.Role == kqmessage.RoleAgent {
-			s.sendZones()
-		}
-	}
-	c.wake()
-}
-
 // sendZones sends an agent the evacuated zones, once they are known.
 func (x *Session) sendZones() {
 	if z := x.controller.zones; z.Known() {
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -153,6 +153,9 @@
 // recorded yet gets its answer once it is. mu is held.
 func (x *Session) grant(now time.Time, request uint64) {
 	c := x.controller
+	// The agent gets the zones of this age, or newer ones, before the grant.
+	zonesAge := c.config.Evacuation.age(now)
+	c.applyOperatorState(now)
 	age := max(0, c.confirmation.age(now))
 	remaining := max(0, c.config.Lease-age)
 	if remaining > 0 && x.registered && !c.ensureRecorded(x.hello.Name) {
@@ -165,7 +168,7 @@
 	} else {
 		remaining = 0
 	}
-	x.send(kqmessage.FromOwner{Grant: &kqmessage.Grant{LeaseRequest: request, Duration: remaining, ConfirmationAge: age, ZonesAge: c.config.Evacuation.age(now), Agents: c.agentCount}})
+	x.send(kqmessage.FromOwner{Grant: &kqmessage.Grant{LeaseRequest: request, Duration: remaining, ConfirmationAge: age, ZonesAge: zonesAge, Agents: c.agentCount}})
 }
 
 // pendingInterval is the minimum time between two updates of the entries about waiting jobs
--- a/internal/flow/kqnode/acquisition.go
+++ b/internal/flow/kqnode/acquisition.go
@@ -56,10 +56,6 @@
 		return
 	}
 	c.Start()
-	// SetZones had no controller to pass zones to while the cell was being acquired.
-	if f := n.config.Control.Evacuation.Zones; f != nil {
-		c.SetZones(f())
-	}
 }
 
 // awaitController returns the controller of the cell for a peer on a host, nil if this process does
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -113,6 +113,9 @@
 	if c.Control.TimedStore == nil {
 		c.Control.TimedStore = kqrows.NewTimedStore(c.Control.Store, c.Control.Now)
 	}
+	if c.Control.Operator == nil {
+		c.Control.Operator = &kqcontrol.OperatorState{}
+	}
 	n := &Node{config: c, observer: kqelect.New(kqelect.Config{Name: c.Control.Name, Boot: c.Control.Boot, Candidate: c.Role == kqmessage.RoleAgent})}
 	if c.Role == kqmessage.RoleAgent {
 		l, err := c.Network.Listen(c.ListenAddress)
@@ -192,17 +195,24 @@
 	return c.Stats(), true
 }
 
-// SetPolicy passes a new policy to the controller, if there is one.
+// SetPolicy sets the policy for this and later ownerships of the cell, unless it is older than the
+// present one.
 func (n *Node) SetPolicy(p *kqflow.Policy) {
-	if c := n.activeController(); c != nil {
-		c.SetPolicy(p)
-	}
+	n.config.Control.Operator.SetPolicy(p)
+	n.operatorStateChanged()
 }
 
-// SetZones passes the evacuated zones to the controller, if there is one.
+// SetZones sets the evacuated zones for this and later ownerships of the cell, unless they are older than
+// the present ones.
 func (n *Node) SetZones(z kqevacuate.Zones) {
+	n.config.Control.Operator.SetZones(n.config.Control.Now(), z)
+	n.operatorStateChanged()
+}
+
+// operatorStateChanged tells the controller, if there is one, of a newer policy or newer zones.
+func (n *Node) operatorStateChanged() {
 	if c := n.activeController(); c != nil {
-		c.SetZones(z)
+		c.OperatorStateChanged()
 	}
 }
 
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -104,6 +105,7 @@
 	accepted []string
 	// poison holds how long after their start tasks crash their workers, by task.
 	poison map[string]time.Duration
+	// policy is guarded by mu too.
 	policy *kqflow.Policy
 	evacuations
 }
@@ -191,12 +193,37 @@
 		Now: time.Now, WallClock: time.Now, Events: r.config.Events, RecordOutcome: r.config.OnOutcome, Counter: r.Counter}
 }
 
-// loadPolicy returns the policy to a new owner, which loads its state.
+// loadPolicy returns the policy to a new owner, which then takes LoadTime to load its state.
 func (r *Rig) loadPolicy() *kqflow.Policy {
+	p := r.Policy()
 	time.Sleep(r.config.LoadTime)
+	return p
+}
+
+// Policy returns the newest policy.
+func (r *Rig) Policy() *kqflow.Policy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.policy
 }
 
+// AddQueue adds or changes a queue in a new version of the policy, and passes the policy to the running agents.
+func (r *Rig) AddQueue(q kqflow.Queue) {
+	r.mu.Lock()
+	next := &kqflow.Policy{Version: r.policy.Version + 1, Queues: maps.Clone(r.policy.Queues)}
+	next.Queues[q.Name] = q
+	r.policy = next
+	r.mu.Unlock()
+	r.PassPolicy(next)
+}
+
+// PassPolicy passes a policy to the running agents. Its version may be older than what they have.
+func (r *Rig) PassPolicy(p *kqflow.Policy) {
+	for _, a := range r.Agents {
+		a.SetPolicy(p)
+	}
+}
+
 // EntryName returns the name of the machine of the entry with the given index. It is also the
 // entry's name as a client of the store.
 func EntryName(i int) string { return fmt.Sprintf("10.0.1.%d", i+1) }
@@ -206,7 +233,7 @@
 	control := r.controlConfig(EntryName(i), r.entryStarts)
 	config := kqfront.Config{Store: control.Store, Zone: "z", Now: time.Now, WallClock: time.Now, Events: r.config.Events}
 	if r.config.Admission {
-		config.Admission = &kqfront.AdmissionConfig{Policy: func() *kqflow.Policy { return r.policy }}
+		config.Admission = &kqfront.AdmissionConfig{Policy: r.Policy}
 	}
 	frontend := kqfront.New(config)
 	node, err := kqnode.Start(kqnode.Config{Role: kqmessage.RoleEntry, Control: control, Network: r.Network.forMachine(EntryName(i)),
--- a/internal/trial/kqmachine/machine.go
+++ b/internal/trial/kqmachine/machine.go
@@ -91,16 +91,14 @@
 	return nil
 }
 
-// SetPolicy applies a policy to the running agent. An agent that becomes owner later reads
-// the policy itself.
+// SetPolicy applies a policy to the running agent.
 func (m *Machine) SetPolicy(p *kqflow.Policy) {
 	if n := m.node.Load(); n != nil {
 		n.SetPolicy(p)
 	}
 }
 
-// SetZones applies the evacuated zones to the running agent. An agent that becomes owner later
-// reads them itself.
+// SetZones applies the evacuated zones to the running agent.
 func (m *Machine) SetZones(z kqevacuate.Zones) {
 	if n := m.node.Load(); n != nil {
 		n.SetZones(z)
