Planner: a quarantined worker gets the tasks that no other could run

Cause: a quarantine ended only with an end 'done' on the worker, and only a task with several attempts left could probe it. If none of these can run there, nothing ends the quarantine. The new test shows the same dead end for: the last attempt of several tasks and of a gang; queues of one attempt (gangs too); a refused start, which quarantined like a failure; a run that stalls, which put the probe off at each check for as long as it stalled; and a long probe, which kept all other tasks away until its end.

A gang counts as a whole. As long as another worker could run it, a last attempt waits for that one. - A probe ends the quarantine once it has made progress for 2.5 s, or twice as long as the failed runs worked; a worker that only refused a start, once it accepts one. A refusal does not shorten the quarantine of a worker that fails. - A run counts as a new trouble once, when it begins to stall. - Tasks of a step with one attempt left and those with more are placed under different keys, so that the first do not end the search for the others. A progress check searches a host once for the tasks that the same hosts accept. - Events 414 and 415 say when a worker is quarantined and restored, and why.

Tests: TestATaskThatOnlyAQuarantinedWorkerCanRunIsNeverStarted, 12 rows, of which 10 fail before this change (the only attempt of a finite task and of a long-running one passed: another job probed); bound 3.4 s, within which urgent work must start. TestTheLastAttemptIsSpentOnAQuarantinedWorker passes before and after: attempts are not spent while another worker could run the task.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -100,6 +100,12 @@
 	return ok
 }
 
+// isDenied reports whether the policy service has denied a task the worker of a host.
+func (p *Planner) isDenied(t *task, h *host) bool {
+	a := p.approvals[t.stepKey()]
+	return a != nil && a.denied[h.info.Worker]
+}
+
 // lacksApproval reports whether no worker has been approved for a task, so that no host needs to be
 // considered for it. A restart may claim a host meanwhile.
 func (p *Planner) lacksApproval(t *task) bool {
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -6,21 +6,22 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
-// health holds the results of runs on one incarnation of a worker. failureStreak counts consecutive
-// failed runs; probeAt is when a quarantined worker may get another task, zero if it is not
-// quarantined; durationRatio is the moving average of actual over estimated durations, 0 while
-// there is none.
+// health holds the results of runs on one incarnation of a worker. While it is quarantined, it gets only
+// probes, see quarantine.go.
 type health struct {
+	// failureStreak counts consecutive failed runs; a run that stalls makes it quarantineStreak.
 	failureStreak int
-	probeAt       time.Time
+	// probeAt is when a quarantined worker may get another task; zero if it is not quarantined.
+	probeAt time.Time
+	// troubleAt is when a run last failed, was refused or began to stall.
+	troubleAt time.Time
+	// failureTime is the longest time from the start of a run of the streak to its failure.
+	failureTime time.Duration
+	// durationRatio is the moving average of actual over estimated durations, 0 while there is none.
 	durationRatio float64
 }
 
 const (
-	// quarantineStreak is the number of consecutive failures after which a worker is quarantined
-	// for quarantineTime.
-	quarantineStreak = 2
-	quarantineTime   = 1500 * time.Millisecond
 	// durationRatioWeight is the weight of a new sample in the moving average.
 	durationRatioWeight = 0.35
 	// slowThreshold is the slowdown from which a worker counts as slow.
@@ -34,17 +35,15 @@
 func (x *health) recordEnd(now time.Time, r *run, reason kqexecution.EndReason) {
 	switch reason {
 	case kqexecution.EndFailed:
-		x.failureStreak++
-		if x.failureStreak >= quarantineStreak {
-			x.probeAt = now.Add(quarantineTime)
-		}
+		x.recordFailure(now, r)
 	case kqexecution.EndDone:
-		x.failureStreak, x.probeAt = 0, time.Time{}
+		x.endQuarantine()
 		if r != nil && r.task.savedCheckpoint() == "" && !r.task.step.Fills && !r.startedAt.Before(r.host.warmUpUntil) {
 			x.recordDuration(now.Sub(r.startedAt), r.task.step.Estimate)
 		}
 	case kqexecution.EndRefused:
-		x.probeAt = now.Add(refusedRetryDelay)
+		x.troubleAt = now
+		x.probeAt = later(x.probeAt, now.Add(refusedRetryDelay))
 	}
 }
 
@@ -68,43 +67,6 @@
 	return max(0.5, x.durationRatio)
 }
 
-// isQuarantined reports whether the worker is quarantined: it failed, stalled or refused runs, and no
-// run has completed on it since.
-func (x *health) isQuarantined() bool { return !x.probeAt.IsZero() }
-
-// rank orders workers for preemption: 0 for a worker that is not quarantined, otherwise 1.
-func (x *health) rank() int {
-	if x.isQuarantined() {
-		return 1
-	}
-	return 0
-}
-
-// mayUseQuarantined reports whether a task may be placed on a quarantined worker like on any other,
-// though at lastResortCost. This applies to a restart, which would otherwise wait for a
-// probe, whose end may take as long as a throttled filling task. A task that has
-// just failed waits, so that it does not fail again and again on quarantined workers.
-func (t *task) mayUseQuarantined(now time.Time) bool {
-	return t.isRestart() && now.Sub(t.failedAt) >= quarantineTime
-}
-
-// isRestart reports whether a task is long-running and a run of it has ended. Such a task serves nobody
-// while it waits, so rules that keep capacity for others or wait for a better worker do not bar it.
-func (t *task) isRestart() bool { return t.step.LongRunning && t.lastRun > uint64(len(t.runs)) }
-
-// mayProbe reports whether a quarantined worker may get one task as a probe.
-func (h *host) mayProbe(now time.Time) bool {
-	if now.Before(h.health.probeAt) {
-		return false
-	}
-	for _, r := range h.runs.All() {
-		if !r.startedAt.Before(h.health.probeAt) && !r.task.step.LongRunning {
-			return false
-		}
-	}
-	return true
-}
-
 const (
 	// A run has stalled after minStallTime without progress, or after stallShare of the estimate if
 	// that is longer.
@@ -131,7 +93,7 @@
 		return
 	}
 	p.progressCheckedAt = now
-	p.movesLeft = maxMoveSearches
+	p.movesLeft, p.noMoveHost = maxMoveSearches, map[placementKey]bool{}
 	if p.isOverloaded() {
 		p.movesLeft = 1
 	}
@@ -217,8 +179,8 @@
 	sinceProgress := now.Sub(r.progressedAt)
 	stalled := sinceProgress > max(minStallTime, time.Duration(stallShare*float64(s.Estimate)))
 	if stalled {
-		h.health.failureStreak = max(h.health.failureStreak, quarantineStreak)
-		h.health.probeAt = now.Add(quarantineTime)
+		h.health.recordStall(now, !r.stalled)
+		r.stalled = true
 	}
 	if ran < minProgressTime || r.percent <= 0 && !stalled {
 		return
@@ -288,11 +250,23 @@
 	if len(t.runs) > 1 || p.trials[t.stepKey()] != nil || (!stalled && remaining < time.Duration(minMoveGain*float64(t.step.Estimate))) {
 		return
 	}
-	if h := p.chooseHost(now, t); h != nil && h != r.host {
+	if h := p.chooseMoveHost(now, t); h != nil && h != r.host {
 		p.start(now, t, h)
 	}
 }
 
+// chooseMoveHost is chooseHost, which is called once per check for the tasks that the same hosts accept if
+// it finds none for the first of them.
+func (p *Planner) chooseMoveHost(now time.Time, t *task) *host {
+	key := t.placementKey(now)
+	if p.noMoveHost[key] {
+		return nil
+	}
+	h := p.chooseHost(now, t)
+	p.noMoveHost[key] = h == nil && !t.hasBarredHosts(now)
+	return h
+}
+
 // moveSlowRun stops a run that is expected to end earlier on another host.
 func (p *Planner) moveSlowRun(now time.Time, h *host, r *run, remaining time.Duration, stalled bool) {
 	s := r.task.step
@@ -304,7 +278,7 @@
 	if !stalled && (remaining < time.Duration(minMoveGain*float64(restartTime))+restartOverhead || p.inEvacuationGrace(now, h)) {
 		return
 	}
-	if to := p.chooseHost(now, r.task); to == nil || to == h || to.health.slowdown() > slowThreshold {
+	if to := p.chooseMoveHost(now, r.task); to == nil || to == h || to.health.slowdown() > slowThreshold {
 		return
 	}
 	p.logMove(now, r, "at %.0f %%, stalled %t, expected remaining time %s", r.percent, stalled, remaining.Round(time.Millisecond))
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -307,6 +307,7 @@
 		r.percent, r.progressedAt = x.Percent, now
 	}
 	r.measurement, r.lastReportAt = x.Measurement, now
+	p.checkProbe(now, h, r)
 	p.clearSuspect(now, r)
 	if x.Checkpoint != "" && !r.stopping {
 		r.task.saveCheckpoint(x.Checkpoint)
@@ -384,7 +385,9 @@
 	p.config.Events.EmitFields(now, kqevent.FlowRunEnded, kqevent.Task(e.Run.Task), endEventFields(e),
 		"run %d on %s: %s", e.Run.Number, h.info.Worker, e.Reason)
 	if e.Reason != kqexecution.EndRefused || !p.inEvacuatedZone(h) {
+		wasQuarantined := h.health.isQuarantined()
 		h.health.recordEnd(now, r.ifNotTransferred(), e.Reason)
+		p.logQuarantine(now, h, wasQuarantined)
 	}
 	switch e.Reason {
 	case kqexecution.EndDone:
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -118,6 +118,8 @@
 	progressedAt  time.Time
 	firstReportAt time.Time
 	lastReportAt  time.Time
+	// stalled is true once the run has stalled.
+	stalled bool
 	// measurement is the reported tail latency of a serving run, in milliseconds, or the
 	// processor use of a filling run, in thousandths of a processor.
 	measurement float64
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -25,10 +25,11 @@
 	step              stepKey
 	isRestart         bool
 	mayUseQuarantined bool
+	isLastAttempt     bool
 }
 
 func (t *task) placementKey(now time.Time) placementKey {
-	return placementKey{t.stepKey(), t.isRestart(), t.mayUseQuarantined(now)}
+	return placementKey{t.stepKey(), t.isRestart(), t.mayUseQuarantined(now), t.isLastAttempt()}
 }
 
 // pass is the state of one scheduling pass over all waiting tasks. Free capacity only shrinks
@@ -338,11 +339,17 @@
 // reserve for the top priority must stay free as well, unless the task has that priority, fills or is a
 // restart.
 func (h *host) hasCapacity(t *task) bool {
-	need := t.step.Reserved()
+	need := h.withReserveFor(t, t.step.Reserved())
+	return need.FitsIn(h.free()) && (h.longRunningClaims.IsZero() || h.leavesClaims(need))
+}
+
+// withReserveFor adds to some resources the reserve of a host for the top priority, if it is kept free of
+// a task.
+func (h *host) withReserveFor(t *task, need kqmodel.Resources) kqmodel.Resources {
 	if t.job.queue.Priority > 0 && !t.step.Fills && !t.isRestart() {
 		need = h.withTopPriorityReserve(need)
 	}
-	return need.FitsIn(h.free()) && (h.longRunningClaims.IsZero() || h.leavesClaims(need))
+	return need
 }
 
 // withTopPriorityReserve adds the reserve of a host for the top priority to what a task needs.
@@ -353,26 +360,27 @@
 
 // mayRun reports whether a host may run a task, regardless of the host's free capacity.
 func (p *Planner) mayRun(now time.Time, t *task, h *host) bool {
-	s := t.step
 	switch {
-	case !h.usable(now), h.info.Service != t.job.queue.Service, p.inEvacuatedZone(h):
+	case !h.usable(now), !p.isSuitable(now, t, h):
 		return false
 	case h.trial != nil && h.trial.keepsOut(t):
 		return false
-	case now.Before(t.barredUntil[h.name]):
-		return false
-	case s.Label != "" && !slices.Contains(h.info.Labels, s.Label):
-		return false
-	case s.MaxPerWorker > 0 && h.countSameStep(t) >= s.MaxPerWorker:
-		return false
 	case !t.isRestart() && !p.withinWarmUpLimit(now, t, h):
 		return false
-	case h.health.isQuarantined() && !t.mayUseQuarantined(now) && !(h.mayProbe(now) && t.job.queue.MaxAttempts-len(t.failedRuns) > 1):
+	case h.health.isQuarantined() && !p.mayRunQuarantined(now, t, h):
 		return false
 	}
 	return true
 }
 
+// isSuitable reports whether a task may run on the worker of a host, regardless of the state that the
+// worker is in.
+func (p *Planner) isSuitable(now time.Time, t *task, h *host) bool {
+	s := t.step
+	return h.info.Service == t.job.queue.Service && !p.inEvacuatedZone(h) && !now.Before(t.barredUntil[h.name]) &&
+		(s.Label == "" || slices.Contains(h.info.Labels, s.Label)) && (s.MaxPerWorker == 0 || h.countSameStep(t) < s.MaxPerWorker)
+}
+
 // countSameStep returns how many runs of the task's step and occurrence a host has.
 func (h *host) countSameStep(t *task) int {
 	n := 0
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -89,7 +89,9 @@
 	fillingMissLimit int
 	// movesLeft is the number of searches for another host that the current progress check may
 	// still make for throttled filling runs or, while the owner is overloaded, for any run.
-	movesLeft            int
+	movesLeft int
+	// noMoveHost holds the tasks for which the current progress check has found no host to move to.
+	noMoveHost           map[placementKey]bool
 	approvals            map[stepKey]*approval
 	approvalsRequestedAt time.Time
 
@@ -108,8 +110,9 @@
 	// workerEnds holds the incarnations whose end was recorded, with the time of that.
 	workerEnds map[kqexecution.Incarnation]time.Time
 	// crashes holds the recent crashes of workers, trials the trials that are required or in progress.
-	crashes []workerCrash
-	trials  map[stepKey]*trial
+	crashes      []workerCrash
+	trials       map[stepKey]*trial
+	alternatives alternatives
 	evacuation
 	warmUp warmUp
 	// admission holds the data from which entries accept or reject jobs.
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -18,7 +18,7 @@
 	var best *host
 	var victims []*run
 	for _, h := range p.hosts.All() {
-		if !h.mayPreemptFor(t) || h.health.isQuarantined() && !t.mayUseQuarantined(now) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) {
+		if !h.mayPreemptFor(t) || h.health.isQuarantined() && !t.mayUseQuarantined(now) && p.couldRunElsewhere(now, t) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) {
 			continue
 		}
 		v, ok := h.victims(now, t, need.Add(claimed[h]))
--- a/internal/flow/kqplan/quarantine_test.go
+++ b/internal/flow/kqplan/quarantine_test.go
@@ -193,3 +193,166 @@
 	// The second failure quarantines the worker, for at least 1.5 s after each failure.
 	g.Expect(starts).To(BeNumerically("~", 2+int(maxDowntime/(1500*time.Millisecond)), 2))
 }
+
+// faultyWorker is a fleet of one worker whose runs fail after 150 ms, stall or are refused while it is
+// faulty, and take the time that runTime returns afterwards.
+type faultyWorker struct {
+	*fleet
+	fault    kqexecution.EndReason
+	faultyAt time.Time // of the latest fault
+	faults   int
+}
+
+// stalls is the fault of a worker on which runs make no progress.
+const stalls kqexecution.EndReason = "stalls"
+
+func newFaultyWorker(attempts int, runTime time.Duration) *faultyWorker {
+	f := &faultyWorker{fleet: &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }}}
+	f.runTime = func(o kqplan.Order) time.Duration {
+		switch f.fault {
+		case kqexecution.EndFailed:
+			return 150 * time.Millisecond
+		case stalls:
+			return 0
+		}
+		return runTime
+	}
+	f.refuses = func(*fleetWorker, kqplan.Order) bool {
+		if f.fault == kqexecution.EndRefused {
+			f.faults, f.faultyAt = f.faults+1, f.now
+		}
+		return f.fault == kqexecution.EndRefused
+	}
+	f.SetPolicy(&kqflow.Policy{Version: 2, Queues: map[string]kqflow.Queue{
+		"waiting": {Name: "waiting", Service: "s", MaxAttempts: attempts, Stretch: 1.5, Target: time.Second},
+		"other":   {Name: "other", Service: "s", Priority: 1, MaxAttempts: 8, Stretch: 1.5, Target: time.Second}}})
+	f.addWorker("h1", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64 << 30})
+	return f
+}
+
+// advanceUntil simulates until the condition holds, at most for maxDowntime, and calls onOrder for each
+// start. Runs that start while the worker is faulty fail.
+func (f *faultyWorker) advanceUntil(g *WithT, what string, condition func() bool, onOrder func(kqplan.Order)) {
+	for end := f.now.Add(maxDowntime); !condition(); {
+		g.Expect(f.now).To(BeTemporally("<", end), what)
+		f.advance(fleetStep, func(o kqplan.Order) {
+			if x := f.workers[0].runs[o.Run]; x != nil && f.fault == kqexecution.EndFailed {
+				x.reason = kqexecution.EndFailed
+				f.faults, f.faultyAt = f.faults+1, x.endsAt
+			}
+			if onOrder != nil {
+				onOrder(o)
+			}
+		})
+	}
+}
+
+// A worker is faulty for a while, and no other can run a task. Guards against a quarantine that only a
+// task with several attempts left can end, although there is none, and against probes that keep a worker
+// for themselves: the task is never started again.
+func TestATaskThatOnlyAQuarantinedWorkerCanRunIsNeverStarted(t *testing.T) {
+	one := newStep(1, 1)
+	three, gang, longRunning, all := newStep(3, 1), newStep(3, 1), newStep(1, 1), newStep(1, 20)
+	gang.Gang, longRunning.LongRunning, all.Estimate = true, true, 10*time.Second
+	for name, x := range map[string]struct {
+		attempts int
+		step     kqflow.Step
+		// fault is the fault of the worker until it has occurred faults times: in runs of the waiting
+		// job, or, if otherFirst is true, in runs of another job, after which the waiting job is
+		// submitted.
+		fault      kqexecution.EndReason
+		faults     int
+		otherFirst bool
+		// holds is the number of processors of a job that starts as soon as the worker is sound and
+		// runs for a minute; 0 if there is none.
+		holds int64
+	}{
+		"last attempt":                     {attempts: 4, step: one, fault: kqexecution.EndFailed, faults: 3},
+		"last attempt of several tasks":    {attempts: 3, step: three, fault: kqexecution.EndFailed, faults: 6},
+		"last attempt of a gang":           {attempts: 2, step: gang, fault: kqexecution.EndFailed, faults: 3},
+		"only attempt":                     {attempts: 1, step: one, fault: kqexecution.EndFailed, faults: 2, otherFirst: true},
+		"only attempt of a gang":           {attempts: 1, step: gang, fault: kqexecution.EndFailed, faults: 2, otherFirst: true},
+		"only attempt, long-running":       {attempts: 1, step: longRunning, fault: kqexecution.EndFailed, faults: 2, otherFirst: true},
+		"only attempt, refused":            {attempts: 1, step: one, fault: kqexecution.EndRefused, faults: 1},
+		"another run stalls":               {attempts: 2, step: one, fault: stalls, otherFirst: true},
+		"a long probe":                     {attempts: 2, step: one, fault: kqexecution.EndFailed, faults: 2, otherFirst: true, holds: 1},
+		"a long probe after a refusal":     {attempts: 2, step: one, fault: kqexecution.EndRefused, faults: 1, otherFirst: true, holds: 1},
+		"a long probe of a lower priority": {attempts: 2, step: all, fault: kqexecution.EndFailed, faults: 2, otherFirst: true, holds: 20},
+		"last attempt behind a long probe": {attempts: 1, step: one, fault: kqexecution.EndFailed, faults: 2, otherFirst: true, holds: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFaultyWorker(x.attempts, 300*time.Millisecond)
+			f.fault = x.fault
+			submit := func(id, queue string, s kqflow.Step) { f.Submit(f.now, job(id, queue, f.now, s), nil, 0) }
+			first := "waiting"
+			if x.otherFirst {
+				first = "other"
+				submit("other", "other", one)
+			} else {
+				submit("waiting", "waiting", x.step)
+			}
+			if x.fault == stalls {
+				f.advance(3*time.Second, nil)
+				f.faultyAt = f.now
+			} else {
+				f.advanceUntil(g, "faults of job "+first, func() bool { return f.faults >= x.faults && !f.now.Before(f.faultyAt) }, nil)
+			}
+			f.fault = ""
+			if x.holds > 0 {
+				f.Submit(f.now, kqflow.Submission{Job: kqflow.Job{ID: "other"}, Cancelled: true}, nil, 0)
+				f.runTime = func(o kqplan.Order) time.Duration {
+					if o.Run.Task == "holds.0.0.0" {
+						return time.Minute
+					}
+					return 300 * time.Millisecond
+				}
+				s := newStep(1, x.holds)
+				s.Estimate = time.Minute
+				submit("holds", "other", s)
+				f.advanceUntil(g, "start of the probe", func() bool { return len(f.workers[0].runs) > 0 }, nil)
+				f.faultyAt = f.now
+			}
+			if x.otherFirst {
+				submit("waiting", "waiting", x.step)
+			}
+			started := time.Time{}
+			f.advanceUntil(g, "start of the waiting task", func() bool { return !started.IsZero() }, func(o kqplan.Order) {
+				if o.Run.Task == "waiting.0.0.0" || o.Run.Task == "waiting.0.0.1" || o.Run.Task == "waiting.0.0.2" {
+					started = f.now
+				}
+			})
+			g.Expect(started.Sub(f.faultyAt)).To(BeNumerically("<", maxUrgentDelay))
+			if !x.step.LongRunning {
+				f.advanceUntil(g, "end of the waiting job", func() bool { return f.states["waiting"] == kqflow.StateCompleted }, nil)
+			}
+		})
+	}
+}
+
+// A worker fails all that it starts, and the other one, which is sound, is full for 8 s. Guards against a
+// last attempt that is spent on the quarantined worker although the other one could run the task later.
+func TestTheLastAttemptIsSpentOnAQuarantinedWorker(t *testing.T) {
+	g := NewWithT(t)
+	f := newFaultyWorker(3, 300*time.Millisecond)
+	f.fault = kqexecution.EndFailed
+	f.Submit(f.now, job("waiting", "waiting", f.now, newStep(1, 1)), nil, 0)
+	f.advanceUntil(g, "two failures", func() bool { return f.faults >= 2 && !f.now.Before(f.faultyAt) }, nil)
+	f.addWorker("h2", kqmodel.Resources{MilliProcessors: 8000, MemoryBytes: 64 << 30})
+	f.workers[0], f.workers[1] = f.workers[1], f.workers[0]
+	f.fault = ""
+	f.runTime = func(o kqplan.Order) time.Duration {
+		if o.Run.Task == "full.0.0.0" {
+			return 8 * time.Second
+		}
+		return 300 * time.Millisecond
+	}
+	f.Submit(f.now, job("full", "waiting", f.now, newStep(1, 8)), nil, 0)
+	worker := kqexecution.Incarnation("")
+	f.advanceUntil(g, "third attempt", func() bool { return worker != "" }, func(o kqplan.Order) {
+		if o.Run.Task == "waiting.0.0.0" {
+			worker = o.Worker
+		}
+	})
+	g.Expect(worker).To(BeEquivalentTo("w-h2"))
+}
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -45,6 +45,10 @@
 	return waiting
 }
 
+// isRestart reports whether a task is long-running and a run of it has ended. Such a task serves nobody
+// while it waits, so rules that keep capacity for others or wait for a better worker do not bar it.
+func (t *task) isRestart() bool { return t.step.LongRunning && t.lastRun > uint64(len(t.runs)) }
+
 // dueRestarts returns the long-running tasks that are due and have lost their run, by priority; large
 // tasks come first, which packs best.
 func (p *Planner) dueRestarts(now time.Time) []*task {
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -24,10 +24,9 @@
 // chooseInPass returns the host with the lowest cost for a task of the pass, or nil. It uses the
 // pass's shortlist, or makes a new one if that is for other tasks.
 func (p *Planner) chooseInPass(now time.Time, t *task, ps *pass) *host {
-	if len(t.failedRuns) > 0 || t.hasBarredHosts(now) {
-		// A task that has failed may have too few attempts left to probe a quarantined host, and one
-		// that was refused may not go to some hosts, unlike the other tasks of the step, so it cannot
-		// use their shortlist.
+	if t.hasBarredHosts(now) {
+		// A task that was refused may not go to some hosts, unlike the other tasks of the step, so it
+		// cannot use their shortlist.
 		return p.chooseHost(now, t)
 	}
 	if p.onHold {
