Planner: approval is requested for workers on which the task fits

Seen in TestTheLargestJobsDelayNoOtherJob, rows of stalled runs: a small job whose four approved workers are full waits for over 9 s.

Cause: the count of approved workers and the choice of those to ask for compared a task with the free capacity alone, placement also with the reserve for the top priority; and a worker that may not get the task for another reason, such as quarantine, counted as approved. No further worker was asked for until the tickets expired, and then the same ones were.

Change: both use the capacity that a task may use, the count skips workers that may not run the task, and among workers on which equally many tasks fit, those with the most free processors are asked for first.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -246,7 +246,7 @@
 		return 0
 	}
 	for _, h := range p.hosts.All() {
-		if tk, ok := a.tickets[h.info.Worker]; ok && now.Before(tk.validUntil) && h.usable(now) && !p.inEvacuatedZone(h) {
+		if tk, ok := a.tickets[h.info.Worker]; ok && now.Before(tk.validUntil) && p.mayRun(now, t, h) {
 			waiting -= t.countPlaceable(h)
 		}
 	}
@@ -273,7 +273,7 @@
 
 // countPlaceable returns how many more tasks of the step a host may run at once.
 func (t *task) countPlaceable(h *host) int {
-	n := t.countFitting(h.free())
+	n := t.countFitting(h.availableTo(t, h.free()))
 	if t.step.MaxPerWorker > 0 {
 		n = min(n, max(0, t.step.MaxPerWorker-h.countSameStep(t)))
 	}
@@ -281,12 +281,13 @@
 }
 
 // approvalCandidates returns workers that may run a task, were not denied and have no valid ticket,
-// those on which the most tasks fit first. At most limit workers are returned, but up to
+// those on which the most tasks fit first, then those with the most free processors. At most limit workers are returned, but up to
 // minRequestedWorkers if limit is lower.
 func (p *Planner) approvalCandidates(now time.Time, t *task, a *approval, limit int) []kqexecution.Incarnation {
 	type candidate struct {
 		worker kqexecution.Incarnation
 		fits   int
+		free   int64
 	}
 	var all []candidate
 	for _, h := range p.hosts.All() {
@@ -294,12 +295,12 @@
 		if a.denied[h.info.Worker] || approved && now.Before(tk.validUntil) || !p.mayRun(now, t, h) {
 			continue
 		}
-		if n := t.countFitting(h.free()); n > 0 {
-			all = append(all, candidate{h.info.Worker, n})
+		if n := t.countFitting(h.availableTo(t, h.free())); n > 0 {
+			all = append(all, candidate{h.info.Worker, n, h.free().MilliProcessors})
 		}
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.fits, a.fits), cmp.Compare(a.worker, b.worker))
+		return cmp.Or(cmp.Compare(b.fits, a.fits), cmp.Compare(b.free, a.free), cmp.Compare(a.worker, b.worker))
 	})
 	all = all[:min(len(all), kqapproval.MaxWorkers, max(minRequestedWorkers, limit))]
 	out := make([]kqexecution.Incarnation, len(all))
--- a/internal/flow/kqplan/capacity_test.go
+++ b/internal/flow/kqplan/capacity_test.go
@@ -1,6 +1,7 @@
 package kqplan_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -128,3 +129,31 @@
 	f.addWorker("h3", kqmodel.Resources{MilliProcessors: 6500, MemoryBytes: 64400 << 20})
 	g.Expect(f.departFirst()).To(BeNumerically("<=", maxPlacementDelay))
 }
+
+// Five of six workers have less free than a task needs together with the reserve for the top priority.
+// Guards against requests that are made for these, and counts of approved workers that include them: the
+// task waits until the tickets expire, and then the same workers are requested again.
+func TestApprovalOfWorkersWithoutFreeCapacityIsRequested(t *testing.T) {
+	g := NewWithT(t)
+	f := &fleet{cell: newCell(1), stopTime: func() time.Duration { return 200 * time.Millisecond }, runTime: func(kqplan.Order) time.Duration { return time.Hour }}
+	policy := kqflow.Approval{Required: true, DecisionTime: 200 * time.Millisecond, DecisionTimePerWorker: 10 * time.Millisecond, ValidFor: time.Minute}
+	f.SetPolicy(&kqflow.Policy{Version: 2, Queues: map[string]kqflow.Queue{
+		"top":   {Name: "top", Service: "s", MaxAttempts: 2, Stretch: 1.5, Target: time.Second},
+		"batch": {Name: "batch", Service: "s", Priority: 1, MaxAttempts: 2, Stretch: 1.5, Target: time.Second, Approval: policy}}})
+	for n := range 5 {
+		f.addWorker(fmt.Sprintf("h%d", n+1), kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64 << 30})
+	}
+	full := newStep(5, 30)
+	full.Estimate = time.Hour
+	f.Submit(f.now, job("full", "top", f.now, full), nil, 0)
+	f.advance(time.Second, nil)
+	f.addWorker("h6", kqmodel.Resources{MilliProcessors: 32000, MemoryBytes: 64 << 30})
+	f.Submit(f.now, job("waiting", "batch", f.now, newStep(1, 1)), nil, 0)
+	submittedAt, delay := f.now, maxDowntime
+	service := &policyService{fleet: f, policy: policy, busy: map[string]time.Time{}}
+	for f.now.Sub(submittedAt) < maxDowntime {
+		f.advance(fleetStep, func(kqplan.Order) { delay = min(delay, f.now.Sub(submittedAt)) })
+		service.respond()
+	}
+	g.Expect(delay).To(BeNumerically("<", maxUrgentDelay))
+}
--- a/internal/flow/kqplan/large_job_test.go
+++ b/internal/flow/kqplan/large_job_test.go
@@ -98,7 +98,7 @@
 		runTime func(kqplan.Order) time.Duration
 		// disturb changes the fleet while the jobs run.
 		disturb func(*fleet)
-		// full is true if the large jobs leave no capacity or quarantine all workers.
+		// full is true if the large jobs leave no capacity.
 		full bool
 	}{
 		"chain":           {steps: chain(keep)},
@@ -109,10 +109,10 @@
 		"gang":            {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.Gang, s.Checkpoints = true, true })},
 		"gang fails":      {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.Gang = true }), runTime: endless, disturb: func(f *fleet) { f.failRuns(f.workers[0]); f.failRuns(f.workers[1]) }},
 		"gang too large":  {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.Gang, s.SameRack, s.Resources.MilliProcessors = true, true, 10000 })},
-		"stalled":         {steps: shape(kqflow.MaxTasks, keep), runTime: endless, full: true},
-		"stalled copies":  {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.Speculative = true }), runTime: endless, full: true},
+		"stalled":         {steps: shape(kqflow.MaxTasks, keep), runTime: endless},
+		"stalled copies":  {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.Speculative = true }), runTime: endless},
 		"long-running":    {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.LongRunning, s.Resources.MilliProcessors = true, 1000 }), runTime: endless, disturb: loseWorkers, full: true},
-		"workers crash":   {steps: shape(kqflow.MaxTasks, keep), runTime: endless, disturb: loseWorkers, full: true},
+		"workers crash":   {steps: shape(kqflow.MaxTasks, keep), runTime: endless, disturb: loseWorkers},
 		"too few workers": {steps: shape(kqflow.MaxTasks, func(s *kqflow.Step) { s.Resources.MilliProcessors = 15000 }), runTime: endless, full: true},
 	} {
 		for _, approval := range []bool{false, true} {
