Test rig: a set-up that kills owners starts them again

The stack of that run shows killOwner waiting for an owner in a cell whose only process is an entry: all seven agents had been killed.

Change: the killed agent starts again before the next draw. The checks are as before; the restarts that follow already start every agent but the one that runs the task.

--- a/internal/trial/kqflowrig/takeover_test.go
+++ b/internal/trial/kqflowrig/takeover_test.go
@@ -130,7 +130,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			x := newTakeoverRun(seed)
 			for x.owner() == x.hostingAgent() {
-				x.killOwner()
+				restart(x.killOwner())()
 				time.Sleep(12 * time.Second)
 			}
 			x.killOwner()
@@ -281,7 +281,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				x := newTakeoverRun(1)
 				for x.owner() == x.hostingAgent() {
-					x.killOwner()
+					restart(x.killOwner())()
 					time.Sleep(12 * time.Second)
 				}
 				host := x.hostingAgent()
