Planner: a worker that stalls again after it has completed runs gets last resorts

Found by reading: a run that has stalled counts as trouble once. If another run then ends done on its worker, the time of the trouble is forgotten, and each finite run there counts as a probe since; a task that no other worker could run waits as long as one is at work. recordStall sets the time again. A run is counted as active only while its host lists it, as the host's own count of stopping runs does, and removing a run keeps the list of a task's runs intact for a caller that iterates over it.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -281,8 +281,8 @@
 }
 
 // approvalCandidates returns workers that may run a task, were not denied and have no valid ticket,
-// those on which the most tasks fit first, then those with the most free processors. At most limit workers are returned, but up to
-// minRequestedWorkers if limit is lower.
+// those on which the most tasks fit first, then those with the most free processors. At most limit
+// workers are returned, but up to minRequestedWorkers if limit is lower.
 func (p *Planner) approvalCandidates(now time.Time, t *task, a *approval, limit int) []kqexecution.Incarnation {
 	type candidate struct {
 		worker kqexecution.Incarnation
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -465,8 +465,8 @@
 // markStopping counts a run as being stopped, for its step and its host.
 func (r *run) markStopping() {
 	r.stopping = true
-	r.task.progress().activeRuns--
 	if r.host.runs.Get(r.key()) == r {
+		r.task.progress().activeRuns--
 		r.host.usage.countStopping(r, 1)
 	}
 }
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -290,14 +290,12 @@
 
 // removeRun removes a run from its task and its host.
 func (t *task) removeRun(r *run) {
-	n := slices.Index(t.runs, r)
-	if n < 0 {
-		return
-	}
-	t.runs = slices.Delete(t.runs, n, n+1)
-	t.job.runCount--
-	if !r.stopping {
-		t.progress().activeRuns--
+	if n := slices.Index(t.runs, r); n >= 0 {
+		t.runs = append(t.runs[:n], t.runs[n+1:]...)
+		t.job.runCount--
+		if !r.stopping {
+			t.progress().activeRuns--
+		}
 	}
 	r.host.removeRun(r)
 }
--- a/internal/flow/kqplan/quarantine.go
+++ b/internal/flow/kqplan/quarantine.go
@@ -43,11 +43,12 @@
 	}
 }
 
-// recordStall records that a run makes no progress; begins is true the first time for the run.
+// recordStall records that a run makes no progress; begins is true the first time for the run. The run of
+// a worker that has completed others since counts again.
 func (x *health) recordStall(now time.Time, begins bool) {
 	x.failureStreak = max(x.failureStreak, quarantineStreak)
 	x.probeAt = now.Add(quarantineTime)
-	if begins {
+	if begins || x.troubleAt.IsZero() {
 		x.troubleAt = now
 	}
 }
