Planner: the agent for approval requests is chosen once per request, not per job

Found by reading: requestApprovals looked for an agent with a free slot for each job in each check, hosts times jobs every 50 ms, also if no job needs approval of more workers. What is requested, of whom and when stays the same.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -135,8 +135,15 @@
 	slices.SortStableFunc(waiting, func(a, b *approvalQueue) int {
 		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.open, b.open))
 	})
-	for len(waiting) > 0 {
-		waiting = slices.DeleteFunc(waiting, func(q *approvalQueue) bool { return !p.requestNextApproval(now, q) })
+	agent := p.approvalAgent(now)
+	for len(waiting) > 0 && agent != nil {
+		waiting = slices.DeleteFunc(waiting, func(q *approvalQueue) bool {
+			if agent == nil || !p.requestNextApproval(now, q, agent) {
+				return true
+			}
+			agent = p.approvalAgent(now)
+			return false
+		})
 	}
 }
 
@@ -164,13 +171,9 @@
 	return out
 }
 
-// requestNextApproval makes at most one request for a job. It returns false once the job needs no further
-// request in this check, or no agent may have another one open.
-func (p *Planner) requestNextApproval(now time.Time, q *approvalQueue) bool {
-	agent := p.approvalAgent(now)
-	if agent == nil {
-		return false
-	}
+// requestNextApproval makes at most one request for a job, through an agent. It returns false if the job
+// needs no further request in this check.
+func (p *Planner) requestNextApproval(now time.Time, q *approvalQueue, agent *host) bool {
 	if !q.listed {
 		q.listed, q.steps = true, q.job.stepsStartingWithin(q.job.queue.Approval.DecisionTime+approvalLead)
 	}
