Planner: a barred host of one task does not decide for the others of its step

Found by reading the change once more: couldRunElsewhere kept 'false' for all tasks that the same hosts accept if one of them has barred hosts, although it had found a worker, or had found none only for its bars. Bars are those of long-running tasks that were refused, so the result is used only where such a task has failed within the last 1.5 s and preempts; no test reaches it. A task with barred hosts is now judged by itself, as in the other caches of a pass. A comment of the rig is wrapped.

--- a/internal/flow/kqplan/quarantine.go
+++ b/internal/flow/kqplan/quarantine.go
@@ -149,15 +149,19 @@
 	if !p.alternatives.at.Equal(now) {
 		p.alternatives = alternatives{at: now, exist: map[placementKey]bool{}}
 	}
+	if t.hasBarredHosts(now) {
+		return p.findAlternative(now, t)
+	}
 	key := t.placementKey(now)
 	exists, ok := p.alternatives.exist[key]
 	if !ok {
 		exists = p.findAlternative(now, t)
-		p.alternatives.exist[key] = exists && !t.hasBarredHosts(now)
+		p.alternatives.exist[key] = exists
 	}
 	return exists
 }
 
+// findAlternative is couldRunElsewhere without its results for other tasks that the same hosts accept.
 func (p *Planner) findAlternative(now time.Time, t *task) bool {
 	missing := 1
 	if t.step.Gang {
--- a/internal/trial/kqflowrig/rig.go
+++ b/internal/trial/kqflowrig/rig.go
@@ -207,7 +207,8 @@
 	return r.policy
 }
 
-// AddQueue adds or changes a queue in a new version of the policy, and passes the policy to the running agents.
+// AddQueue adds or changes a queue in a new version of the policy, and passes the policy to the running
+// agents.
 func (r *Rig) AddQueue(q kqflow.Queue) {
 	r.mu.Lock()
 	next := &kqflow.Policy{Version: r.policy.Version + 1, Queues: maps.Clone(r.policy.Queues)}
