--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -161,13 +161,6 @@
 	p.record.logf("%s: has ended", p.name)
 }
 
-// isRunning reports whether the process was started and has not been stopped.
-func (p *process) isRunning() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cmd != nil
-}
-
 // cell is a small deployment: the store, entries, and agents with a worker each.
 type cell struct {
 	record  *record
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -28,6 +28,3 @@
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.begin).Seconds(), fmt.Sprintf(format, args...))
 }
-
-// seconds converts a time to seconds since the beginning.
-func (r *record) seconds(t time.Time) float64 { return t.Sub(r.begin).Seconds() }
