--- a/review/rig/gang.go
+++ b/review/rig/gang.go
@@ -17,10 +17,10 @@
 	idleTime = 3 * time.Second
 )
 
-// recurringGang is a job that recurs every four seconds. Its tasks work only together, on workers with the label
+// recurringGang is a job that recurs every three seconds. Its tasks work only together, on workers with the label
 // b.
 func recurringGang(at time.Time) jobBody {
-	return jobBody{Spec: "ms=800 gang=4", RepeatCount: 6, StartAtMS: at.UnixMilli(), IntervalMS: 4000,
+	return jobBody{Spec: "ms=800 gang=4", RepeatCount: 8, StartAtMS: at.UnixMilli(), IntervalMS: 3000,
 		Steps: []jobStep{{Count: 4, CPU: 960, MemMB: 1900, EstimateMS: 800, Gang: true, Constraints: "b"}}}
 }
 
