--- a/review/rig/requester.go
+++ b/review/rig/requester.go
@@ -37,6 +37,8 @@
 	AntiAffinity  int    `json:"antiAffinity,omitempty"`
 	LongRunning   bool   `json:"longRunning,omitempty"`
 	Constraints   string `json:"constraints,omitempty"`
+	Image         string `json:"image,omitempty"`
+	Fills         bool   `json:"fills,omitempty"`
 }
 
 // requester sends requests as the pages say: an answer that leaves the outcome open is followed by the same
