--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -207,7 +207,7 @@
 
 // newProcess writes the settings file of a process.
 func (c *cell) newProcess(name, role, class, zone, ip, own, listen string, memoryMB int) (*process, error) {
-	address, err := c.store.serve(name)
+	address, err := c.store.serve()
 	if err != nil {
 		return nil, err
 	}
