Planner: a waiting gang holds only capacity that it can get, and gangs take turns

Cause: couldFitGang counted the whole capacity of each usable worker of the service, whatever the gang could use of it: workers without its label, without approval, the reserve for the top priority, what long-running tasks keep. The hold then kept every finite task of the service from starting anywhere. Each gang had phases of its own (4 s of 8 s), so that a few gangs left no pause.

A service has one hold at a time, with a pause after it; gangs take turns, and one that could hold nothing goes to the end of the line. Event 725 says which gang holds how much.

Tests: TestWaitingGangsKeepJobsFromIdleWorkers, eight rows, all of which fail before this change (a small job had not begun after 3 s). TestGangsStartAmongSmallJobs passes before and after, and fails with a hold of 0 s.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -88,6 +88,7 @@
 	FlowSuspected         Number = 722
 	FlowTrial             Number = 723
 	FlowClaim             Number = 724
+	FlowHold              Number = 725
 	FlowRejected          Number = 731
 	FlowResubmitted       Number = 732
 	PeerConnected         Number = 801
@@ -197,6 +198,7 @@
 	{FlowSuspected, "flow_suspected", "A worker has crashed under a task; if further workers do while nothing else can be the cause, the task is given up and its job fails."},
 	{FlowTrial, "flow_trial", "The tasks of a step under which a worker has crashed are tried on a host where nothing else starts meanwhile."},
 	{FlowClaim, "flow_claim", "A host is kept for a long-running task that has lost its worker, until the task fits there."},
+	{FlowHold, "flow_hold", "Capacity of a service is kept for a gang that waits, for some seconds; gangs of a service take turns."},
 	{FlowRejected, "flow_rejected", "An entry has rejected a job of steps, which will not run, because it cannot end while its result has any value."},
 	{FlowResubmitted, "flow_returned", "A job of steps that was rejected before was submitted again and accepted; it is scheduled by the time of its first submission."},
 	{PeerConnected, "peer_linked", "A process of the system has connected."},
@@ -227,7 +229,7 @@
 // decisions holds the events that record a decision on a request, a task or a run.
 var decisions = map[Number]bool{
 	FlowAccepted: true, FlowRefused: true, FlowRejected: true, FlowResubmitted: true, FlowUnresolved: true, FlowPlanned: true, FlowCancelled: true, FlowCompleted: true, FlowFailed: true, FlowExpired: true,
-	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true, FlowSuspected: true, FlowTrial: true, FlowClaim: true,
+	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true, FlowSuspected: true, FlowTrial: true, FlowClaim: true, FlowHold: true,
 }
 
 // isDecision reports whether n records a decision on a request, a task or a run.
--- a/internal/core/kqmodel/resources.go
+++ b/internal/core/kqmodel/resources.go
@@ -22,6 +22,11 @@
 	return Resources{r.MilliProcessors - o.MilliProcessors, r.MemoryBytes - o.MemoryBytes, r.Accelerators - o.Accelerators}
 }
 
+// Times returns n times the amount.
+func (r Resources) Times(n int64) Resources {
+	return Resources{n * r.MilliProcessors, n * r.MemoryBytes, n * r.Accelerators}
+}
+
 // Max returns the larger amount of each resource.
 func (r Resources) Max(o Resources) Resources {
 	return Resources{max(r.MilliProcessors, o.MilliProcessors), max(r.MemoryBytes, o.MemoryBytes), max(r.Accelerators, o.Accelerators)}
--- a/internal/flow/kqplan/gang.go
+++ b/internal/flow/kqplan/gang.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// gangHoldTime is how long a waiting gang keeps other tasks from using capacity that becomes
-	// free; gangPauseTime is how long they may use it before the gang holds it again.
-	gangHoldTime  = 4 * time.Second
-	gangPauseTime = 4 * time.Second
 	// A gang member has stalled after minGangStallTime without progress, or after gangStallShare of
 	// the estimate if that is longer. Both are larger than for other tasks, because a member may
 	// wait for the other members when it starts.
@@ -97,10 +93,7 @@
 			t.waitingSince = now
 			p.config.Events.Emit(now, kqevent.FlowWaiting, kqevent.Task(t.name), "not enough free capacity to start %d tasks of %s at once", len(members), t.step.Resources)
 		}
-		waited := now.Sub(t.waitingSince) % (gangHoldTime + gangPauseTime)
-		if waited < gangHoldTime && p.couldFitGang(now, t, len(members)) {
-			ps.heldServices[t.job.queue.Service] = true
-		}
+		p.addWaitingGang(now, t, ps)
 		return true
 	}
 	t.waitingSince = time.Time{}
@@ -128,13 +121,19 @@
 			return out
 		}
 	}
-	maxWait := time.Duration(max(0, p.config.CrossRackSlowdown-1) * float64(t.step.Estimate))
-	if t.waitingSince.IsZero() || now.Sub(t.waitingSince) < maxWait {
+	if !p.mayUseSeveralRacks(now, t) {
 		return nil
 	}
 	return p.chooseHosts(now, members, anywhere)
 }
 
+// mayUseSeveralRacks reports whether a gang that runs slower over several racks has waited for a single
+// one for as long as that is expected to delay it.
+func (p *Planner) mayUseSeveralRacks(now time.Time, t *task) bool {
+	maxWait := time.Duration(max(0, p.config.CrossRackSlowdown-1) * float64(t.step.Estimate))
+	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= maxWait
+}
+
 // racksByFree returns the racks outside the evacuated zones, those with the most free processors
 // first.
 func (p *Planner) racksByFree() []string {
@@ -203,14 +202,3 @@
 	}
 	return count <= 0
 }
-
-// couldFitGang reports whether a gang of count tasks would fit outside the evacuated zones if
-// nothing else ran.
-func (p *Planner) couldFitGang(now time.Time, t *task, count int) bool {
-	for _, h := range p.hosts.All() {
-		if h.usable(now) && h.info.Service == t.job.queue.Service && !p.inEvacuatedZone(h) {
-			count -= t.countFitting(h.info.Capacity)
-		}
-	}
-	return count <= 0
-}
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -110,6 +110,8 @@
 	// longRunningClaims holds the resources that long-running tasks of the latest pass will use
 	// once runs have stopped or ended. Without it, each of these makes way for the next finite task.
 	longRunningClaims kqmodel.Resources
+	// held is what the host keeps free for a gang that waits.
+	held heldCapacity
 	// overdueStops holds the resources of the runs whose stop was overdue in the latest pass.
 	overdueStops kqmodel.Resources
 	// warmUpUntil is the end of the time for which the worker is slow after its start.
--- a/internal/flow/kqplan/job.go
+++ b/internal/flow/kqplan/job.go
@@ -88,6 +88,8 @@
 	claimedHost string
 	// waitingSince is when the gang of the task began to wait for capacity.
 	waitingSince time.Time
+	// holdConsideredAt is when a hold of capacity was last considered for the gang of the task.
+	holdConsideredAt time.Time
 }
 
 // run is an attempt of a task that was decided and has not ended.
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -57,8 +57,8 @@
 	contention Contention
 	// shortlist holds the candidate hosts for the latest step.
 	shortlist *shortlist
-	// heldServices holds the services whose free capacity is held for a waiting gang.
-	heldServices map[string]bool
+	// waitingGangs holds, by service, the first members of the gangs that wait for capacity so far.
+	waitingGangs map[string][]*task
 }
 
 const (
@@ -123,13 +123,13 @@
 // placeAll runs a scheduling pass: it starts, in the order of orderedJobs, every task that is due and
 // for which there is capacity.
 func (p *Planner) placeAll(now time.Time) {
-	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, noTrialHost: map[placementKey]bool{}, notOnTrialHost: map[placementKey]bool{}, withheld: map[stepKey]bool{}, heldServices: map[string]bool{}, includesFilling: p.isFillingDue(now)}
+	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, noTrialHost: map[placementKey]bool{}, notOnTrialHost: map[placementKey]bool{}, withheld: map[stepKey]bool{}, waitingGangs: map[string][]*task{}, includesFilling: p.isFillingDue(now)}
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
 	}
 	for _, h := range p.hosts.All() {
-		h.longRunningClaims = kqmodel.Resources{}
+		h.longRunningClaims, h.held = kqmodel.Resources{}, heldCapacity{}
 		h.updateOverdueStops(now)
 	}
 	p.placeTrials(now, ps)
@@ -149,6 +149,7 @@
 			}
 		}
 	}
+	p.updateGangHolds(now, ps)
 	p.backlog = waiting
 	if !ps.includesFilling {
 		p.backlog += p.fillingBacklog
@@ -191,10 +192,6 @@
 // placeTask starts a task that is not part of a gang if a host has capacity; it reports whether it
 // did.
 func (p *Planner) placeTask(now time.Time, t *task, ps *pass) bool {
-	if ps.heldServices[t.job.queue.Service] && !t.step.Fills && !t.step.LongRunning {
-		p.passRequested = true
-		return false
-	}
 	if p.isWithheld(now, t, ps) {
 		p.logWaiting(now, t, "the service keeps its free processors for finite jobs")
 		return false
@@ -335,12 +332,13 @@
 }
 
 // hasCapacity reports whether the resources that a task reserves are free on a host, and whether
-// those that are free or about to be freed suffice for the long-running tasks that wait there too. The
-// reserve for the top priority must stay free as well, unless the task has that priority, fills or is a
-// restart.
+// those that are free or about to be freed suffice for the long-running tasks that wait there too. What a
+// waiting gang holds and the reserve for the top priority must stay free as well; the latter not of a task
+// that has that priority, fills or is a restart.
 func (h *host) hasCapacity(t *task) bool {
 	need := h.withReserveFor(t, t.step.Reserved())
-	return need.FitsIn(h.free()) && (h.longRunningClaims.IsZero() || h.leavesClaims(need))
+	held := h.heldFrom(t)
+	return need.FitsIn(h.free()) && (h.longRunningClaims.IsZero() || h.leavesClaims(need)) && (held.IsZero() || leaves(need, h.free().Sub(held)))
 }
 
 // withReserveFor adds to some resources the reserve of a host for the top priority, if it is kept free of
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -113,6 +113,8 @@
 	crashes      []workerCrash
 	trials       map[stepKey]*trial
 	alternatives alternatives
+	// gangHolds holds, by service, the capacity that is kept for a waiting gang.
+	gangHolds map[string]*gangHold
 	evacuation
 	warmUp warmUp
 	// admission holds the data from which entries accept or reject jobs.
@@ -121,7 +123,7 @@
 
 // New returns a Planner without jobs, hosts or queues.
 func New(c Config) *Planner {
-	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, queueStats: map[string]*queueStats{}, workerEnds: map[kqexecution.Incarnation]time.Time{}, trials: map[stepKey]*trial{}, fillingMissLimit: maxFillingMisses, admission: newAdmission(c.AcquiredAt)}
+	return &Planner{config: c, queues: map[string]kqflow.Queue{}, approvals: map[stepKey]*approval{}, queueStats: map[string]*queueStats{}, workerEnds: map[kqexecution.Incarnation]time.Time{}, trials: map[stepKey]*trial{}, gangHolds: map[string]*gangHold{}, fillingMissLimit: maxFillingMisses, admission: newAdmission(c.AcquiredAt)}
 }
 
 // Epoch returns the owner's epoch.
--- a/internal/flow/kqplan/preempt.go
+++ b/internal/flow/kqplan/preempt.go
@@ -21,7 +21,7 @@
 		if !h.mayPreemptFor(t) || h.health.isQuarantined() && !t.mayUseQuarantined(now) && p.couldRunElsewhere(now, t) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) {
 			continue
 		}
-		v, ok := h.victims(now, t, need.Add(claimed[h]))
+		v, ok := h.victims(now, t, need.Add(claimed[h]).Add(h.heldFrom(t)))
 		if ok && (best == nil || cmp.Or(cmp.Compare(h.health.rank(), best.health.rank()), cmp.Compare(len(v), len(victims)), strings.Compare(h.name, best.name)) < 0) {
 			best, victims = h, v
 		}
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -228,10 +228,14 @@
 }
 
 // leavesClaims reports whether the tasks that have claimed a host still fit, in view of the runs that
-// are being stopped, besides a task that needs certain resources. Resources that the task does not need
-// are not considered: it cannot delay the other tasks by them.
+// are being stopped, besides a task that needs certain resources.
 func (h *host) leavesClaims(need kqmodel.Resources) bool {
-	left := h.free().Add(h.usage.stoppingReserved).Sub(h.overdueStops).Sub(h.longRunningClaims)
+	return leaves(need, h.free().Add(h.usage.stoppingReserved).Sub(h.overdueStops).Sub(h.longRunningClaims))
+}
+
+// leaves reports whether what a task needs is part of what others leave. Resources that the task does not
+// need are not considered: it cannot delay others by them.
+func leaves(need, left kqmodel.Resources) bool {
 	return (need.MilliProcessors == 0 || need.MilliProcessors <= left.MilliProcessors) &&
 		(need.MemoryBytes == 0 || need.MemoryBytes <= left.MemoryBytes) &&
 		(need.Accelerators == 0 || need.Accelerators <= left.Accelerators)
