Planner: claims of restarts and of trials end, and yield together with the holds of gangs

Seen: a service is less than half reserved, and no job begins on it.

Cause: a restart of a long-running task claims the host where it will fit soonest, however long that takes. A trial of a task that is suspected of several crashes claimed its host for 3 s, and at once again.

Change: a restart claims no host where it is expected to fit only after 15 s. After a claim during which the trial could not start, no trial claims the host for 3 s.

Tests: TestClaimsKeepJobsFromIdleWorkers, both rows fail before this change (a small job had not begun after 4 s).

--- a/internal/flow/kqplan/crash.go
+++ b/internal/flow/kqplan/crash.go
@@ -81,7 +81,7 @@
 	p.config.Events.EmitFields(now, kqevent.WorkerCrashed, kqevent.Worker(string(e.Worker)), []kqevent.Field{kqevent.Millis("silent_ms", e.SilentFor), kqevent.Value("runs", len(runs)), kqevent.Value("recent_jobs", len(c.recentJobs))},
 		"host %s: ended without leaving, silent for %s; %d runs were at work, of which %d jobs had started some in the last %s", h.name, e.SilentFor.Round(time.Millisecond), len(runs), len(c.recentJobs), trialTime)
 	if h.trial != nil {
-		h.trial.release()
+		h.trial.release(now)
 	}
 	p.crashes = slices.DeleteFunc(p.crashes, func(x workerCrash) bool { return now.Sub(x.at) > crashRetention })
 	p.crashes = append(p.crashes, c)
--- a/internal/flow/kqplan/hold_test.go
+++ b/internal/flow/kqplan/hold_test.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 // maxIdleWait is the time within which a job begins while most of its service is idle.
@@ -169,3 +170,65 @@
 		})
 	}
 }
+
+// Tasks that lost their workers wait for hosts on which runs do not end. Guards against hosts that are kept
+// for them for good: restarts of long-running tasks claim a host each, and a task that is suspected of
+// several crashes claimed one for its trial again and again.
+func TestClaimsKeepJobsFromIdleWorkers(t *testing.T) {
+	for name, x := range map[string]struct {
+		step    kqflow.Step
+		crashes int
+	}{
+		"restarts": {step: func() kqflow.Step { s := newStep(1, 5); s.LongRunning = true; return s }()},
+		"trials":   {step: newStep(1, 5), crashes: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := &fleet{cell: newCell(1), runTime: func(kqplan.Order) time.Duration { return time.Hour }, stopTime: func() time.Duration { return 200 * time.Millisecond }}
+			resize := func(w *fleetWorker, processors int64) {
+				f.UpdateWorker(f.now, w.host, kqplan.WorkerInfo{Worker: w.worker, Service: "s", Capacity: kqmodel.Resources{MilliProcessors: processors, MemoryBytes: 1 << 40}})
+			}
+			lost := []string{"lost0", "lost1"}
+			for n, id := range lost {
+				f.addWorker(fmt.Sprintf("h%d", n), crashCapacity)
+				f.Submit(f.now, job(id, "urgent", f.now, x.step), nil, 0)
+			}
+			f.advance(2*time.Second, nil)
+			for range x.crashes - 1 {
+				for _, id := range lost {
+					f.crash(200*time.Millisecond, f.workerOf(id))
+				}
+			}
+			for _, id := range lost {
+				w := f.workerOf(id)
+				if x.crashes > 0 {
+					f.WorkerEnded(f.now, w.host, w.crashOf(200*time.Millisecond))
+				}
+				f.WorkerDeparted(f.now, w.worker)
+				*w = fleetWorker{host: w.host, worker: w.worker + "+", runs: map[kqexecution.Run]*fleetRun{}}
+				resize(w, 3000)
+				f.LeaseGranted(f.now, w.host, 7*time.Second)
+				f.advance(200*time.Millisecond, nil)
+			}
+			endless := newStep(2, 3)
+			endless.MaxPerWorker = 1
+			f.Submit(f.now, job("endless", "urgent", f.now, endless), nil, 0)
+			f.advance(time.Second, nil)
+			for _, w := range f.workers {
+				g.Expect(w.runs).To(HaveLen(1), "the endless run")
+				resize(w, 7000)
+			}
+			f.runTime = func(kqplan.Order) time.Duration { return 500 * time.Millisecond }
+			submitted := map[string]time.Time{}
+			for second := range 20 {
+				id := fmt.Sprintf("small%d", second)
+				submitted[id+".0.0.0"] = f.now
+				f.Submit(f.now, job(id, "batch", f.now, newStep(1, 1)), nil, 0)
+				f.advance(time.Second, func(o kqplan.Order) { delete(submitted, o.Run.Task) })
+				for task, at := range submitted {
+					g.Expect(f.now.Sub(at)).To(BeNumerically("<=", maxIdleWait), "%s has not begun", task)
+				}
+			}
+		})
+	}
+}
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -120,6 +120,8 @@
 	silentSince time.Time
 	// trial is the trial that keeps other work from the host, or nil.
 	trial *trial
+	// noTrialBefore is the time before which no trial claims the host, see trialClaimPause.
+	noTrialBefore time.Time
 }
 
 // host returns the host with a name; it is added if missing.
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -76,7 +76,7 @@
 // leavesFiniteDemand.
 func (p *Planner) claimHost(now time.Time, t *task, ps *pass) {
 	key := t.placementKey(now)
-	if p.onHold || p.trials[t.stepKey()] != nil || ps.unclaimable[key] || !p.leavesFiniteDemand(now, t) {
+	if p.onHold || p.trials[t.stepKey()] != nil || ps.unclaimable[key] || !p.leavesFiniteDemand(now, t) || p.mustYield(now, t.job.queue.Service) {
 		return
 	}
 	h, after := p.soonestHost(now, t, ps)
@@ -95,12 +95,16 @@
 	h.longRunningClaims = h.longRunningClaims.Add(need)
 }
 
+// maxClaimWait is the longest expected wait for which a task claims a host. The runs that it waits for are
+// expected to end by then, or are late by no more; what is free beside them would be idle for longer.
+const maxClaimWait = 15 * time.Second
+
 // minClaimGain is how much sooner a long-running task must be expected to fit on another host than on the
 // one that it has claimed to give up what has become free there: about the time between two reports.
 const minClaimGain = 400 * time.Millisecond
 
 // soonestHost returns the host on which a long-running task will fit soonest, besides the tasks that
-// have claimed it already, and after which time; nil if it will fit nowhere. The host that it claimed last
+// have claimed it already, and after which time; nil if it will fit nowhere within maxClaimWait. The host that it claimed last
 // is left only if another is earlier by minClaimGain; among hosts on which it fits at the same time, the
 // one with the most free processors comes first.
 func (p *Planner) soonestHost(now time.Time, t *task, ps *pass) (best *host, after time.Duration) {
@@ -110,7 +114,7 @@
 			continue
 		}
 		d, fits := h.timeUntilFree(need, ps.releasesOn(now, h, t.job.queue.Priority))
-		if !fits {
+		if !fits || d > maxClaimWait {
 			continue
 		}
 		if h.name == t.claimedHost {
--- a/internal/flow/kqplan/trial.go
+++ b/internal/flow/kqplan/trial.go
@@ -24,8 +24,13 @@
 	// maxTrialTime bounds how long a trial keeps other work from its hosts, unless a worker does not
 	// answer: it may have crashed, which is known only once the next incarnation starts.
 	maxTrialTime = 3 * time.Second
-	// maxClaimTime is how long a task that is suspected of a single crash waits for a claimed host.
-	maxClaimTime = time.Second
+	// maxClaimTime is how long a task that is suspected of a single crash waits for a claimed host,
+	// maxStrictClaimTime the same for a task that is suspected of several.
+	maxClaimTime       = time.Second
+	maxStrictClaimTime = 2 * time.Second
+	// trialClaimPause is how long no trial claims a host after a claim during which no run was placed, for
+	// example because a run there does not end. Other work uses the host meanwhile.
+	trialClaimPause = maxTrialTime
 	// noisyHostRisk is the cost of a host on which other runs have just started, relative to a host whose
 	// processors are all in use: a trial waits until they have been at work for trialTime.
 	noisyHostRisk = 0.25
@@ -55,9 +60,12 @@
 }
 
 // release lets other work start on the hosts of the trial.
-func (x *trial) release() {
+func (x *trial) release(now time.Time) {
 	for _, h := range x.hosts {
 		h.trial = nil
+		if !x.placed {
+			h.noTrialBefore = now.Add(trialClaimPause)
+		}
 	}
 	x.hosts, x.placed = nil, false
 }
@@ -118,7 +126,7 @@
 		if !isOver && (x.isWaiting(now) || x.isInProgress(now)) {
 			continue
 		}
-		x.release()
+		x.release(now)
 		// A strict trial goes on until each suspect has passed.
 		if isOver || !x.anyTask(func(t *task) bool { return t.isPending() && t.suspectedCrashes() > 1 }) {
 			delete(p.trials, key)
@@ -153,9 +161,12 @@
 // isInProgress reports whether the trial has a host, and a run there that has not been at work for
 // trialTime or that is still to be placed.
 func (x *trial) isInProgress(now time.Time) bool {
-	limit := maxTrialTime
-	if !x.placed && !x.isStrict {
-		limit = maxClaimTime
+	limit := maxClaimTime
+	switch {
+	case x.placed:
+		limit = maxTrialTime
+	case x.isStrict:
+		limit = maxStrictClaimTime
 	}
 	return len(x.hosts) > 0 && (!x.placed || x.anyTask((*task).hasUnprovenRun)) &&
 		(now.Sub(x.startedAt) < limit || slices.ContainsFunc(x.hosts, func(h *host) bool { return h.info.Unresponsive }))
@@ -239,8 +250,8 @@
 }
 
 // chooseTrialHost returns the host for a trial on which the crash of the worker would cost the least, or
-// nil if the trials that run are enough or no host can run the task; mayWait is true in the first case.
-// The host need not have capacity at present, since nothing else that starts takes what becomes free.
+// nil if the trials that run are enough, the hosts that can run the task pause between two claims, or no host
+// can; mayWait is true unless no host can. The host need not have capacity at present, since nothing else that starts takes what becomes free.
 func (p *Planner) chooseTrialHost(now time.Time, t *task) (best *host, mayWait bool) {
 	if p.onHold || !p.hasFreeTrialHost(t.job.queue.Service) {
 		return nil, true
@@ -250,11 +261,14 @@
 		if !h.hasFiniteCapacity(t) || !p.mayRun(now, t, h) || !p.isApproved(now, t, h) || t.step.Fills && !p.acceptsFilling(now, t, h) {
 			continue
 		}
+		if mayWait = true; now.Before(h.noTrialBefore) {
+			continue
+		}
 		if risk := p.trialRisk(now, t, h); best == nil || risk < lowest || risk == lowest && h.name < best.name {
 			best, lowest = h, risk
 		}
 	}
-	return best, best != nil
+	return best, mayWait
 }
 
 // hasFiniteCapacity reports whether the resources that a task reserves are free on a host, or will be as
