Planner: what the limit of a pass leaves out comes first in the next ones

Cause: a pass stops searching hosts for filling tasks after 24 steps that no host accepts. The order of jobs does not depend on what was tried, so the same hopeless steps use the limit up in each pass. The same holds for searches of progress checks (12 throttled runs, one run of any kind while the owner is overloaded) and of relocation checks (8 runs): they begin at another host each time, but always with its first runs.

What a limit has left out comes first in the passes after, until each has had its turn; a pass that ends a round with searches left begins the next. The limits count what they are for: a search counts if the runs of a host were considered, a progress check if a run needs another host. A job without a run for 2 s, which accepts any host, needs no turn.

--- a/internal/flow/kqplan/evacuation.go
+++ b/internal/flow/kqplan/evacuation.go
@@ -6,6 +6,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqevacuate"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 // evacuation holds the evacuated zones and the state of the relocation of work out of them. The
@@ -14,6 +15,8 @@
 	zones                  kqevacuate.Zones
 	relocationCheckedAt    time.Time
 	longRunningRelocatedAt time.Time
+	// relocations gives the runs for which a check searches a host in another zone their turns.
+	relocations round[kqexecution.Run]
 	// unavailableTasks is the number of unavailable tasks of each long-running step, as of the
 	// latest relocation check.
 	unavailableTasks map[stepKey]int
--- a/internal/flow/kqplan/fill.go
+++ b/internal/flow/kqplan/fill.go
@@ -56,9 +56,10 @@
 // acceptsFilling reports whether a host has enough filling capacity for a filling task and whether
 // its serving tasks keep enough headroom.
 func (p *Planner) acceptsFilling(now time.Time, t *task, h *host) bool {
-	if t.job.idleTime(now) >= maxJobIdleTime {
+	if t.acceptsAnyHost(now) {
 		return true
 	}
+	p.fillingConsidered++
 	if h.usage.serving > 0 && !p.leavesHeadroom(now, t, h) {
 		return false
 	}
@@ -66,6 +67,10 @@
 	return h.usage.filling == 0 || h.usage.filling+need <= h.fillingCapacity(p.fillingEffectOn(t.step, h).pace)*overcommitPercent/fullPercent
 }
 
+// acceptsAnyHost reports whether the job of a filling task has had no run for so long that the task accepts any
+// host with capacity.
+func (t *task) acceptsAnyHost(now time.Time) bool { return t.job.idleTime(now) >= maxJobIdleTime }
+
 // leavesHeadroom reports whether the serving tasks of a host keep the required headroom with one more
 // filling task. Runs that started too recently to show in the measurements are counted by their
 // expected interference. While the interference of an image is unknown, only one run of it is placed
--- a/internal/flow/kqplan/health.go
+++ b/internal/flow/kqplan/health.go
@@ -93,10 +93,12 @@
 		return
 	}
 	p.progressCheckedAt = now
-	p.movesLeft, p.noMoveHost = maxMoveSearches, map[placementKey]bool{}
+	p.noMoveHost = map[placementKey]bool{}
+	searches := maxMoveSearches
 	if p.isOverloaded() {
-		p.movesLeft = 1
+		searches = 1
 	}
+	p.moves.beginPass(searches)
 	for _, h := range p.rotatedHosts() {
 		usable := h.usable(now)
 		for _, r := range h.runList() {
@@ -185,11 +187,6 @@
 	if ran < minProgressTime || r.percent <= 0 && !stalled {
 		return
 	}
-	if p.isOverloaded() {
-		if p.movesLeft--; p.movesLeft < 0 {
-			return
-		}
-	}
 	remaining := time.Duration(float64(ran) * (fullPercent - r.percent) / max(1, r.percent))
 	if s.Speculative {
 		p.startCopy(now, r, remaining, stalled)
@@ -225,11 +222,12 @@
 	if now.Sub(r.throttledSince) < maxThrottledTime || r.percent > maxMoveProgress || (!s.Checkpoints && r.percent > maxRestartProgress) {
 		return
 	}
-	if p.movesLeft--; p.movesLeft < 0 {
+	if !p.moves.maySearch(r.key()) {
 		return
 	}
 	to := p.chooseHost(now, r.task)
 	if to == nil || to == h || p.fillingEffectOn(s, to).pace <= throttledPace {
+		p.moves.searchFailed(r.key())
 		return
 	}
 	p.logMove(now, r, "at %.0f %%, throttled to %d %% of full speed", r.percent, r.pace)
@@ -250,20 +248,25 @@
 	if len(t.runs) > 1 || p.trials[t.stepKey()] != nil || (!stalled && remaining < time.Duration(minMoveGain*float64(t.step.Estimate))) {
 		return
 	}
-	if h := p.chooseMoveHost(now, t); h != nil && h != r.host {
+	if h := p.chooseMoveHost(now, r); h != nil && h != r.host {
 		p.start(now, t, h)
 	}
 }
 
-// chooseMoveHost is chooseHost, which is called once per check for the tasks that the same hosts accept if
-// it finds none for the first of them.
-func (p *Planner) chooseMoveHost(now time.Time, t *task) *host {
+// chooseMoveHost returns the host with the lowest cost for the task of a run, or nil. Hosts are searched once
+// per check for the tasks that the same hosts accept if there is none for the first of them. While the owner
+// is overloaded, the runs take turns.
+func (p *Planner) chooseMoveHost(now time.Time, r *run) *host {
+	t := r.task
 	key := t.placementKey(now)
-	if p.noMoveHost[key] {
+	if p.noMoveHost[key] || p.isOverloaded() && !p.moves.maySearch(r.key()) {
 		return nil
 	}
 	h := p.chooseHost(now, t)
 	p.noMoveHost[key] = h == nil && !t.hasBarredHosts(now)
+	if p.isOverloaded() {
+		p.moves.searchFailed(r.key())
+	}
 	return h
 }
 
@@ -278,7 +281,7 @@
 	if !stalled && (remaining < time.Duration(minMoveGain*float64(restartTime))+restartOverhead || p.inEvacuationGrace(now, h)) {
 		return
 	}
-	if to := p.chooseMoveHost(now, r.task); to == nil || to == h || to.health.slowdown() > slowThreshold {
+	if to := p.chooseMoveHost(now, r); to == nil || to == h || to.health.slowdown() > slowThreshold {
 		return
 	}
 	p.logMove(now, r, "at %.0f %%, stalled %t, expected remaining time %s", r.percent, stalled, remaining.Round(time.Millisecond))
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -51,8 +51,6 @@
 	notOnTrialHost map[placementKey]bool
 	// withheld holds the long-running steps that have to leave the free capacity to finite jobs.
 	withheld map[stepKey]bool
-	// fillingMisses counts the steps of filling tasks that no host accepts.
-	fillingMisses int
 	// contention sums up the tasks that wait so far.
 	contention Contention
 	// shortlist holds the candidate hosts for the latest step.
@@ -80,8 +78,8 @@
 	// fillingSpacingFactor is the same ratio for passes that include filling tasks.
 	fillingSpacingFactor = 4
 	// maxFillingMisses is the upper limit of Planner.fillingMissLimit: after that many steps of
-	// filling tasks that no host accepts, a pass skips the remaining ones. Their search is the most
-	// expensive, since it considers every run on a host.
+	// filling tasks that no host accepts, a pass leaves the remaining ones to the next. Their search is
+	// the most expensive, since it considers every run on a host.
 	maxFillingMisses = 24
 )
 
@@ -127,6 +125,7 @@
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
+		p.fillingRound.beginPass(p.fillingMissLimit)
 	}
 	for _, h := range p.hosts.All() {
 		h.longRunningClaims, h.held = kqmodel.Resources{}, heldCapacity{}
@@ -134,7 +133,8 @@
 	}
 	p.placeTrials(now, ps)
 	waiting := p.placeRestarts(now, ps)
-	for _, j := range p.orderedJobs(now, ps.includesFilling) {
+	ordered := p.orderedJobs(now, ps.includesFilling)
+	for _, j := range ordered {
 		for _, t := range j.tasks {
 			if t.step.Fills && !ps.includesFilling || t.step.LongRunning && ps.restarts[t] {
 				continue
@@ -149,6 +149,10 @@
 			}
 		}
 	}
+	if ps.includesFilling {
+		started := p.placeFillingNotTried(now, ordered, ps)
+		waiting, p.fillingBacklog = waiting-started, p.fillingBacklog-started
+	}
 	p.updateGangHolds(now, ps)
 	p.backlog = waiting
 	if !ps.includesFilling {
@@ -161,6 +165,25 @@
 	}
 }
 
+// placeFillingNotTried tries the filling tasks whose turn was not in this pass, if it has searches left for
+// them. It returns how many it started.
+func (p *Planner) placeFillingNotTried(now time.Time, ordered []*job, ps *pass) (started int) {
+	if !p.fillingRound.beginNextInPass() {
+		return 0
+	}
+	for _, j := range ordered {
+		for _, t := range j.tasks {
+			if !t.step.Fills || t.step.Gang || t.step.LongRunning && ps.restarts[t] || !p.isDue(now, t) {
+				continue
+			}
+			if p.placeTask(now, t, ps) {
+				started++
+			}
+		}
+	}
+	return started
+}
+
 // placeIfDue starts a task that is due; a gang is started with its first member. It returns how many
 // tasks wait for capacity.
 func (p *Planner) placeIfDue(now time.Time, t *task, ps *pass) int {
@@ -206,7 +229,8 @@
 		}
 	}
 	key := t.placementKey(now)
-	if !ps.unplaceable[key] && (!t.step.Fills || ps.fillingMisses < p.fillingMissLimit) {
+	if !ps.unplaceable[key] && (!t.step.Fills || t.acceptsAnyHost(now) || p.fillingRound.maySearch(key)) {
+		considered := p.fillingConsidered
 		if h := p.chooseInPass(now, t, ps); h != nil {
 			p.start(now, t, h)
 			ps.shortlist.rescore(p, now, t, h)
@@ -214,8 +238,8 @@
 		}
 		// A host that is barred for this task may have capacity for the others of its step.
 		ps.unplaceable[key] = !t.hasBarredHosts(now)
-		if t.step.Fills {
-			ps.fillingMisses++
+		if p.fillingConsidered > considered {
+			p.fillingRound.searchFailed(key)
 		}
 	}
 	p.waitOrPreempt(now, t, ps)
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -85,11 +85,14 @@
 	passDuration        time.Duration
 	fillingPassDuration time.Duration
 	// fillingMissLimit is the number of steps of filling tasks without a suitable host after
-	// which a pass stops searching for more of them.
+	// which a pass stops searching for more of them; fillingRound gives each step its turn.
 	fillingMissLimit int
-	// movesLeft is the number of searches for another host that the current progress check may
-	// still make for throttled filling runs or, while the owner is overloaded, for any run.
-	movesLeft int
+	fillingRound     round[placementKey]
+	// fillingConsidered counts how often the runs of a host were considered for a filling task.
+	fillingConsidered int64
+	// moves gives the runs for which progress checks search another host their turns: throttled
+	// filling runs or, while the owner is overloaded, any run.
+	moves round[kqexecution.Run]
 	// noMoveHost holds the tasks for which the current progress check has found no host to move to.
 	noMoveHost           map[placementKey]bool
 	approvals            map[stepKey]*approval
--- a/internal/flow/kqplan/relocate.go
+++ b/internal/flow/kqplan/relocate.go
@@ -39,7 +39,7 @@
 	if p.onHold || p.finiteTasksWait || p.isOverloaded() {
 		return
 	}
-	searches := maxRelocationSearches
+	p.relocations.beginPass(maxRelocationSearches)
 	p.unavailableTasks = map[stepKey]int{}
 	for _, h := range p.rotatedHosts() {
 		if !p.mayRelocateFrom(now, h) {
@@ -49,9 +49,13 @@
 			if !p.shouldRelocate(now, r) {
 				continue
 			}
-			if searches--; searches < 0 || p.relocate(now, r) {
+			if !p.relocations.maySearch(r.key()) {
+				continue
+			}
+			if p.relocate(now, r) {
 				return
 			}
+			p.relocations.searchFailed(r.key())
 		}
 	}
 }
--- a/internal/flow/kqplan/shortlist.go
+++ b/internal/flow/kqplan/shortlist.go
@@ -32,7 +32,7 @@
 	if p.onHold {
 		return nil
 	}
-	jobIdle := t.step.Fills && t.job.idleTime(now) >= maxJobIdleTime
+	jobIdle := t.step.Fills && t.acceptsAnyHost(now)
 	if l := ps.shortlist; l == nil || l.key != t.placementKey(now) || l.jobIdle != jobIdle {
 		ps.shortlist = p.newShortlist(now, t, jobIdle, nil)
 	}
