Planner: a finite task that fits no worker does not count as one that waits

Seen: one job that asks for more than any worker has keeps all work in an evacuated zone, and the cell counts as saturated for the admission of entries, as long as the job waits, which is for good.

Cause: relocations stop, and digests say saturated, while a finite task waits for capacity. Nothing that becomes free ends that of a task that no worker could run.

Change: a finite task counts only if some worker on which it may run could have capacity for it, or all of them together for its gang.

Test: TestWorkThatCannotLeaveAZoneKeepsTheRestThere, row "a job that fits no worker", fails before this change.

--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -53,6 +53,10 @@
 	withheld map[stepKey]bool
 	// contention sums up the tasks that wait so far.
 	contention Contention
+	// finiteTasksWait is true if a finite task that does not fill waits for capacity that some worker has.
+	finiteTasksWait bool
+	// fitsNoWorker holds the tasks that are larger than the workers on which they may run.
+	fitsNoWorker map[placementKey]bool
 	// shortlist holds the candidate hosts for the latest step.
 	shortlist *shortlist
 	// waitingGangs holds, by service, the first members of the gangs that wait for capacity so far.
@@ -121,7 +125,7 @@
 // placeAll runs a scheduling pass: it starts, in the order of orderedJobs, every task that is due and
 // for which there is capacity.
 func (p *Planner) placeAll(now time.Time) {
-	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, noTrialHost: map[placementKey]bool{}, notOnTrialHost: map[placementKey]bool{}, withheld: map[stepKey]bool{}, waitingGangs: map[string][]*task{}, includesFilling: p.isFillingDue(now)}
+	ps := &pass{claimed: map[*host]kqmodel.Resources{}, claims: newClaims(), unplaceable: map[placementKey]bool{}, unpreemptable: map[placementKey]bool{}, unclaimable: map[placementKey]bool{}, noTrialHost: map[placementKey]bool{}, notOnTrialHost: map[placementKey]bool{}, withheld: map[stepKey]bool{}, waitingGangs: map[string][]*task{}, fitsNoWorker: map[placementKey]bool{}, includesFilling: p.isFillingDue(now)}
 	p.fillingSkipped = !ps.includesFilling
 	if ps.includesFilling {
 		p.lastFillingPassAt, p.fillingBacklog = now, 0
@@ -143,6 +147,7 @@
 			if n > 0 {
 				waiting += n
 				ps.contention.addWaiting(t, n)
+				ps.finiteTasksWait = ps.finiteTasksWait || !t.step.Fills && !t.step.LongRunning && p.fitsSomeWorker(now, t, ps)
 			}
 			if t.step.Fills {
 				p.fillingBacklog += n
@@ -158,7 +163,7 @@
 	if !ps.includesFilling {
 		p.backlog += p.fillingBacklog
 	}
-	p.finiteTasksWait = ps.contention.WaitingFinite > 0
+	p.finiteTasksWait = ps.finiteTasksWait
 	p.buildDigest(now)
 	if ps.includesFilling {
 		p.logContention(now, ps.contention)
@@ -199,6 +204,29 @@
 	return 0
 }
 
+// fitsSomeWorker reports whether some worker on which a task may run could have capacity for it, or all of them
+// together for its gang. A task that fits none waits until the workers change, whatever becomes free.
+func (p *Planner) fitsSomeWorker(now time.Time, t *task, ps *pass) bool {
+	key := t.placementKey(now)
+	if ps.fitsNoWorker[key] {
+		return false
+	}
+	missing := 1
+	if t.step.Gang {
+		missing = t.step.Count
+	}
+	for _, h := range p.hosts.All() {
+		if h.acceptsWork(now) && p.isSuitable(now, t, h) && !p.isDenied(t, h) {
+			missing -= t.countFitting(h.availableTo(t, h.info.Capacity))
+		}
+		if missing <= 0 {
+			return true
+		}
+	}
+	ps.fitsNoWorker[key] = !t.hasBarredHosts(now)
+	return false
+}
+
 // isDue reports whether a task may start. If it has to wait for a short time only, another pass is
 // requested.
 func (p *Planner) isDue(now time.Time, t *task) bool {
--- a/internal/flow/kqplan/planner.go
+++ b/internal/flow/kqplan/planner.go
@@ -75,7 +75,7 @@
 	// fillingSkipped is true if the latest scheduling pass skipped the filling tasks.
 	fillingSkipped bool
 	// finiteTasksWait is true if the latest pass found no capacity for some finite task that is
-	// not a filling task.
+	// not a filling task, although a worker could have it.
 	finiteTasksWait bool
 	lastPassAt      time.Time
 	// lastFillingPassAt is the time of the latest pass that included filling tasks.
--- a/internal/flow/kqplan/round_test.go
+++ b/internal/flow/kqplan/round_test.go
@@ -117,8 +117,8 @@
 	g.Expect(c.takeOrders()).To(ContainElement(And(HaveField("Run.Task", "free.0.0.0"), HaveField("Stop", true))))
 }
 
-// Work is to leave an evacuated zone, and some cannot. Guards against runs without another host, which kept the
-// rest there for good.
+// Work is to leave an evacuated zone, and some cannot. Guards against runs without another host, and against
+// a waiting job that fits no worker, each of which kept the rest there for good.
 func TestWorkThatCannotLeaveAZoneKeepsTheRestThere(t *testing.T) {
 	for name, prepare := range map[string]func(z *twoZoneCell){
 		"runs without another host": func(z *twoZoneCell) {
@@ -126,6 +126,7 @@
 			s.Label, s.Checkpoints, s.Estimate = "only-a", true, time.Minute
 			z.Submit(z.now, job("bound", "urgent", z.now, s), nil, 0)
 		},
+		"a job that fits no worker": func(z *twoZoneCell) { z.Submit(z.now, job("large", "batch", z.now, newStep(1, 1000)), nil, 0) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
