Planner: requests for approval take turns, and avoid agents that do not reach the policy service

Seen: jobs of a queue with approval never begin, beside jobs whose requests are in vain, or while one agent does not reach the policy service.

Jobs without open requests came first in the order of their submission, so those whose tickets lapse before a start, or that get none, came first again each time. The agent with the fewest open requests sends the next one, and an agent that fails at once has none.

Change: among jobs, and among the steps of a job, the one whose latest request is the longest ago comes first. An agent whose latest request was not answered comes after the others, the longest ago first.

Tests: TestRequestsInVainKeepOtherJobsFromApproval and TestAnAgentWithoutAPolicyServiceGetsAllRequests, both fail before this change.

--- a/internal/flow/kqplan/approval.go
+++ b/internal/flow/kqplan/approval.go
@@ -63,6 +63,8 @@
 	agent         string
 	responseDueBy time.Time
 	retryAt       time.Time
+	// requestedAt is when the latest request was made.
+	requestedAt time.Time
 }
 
 // ticket is the permission to start tasks of a step on one incarnation.
@@ -118,22 +120,23 @@
 
 // requestApprovals requests approval of workers for the steps that start soon. Agents have few requests
 // open, so jobs take turns: those of higher priority come first, then those with the fewest open
-// requests, so that a job with many steps does not delay the others.
+// requests, so that a job with many steps does not delay the others, then those whose latest request is the
+// longest ago, so that jobs whose requests are in vain do not either.
 func (p *Planner) requestApprovals(now time.Time) {
 	if now.Sub(p.approvalsRequestedAt) < approvalCheckInterval {
 		return
 	}
 	p.approvalsRequestedAt = now
 	p.pruneApprovals()
-	open := p.openApprovalRequests(now)
+	open, requestedAt := p.approvalRequestsByJob(now)
 	var waiting []*approvalQueue
 	for _, j := range p.jobs.All() {
 		if j.queue.Approval.Required && !j.state.Final() {
-			waiting = append(waiting, &approvalQueue{job: j, open: open[j.spec.ID]})
+			waiting = append(waiting, &approvalQueue{job: j, open: open[j.spec.ID], requestedAt: requestedAt[j.spec.ID]})
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b *approvalQueue) int {
-		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.open, b.open))
+		return cmp.Or(cmp.Compare(a.job.queue.Priority, b.job.queue.Priority), cmp.Compare(a.open, b.open), a.requestedAt.Compare(b.requestedAt))
 	})
 	agent := p.approvalAgent(now)
 	for len(waiting) > 0 && agent != nil {
@@ -153,22 +156,25 @@
 // approvalQueue lists the steps of a job for which a check may request approval. steps is made once it is
 // the turn of the job.
 type approvalQueue struct {
-	job  *job
-	open int
+	job *job
+	// open is the number of open requests, requestedAt the time of the latest request.
+	open        int
+	requestedAt time.Time
 	// listed is true once steps, which holds a task of each step, was made.
 	listed bool
 	steps  []*task
 }
 
-// openApprovalRequests returns the number of open requests by job.
-func (p *Planner) openApprovalRequests(now time.Time) map[string]int {
-	out := map[string]int{}
+// approvalRequestsByJob returns, by job, the number of open requests and the time of the latest request.
+func (p *Planner) approvalRequestsByJob(now time.Time) (open map[string]int, requestedAt map[string]time.Time) {
+	open, requestedAt = map[string]int{}, map[string]time.Time{}
 	for k, a := range p.approvals {
 		if now.Before(a.responseDueBy) {
-			out[k.job]++
+			open[k.job]++
 		}
+		requestedAt[k.job] = later(requestedAt[k.job], a.requestedAt)
 	}
-	return out
+	return open, requestedAt
 }
 
 // requestNextApproval makes at most one request for a job, through an agent. It returns false if the job
@@ -176,6 +182,7 @@
 func (p *Planner) requestNextApproval(now time.Time, q *approvalQueue, agent *host) bool {
 	if !q.listed {
 		q.listed, q.steps = true, q.job.stepsStartingWithin(q.job.queue.Approval.DecisionTime+approvalLead)
+		slices.SortStableFunc(q.steps, func(a, b *task) int { return p.approvalRequestedAt(a).Compare(p.approvalRequestedAt(b)) })
 	}
 	for len(q.steps) > 0 {
 		t := q.steps[0]
@@ -187,6 +194,14 @@
 	return false
 }
 
+// approvalRequestedAt returns when approval was last requested for a step; zero if it never was.
+func (p *Planner) approvalRequestedAt(t *task) time.Time {
+	if a := p.approvals[t.stepKey()]; a != nil {
+		return a.requestedAt
+	}
+	return time.Time{}
+}
+
 // stepsStartingWithin returns a task of each unfinished step that is expected to be able to start within
 // a time.
 func (j *job) stepsStartingWithin(limit time.Duration) []*task {
@@ -230,7 +245,7 @@
 		return false
 	}
 	policy := t.job.queue.Approval
-	a.agent, a.responseDueBy = agent.name, now.Add(policy.DecisionTime+time.Duration(len(workers))*policy.DecisionTimePerWorker+approvalSlack)
+	a.agent, a.requestedAt, a.responseDueBy = agent.name, now, now.Add(policy.DecisionTime+time.Duration(len(workers))*policy.DecisionTimePerWorker+approvalSlack)
 	agent.pendingApprovals++
 	p.config.Events.Emit(now, kqevent.ApprovalRequested, kqevent.Job(t.job.spec.ID), "step %d: approval of %d workers requested through %s, %d more are needed", t.id.Step, len(workers), agent.name, needed)
 	p.effects = append(p.effects, Effect{Host: agent.name, ApprovalRequest: &ApprovalRequest{Step: t.stepKey().name(), Workers: workers}})
@@ -313,12 +328,17 @@
 	return out
 }
 
-// approvalAgent returns the host whose agent has the fewest open requests, or nil if each has
-// maxOpenRequests: the policy service processes the requests of one machine one after another.
+// approvalAgent returns the host whose agent sends the next request, or nil if each has maxOpenRequests:
+// the policy service processes the requests of one machine one after another. Agents whose latest request
+// was not answered come last, the longest ago first: one that does not reach the service has no open
+// requests and would get all new ones. Of the others it is the one with the fewest open requests.
 func (p *Planner) approvalAgent(now time.Time) *host {
 	var best *host
 	for _, h := range p.hosts.All() {
-		if h.connected && h.pendingApprovals < maxOpenRequests && now.Sub(h.lastReportAt) < reportTimeout && (best == nil || h.pendingApprovals < best.pendingApprovals || h.pendingApprovals == best.pendingApprovals && h.name < best.name) {
+		if !h.connected || h.pendingApprovals >= maxOpenRequests || now.Sub(h.lastReportAt) >= reportTimeout {
+			continue
+		}
+		if best == nil || cmp.Or(h.approvalFailedAt.Compare(best.approvalFailedAt), cmp.Compare(h.pendingApprovals, best.pendingApprovals), cmp.Compare(h.name, best.name)) < 0 {
 			best = h
 		}
 	}
@@ -329,6 +349,10 @@
 func (p *Planner) RecordApproval(now time.Time, agent string, resp ApprovalResponse) {
 	h := p.host(agent)
 	h.pendingApprovals = max(0, h.pendingApprovals-1)
+	h.approvalFailedAt = time.Time{}
+	if !resp.Answered {
+		h.approvalFailedAt = now
+	}
 	k, ok := parseStepName(resp.Step)
 	a := p.approvals[k]
 	if !ok || a == nil || a.agent != agent {
--- a/internal/flow/kqplan/host.go
+++ b/internal/flow/kqplan/host.go
@@ -106,6 +106,8 @@
 	colocation colocation
 	// pendingApprovals is the number of approval requests in progress through the agent.
 	pendingApprovals int
+	// approvalFailedAt is when the latest such request was reported as unanswered; zero if it was answered.
+	approvalFailedAt time.Time
 
 	// longRunningClaims holds the resources that long-running tasks of the latest pass will use
 	// once runs have stopped or ended. Without it, each of these makes way for the next finite task.
@@ -144,7 +146,7 @@
 // AgentDisconnected records that the agent of a host disconnected.
 func (p *Planner) AgentDisconnected(_ time.Time, name string) {
 	h := p.host(name)
-	h.connected, h.pendingApprovals = false, 0
+	h.connected, h.pendingApprovals, h.approvalFailedAt = false, 0, time.Time{}
 }
 
 // UpdateWorker applies an agent's description of its worker; an empty description means that
--- a/internal/flow/kqplan/round_test.go
+++ b/internal/flow/kqplan/round_test.go
@@ -10,6 +10,8 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqplan"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqapproval"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqexecution"
 )
 
 // fillingStep returns a step of filling tasks.
@@ -157,3 +159,45 @@
 		})
 	}
 }
+
+// One agent does not reach the policy service and reports each request as unanswered at once. Guards against
+// requests that all go to that agent, since it has the fewest open ones.
+func TestAnAgentWithoutAPolicyServiceGetsAllRequests(t *testing.T) {
+	g := NewWithT(t)
+	f := newHoldFleet()
+	for n := range 4 {
+		f.Submit(f.now, job(fmt.Sprintf("j%d", n), "approved", f.now, newStep(1, 1)), nil, 0)
+	}
+	started := 0
+	for range 60 {
+		f.advance(fleetStep, func(kqplan.Order) { started++ })
+		for _, e := range f.approvalRequests {
+			r := kqplan.ApprovalResponse{Step: e.ApprovalRequest.Step, Workers: e.ApprovalRequest.Workers, Answered: e.Host != "h0"}
+			if r.Answered {
+				r.Answer = kqapproval.Response{ValidFor: time.Minute, Tickets: []kqapproval.Ticket{{Worker: kqexecution.Incarnation("w-h2").ID(), Ticket: "t"}}}
+			}
+			f.RecordApproval(f.now, e.Host, r)
+		}
+		f.approvalRequests = nil
+	}
+	g.Expect(started).To(Equal(4))
+}
+
+// The tickets of the first jobs lapse before a task can start, so that approval is requested for them again and
+// again. Guards against jobs after them for which it is never requested.
+func TestRequestsInVainKeepOtherJobsFromApproval(t *testing.T) {
+	g := NewWithT(t)
+	f := newHoldFleet()
+	requested := map[string]bool{}
+	for n := range 16 {
+		f.Submit(f.now, job(fmt.Sprintf("j%02d", n), "approved", f.now, newStep(1, 1)), nil, 0)
+	}
+	for range 60 {
+		f.advance(fleetStep, nil)
+		for _, e := range f.approvalRequests {
+			requested[e.ApprovalRequest.Step] = true
+		}
+		f.approveAll(time.Millisecond)
+	}
+	g.Expect(requested).To(HaveLen(16))
+}
