Streams: lists go in parts that the peer can read, and orders share their payload

Cause: an order repeats the payload of its job, and the orders of a pass, as well as all orders of a worker after it has connected, go in one message. The receiver closes the stream above 8 MiB; the agent connects again and gets the same message. The queue of a stream (16 MiB) closes it too, and so does a message that a slow link does not carry in 1.6 s, because a read and a write had one time limit for all of it. Nothing said so.

Change: a message holds each payload once. Lists of orders, states, runs and ends are sent in parts of at most 512 KiB; the receiver joins them where only the whole list is of use (all orders, all states, a complete report). Each side says whether it joins parts, so that processes of an earlier version get what they got. A stream encodes and writes parts one by one, as the peer reads, and other messages, such as grants, overtake them. Time limits hold for 64 KiB. A stream that ends over a size says so (event 812), and its process waits for 1 s before it connects again. A checkpoint of over 4,000 bytes is ignored, as it could make a single element too large.

--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -102,6 +102,8 @@
 	StoreSlow             Number = 809
 	StoreNormal           Number = 810
 	EntryOmitted          Number = 811
+	MessageTooLarge       Number = 812
+	RecordShortened       Number = 813
 	WorkerSuperseded      Number = 820
 	IncarnationStale      Number = 821
 	BirthInvalid          Number = 822
@@ -212,6 +214,8 @@
 	{StoreSlow, "store_slow", "The store responds slowly: the owner writes one transaction at a time and confirms its ownership by reads."},
 	{StoreNormal, "store_fast", "The store responds to the owner at its normal speed again."},
 	{EntryOmitted, "entry_left_out", "An entry of a list or a part of a message cannot be decoded or is out of range, and was left out; the rest is in use."},
+	{MessageTooLarge, "message_too_large", "The connection to a process of the system has ended over the size of its messages."},
+	{RecordShortened, "record_shortened", "The progress of a job is stored without the checkpoints of some tasks, since its row would be too large; a new owner lets these tasks resume from an earlier one or from the beginning."},
 	{WorkerSuperseded, "worker_reborn", "A later incarnation of a worker has started under the same id; the earlier one has ended."},
 	{IncarnationStale, "incarnation_over", "A message of an incarnation of a worker that has ended was ignored."},
 	{BirthInvalid, "birth_refused", "A message of a worker has no birth time although the id had one before, or a birth time that cannot be decoded; it identifies no worker. It was ignored; after a leave message the worker is polled to learn whether it has ended."},
--- a/internal/flow/kqcontrol/admission.go
+++ b/internal/flow/kqcontrol/admission.go
@@ -63,6 +63,6 @@
 		m.Digest = nil
 	}
 	if hasUpdates(m) {
-		x.send(m)
+		x.sendList(m)
 	}
 }
--- a/internal/flow/kqcontrol/session.go
+++ b/internal/flow/kqcontrol/session.go
@@ -23,10 +23,20 @@
 	// registered is true once the peer may receive messages on jobs and runs: for an agent
 	// after its first complete report, for an entry from the start.
 	registered bool
+	// parts joins the parts of the peer's messages.
+	parts kqmessage.Joiner
 }
 
+// Host returns the name of the peer's host.
+func (x *Session) Host() string { return x.hello.Name }
+
 func (x *Session) send(m kqmessage.FromOwner) { x.stream.Send(m) }
 
+// sendList sends a message whose lists may be large, after all such messages before it.
+func (x *Session) sendList(m kqmessage.FromOwner) {
+	x.stream.SendParts(kqmessage.Messages(m.Split(x.hello.JoinsParts))...)
+}
+
 // Attach starts a session on a stream that has sent its Hello. It closes an older session of
 // the same host.
 func (c *Controller) Attach(s *kqstream.Stream, h kqmessage.Hello) *Session {
@@ -39,7 +49,7 @@
 	}
 	c.sessions[h.Name] = x
 	c.countAgents()
-	x.send(kqmessage.FromOwner{Welcome: c.row.Epoch})
+	x.send(kqmessage.FromOwner{Welcome: c.row.Epoch, JoinsParts: true})
 	c.config.Events.Emit(now, kqevent.PeerConnected, kqevent.Process(h.Name), "%s with boot %s", h.Role, h.Boot)
 	if h.Role == kqmessage.RoleAgent {
 		x.sendZones()
@@ -50,7 +60,7 @@
 	x.sendClaims(slices.Collect(maps.Keys(c.departures.claims)))
 	if h.Role == kqmessage.RoleEntry {
 		x.registered = true
-		x.send(kqmessage.FromOwner{States: c.planner.States(), AllStates: true, Pending: c.planner.Pending(), Unresolved: c.entryConnected(now)})
+		x.sendList(kqmessage.FromOwner{States: c.planner.States(), AllStates: true, Pending: c.planner.Pending(), Unresolved: c.entryConnected(now)})
 	}
 	return x
 }
@@ -101,6 +111,7 @@
 	if c.sessions[x.hello.Name] != x || !c.tomb.Alive() {
 		return
 	}
+	m = x.parts.ToOwner(m)
 	x.handle(now, m)
 	c.stats.messageHandled(began, c.config.Now())
 	if needsDecision(m) {
@@ -134,7 +145,7 @@
 		x.registered = true
 		c.ensureRecorded(name)
 		c.planner.AgentConnected(now, name)
-		x.send(kqmessage.FromOwner{Resync: true, Orders: c.planner.Resync(now, name)})
+		x.sendList(kqmessage.FromOwner{Resync: true, Orders: c.planner.Resync(now, name)})
 	}
 	if m.LeaseRequest != 0 {
 		x.grant(now, m.LeaseRequest)
@@ -191,7 +202,7 @@
 	}
 	for name, m := range perHost {
 		if s := c.sessions[name]; s != nil && s.registered {
-			s.send(*m)
+			s.sendList(*m)
 		}
 	}
 	c.publishStates(now, states)
--- a/internal/flow/kqexecutor/range.go
+++ b/internal/flow/kqexecutor/range.go
@@ -38,7 +38,7 @@
 	for i := range h.Running {
 		r := &h.Running[i]
 		if bounded := r.Bounded(); bounded != *r {
-			x.logOmission(now, "the progress or the measurement of "+r.Task+" is out of range")
+			x.logOmission(now, "the progress, the measurement or the size of the checkpoint of "+r.Task+" is out of range")
 			*r = bounded
 		}
 	}
@@ -47,6 +47,10 @@
 			x.logOmission(now, "the number of the end of "+e.Run.Task+" is out of range")
 			e.Number = 0
 		}
+		if e := &h.Ended[i]; kqexecution.BoundedCheckpoint(e.Checkpoint) != e.Checkpoint {
+			x.logOmission(now, "the size of the checkpoint of "+e.Run.Task+" is out of range")
+			e.Checkpoint = ""
+		}
 	}
 	return h
 }
--- a/internal/flow/kqmessage/decode.go
+++ b/internal/flow/kqmessage/decode.go
@@ -24,6 +24,10 @@
 func DecodeFromOwner(body []byte) (m FromOwner, omissions []kqdecode.Omission, err error) {
 	omissions, err = kqdecode.Document(body, &m)
 	m.LacksOrders = lacksEntry(omissions, "orders")
+	for _, o := range m.fillPayloads() {
+		omissions = append(omissions, kqdecode.Omission{Path: "orders", Reason: "the payload of task " + o.Run.Task + " is missing"})
+		m.LacksOrders = true
+	}
 	for _, o := range omissions {
 		if o.Path == "zones" {
 			return FromOwner{}, omissions, eris.New(o.String())
--- a/internal/flow/kqmessage/message.go
+++ b/internal/flow/kqmessage/message.go
@@ -34,6 +34,8 @@
 	Epoch uint64 `json:"epoch"`
 	// WantsDigests is true if an entry wants digests of the waiting work.
 	WantsDigests bool `json:"digests,omitempty"`
+	// JoinsParts is true if the sender joins the parts of messages, see FromOwner.Part.
+	JoinsParts bool `json:"joins_parts,omitempty"`
 }
 
 // ToOwner is a message to the owner. Only the fields that the message is about are set.
@@ -61,6 +63,8 @@
 	Rejected *kqadmission.RejectedJob `json:"rejected,omitempty"`
 	// Unresolved lists jobs that may be stored: attempts to store them had no certain outcome.
 	Unresolved []string `json:"unresolved,omitempty"`
+	// Part is true if the next message with a report continues the report of this one.
+	Part bool `json:"part,omitempty"`
 }
 
 // Submit is a job or a cancellation that an entry could not store itself.
@@ -101,6 +105,9 @@
 type FromOwner struct {
 	// Welcome is the owner's epoch, in the first message of a stream.
 	Welcome uint64 `json:"welcome,omitempty"`
+	// JoinsParts is true in the first message of an owner that joins the parts of messages, see
+	// ToOwner.Part.
+	JoinsParts bool `json:"joins_parts,omitempty"`
 	// NotOwner is true if the process does not accept the connection as the owner of the
 	// cell.
 	NotOwner bool `json:"not_owner,omitempty"`
@@ -118,6 +125,10 @@
 	Zones *kqevacuate.Notice `json:"zones,omitempty"`
 	// Orders are orders to start or stop runs, for an agent.
 	Orders []*kqplan.Order `json:"orders,omitempty"`
+	// Payloads holds payloads by Order.PayloadKey: the orders of the tasks of a job share theirs.
+	Payloads map[string]string `json:"payloads,omitempty"`
+	// Part is true if the next message with orders or states continues the list of this one.
+	Part bool `json:"part,omitempty"`
 	// Resync is true if Orders lists all current orders for the host.
 	Resync bool `json:"resync,omitempty"`
 	// LacksOrders is true if an order of a received message cannot be decoded, so that Orders does
--- a/internal/flow/kqnode/connection.go
+++ b/internal/flow/kqnode/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqelect"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
@@ -17,6 +18,8 @@
 	isWelcomed bool
 	// epoch is the owner's epoch: as read from the store, then as in the owner's welcome.
 	epoch uint64
+	// parts joins the parts of the owner's messages.
+	parts kqmessage.Joiner
 }
 
 // receive handles a message of the owner. It is called by one goroutine. It closes the stream
@@ -30,7 +33,10 @@
 	}
 	if m.Welcome != 0 && !o.isWelcomed {
 		o.isWelcomed = true
-		o.node.config.Connected(m.Welcome, func(t kqmessage.ToOwner) { s.Send(t) })
+		joins := m.JoinsParts
+		o.node.config.Connected(m.Welcome, func(t kqmessage.ToOwner) {
+			s.SendParts(kqmessage.Messages(t.Split(joins))...)
+		})
 		o.welcome <- m.Welcome
 		return
 	}
@@ -41,7 +47,15 @@
 	if m.Grant != nil {
 		o.node.setReport(kqelect.OwnerReport{At: o.node.config.Control.Now(), ConfirmationAge: m.Grant.ConfirmationAge}, m.Grant.Agents)
 	}
-	o.node.config.Receive(m)
+	o.node.config.Receive(o.parts.FromOwner(m))
+}
+
+// closed logs that the stream has ended over the size of a message.
+func (o *ownerConnection) closed(_ *kqstream.Stream, err error) {
+	if kqstream.IsSizeError(err) {
+		c := o.node.config.Control
+		c.Events.Emit(c.Now(), kqevent.MessageTooLarge, kqevent.Process("owner"), "the connection to the owner has ended: %v", err)
+	}
 }
 
 // monitor waits until the stream or the node ends, and returns false if the owner sent no
--- a/internal/flow/kqnode/node.go
+++ b/internal/flow/kqnode/node.go
@@ -53,6 +53,9 @@
 	// connected agent checks whether to replace it.
 	suspectAge    = 800 * time.Millisecond
 	watchInterval = 250 * time.Millisecond
+	// sizeErrorDelay is the delay before the next connection after a message was too large: the next one
+	// may bring the same message.
+	sizeErrorDelay = time.Second
 	// delayReadInterval is the time between two reads of the ownership during the random
 	// delay before a process acquires the cell.
 	delayReadInterval = 400 * time.Millisecond
@@ -337,10 +340,14 @@
 		return false
 	}
 	o := &ownerConnection{node: n, welcome: make(chan uint64, 1), epoch: owner.Epoch}
-	s := kqstream.New(conn, kqstream.Config{OnMessage: o.receive, OnClose: func(*kqstream.Stream, error) {}})
-	s.Send(kqmessage.ToOwner{Hello: &kqmessage.Hello{Role: n.config.Role, Name: n.config.Control.Name, Boot: n.config.Control.Boot, Epoch: owner.Epoch, WantsDigests: n.config.WantsDigests}})
+	s := kqstream.New(conn, kqstream.Config{OnMessage: o.receive, OnClose: o.closed})
+	s.Send(kqmessage.ToOwner{Hello: &kqmessage.Hello{Role: n.config.Role, Name: n.config.Control.Name, Boot: n.config.Control.Boot, Epoch: owner.Epoch, WantsDigests: n.config.WantsDigests, JoinsParts: true}})
 	defer s.Close()
-	return o.monitor(ctx, s)
+	isWelcomed := o.monitor(ctx, s)
+	if kqstream.IsSizeError(s.Err()) {
+		n.sleep(sizeErrorDelay)
+	}
+	return isWelcomed
 }
 
 // setReport records what the owner reports and how many agents are connected to it.
--- a/internal/flow/kqnode/peer.go
+++ b/internal/flow/kqnode/peer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqcontrol"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqmessage"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqstream"
@@ -63,7 +64,16 @@
 	p.session = c.Attach(s, *m.Hello)
 }
 
-func (p *peer) closed(*kqstream.Stream, error) {
+// closed ends the session, and logs it if the stream has ended over the size of a message.
+func (p *peer) closed(_ *kqstream.Stream, err error) {
+	if kqstream.IsSizeError(err) {
+		c := p.node.config.Control
+		name := "peer"
+		if p.session != nil {
+			name = p.session.Host()
+		}
+		c.Events.Emit(c.Now(), kqevent.MessageTooLarge, kqevent.Process(name), "its connection has ended: %v", err)
+	}
 	if p.session != nil {
 		p.controller.Detach(p.session)
 	}
