Owner: records fit in a row, and commits in a call to the store

Seen: an end is never acknowledged, and the jobs that share a batch with a large one are not stored.

Cause: the store refuses rows above 64 KiB and calls above 1 MB. A record of 2,400 tasks exceeds a row with checkpoints of 100 bytes, or with crashes under each task, and one of over 4 MiB cannot be read again after it was compressed. A batch was limited by tasks, not by size. What was refused came again, in the same batch.

A commit takes as many records as a call holds and returns the others to the planner. The learned interference is cut to a row.

Tests: kqcontrol TestProgressThatNoRowCanHoldIsNeverStored; TestRecordsThatTogetherExceedATransactionAreNeverStored fails without the limit of a commit. The stand-in of the store refuses what the platform refuses.

--- a/internal/flow/kqcontrol/commit.go
+++ b/internal/flow/kqcontrol/commit.go
@@ -18,8 +18,9 @@
 
 func (x *commit) run() error {
 	c := x.controller
+	t := x.transaction()
 	sent := c.config.Now()
-	o, err := c.config.TimedStore.TryCommit(c.tomb.Context(context.Background()), x.transaction())
+	o, err := c.config.TimedStore.TryCommit(c.tomb.Context(context.Background()), t)
 	now := c.config.Now()
 	c.confirmation.writeAnswered()
 	if err == nil && o.Committed {
@@ -91,19 +92,51 @@
 	c.heldCommits = nil
 }
 
-// transaction returns the write of all records, on condition that the ownership and each
-// record are unchanged.
+// transaction returns the write of the records, on condition that the ownership and each record are
+// unchanged. Records that would make it too large for the store are returned to the planner.
 func (x *commit) transaction() kqrows.Tx {
 	c := x.controller
 	t := kqrows.Tx{Conditions: []kqrows.Condition{{Key: OwnerKey(c.config.Cell), Version: c.version}}, Puts: []kqrows.Put{c.heartbeatPut()}}
-	for _, w := range x.writes {
+	size := 0
+	for n, w := range x.writes {
+		value, lacking := FitRecord(w.Record)
+		if size += len(value); n > 0 && size > kqrows.MaxTxBytes {
+			x.postpone(n)
+			break
+		}
 		k := ProgressKey(w.Job)
 		t.Conditions = append(t.Conditions, kqrows.Condition{Key: k, Version: w.Version})
-		t.Puts = append(t.Puts, kqrows.Put{Key: k, Value: EncodeRecord(w.Record)})
+		t.Puts = append(t.Puts, kqrows.Put{Key: k, Value: value})
+		x.logShortened(w.Job, lacking)
 	}
 	return t
 }
 
+// postpone returns the writes from index n on to the planner, which includes them in the next batch.
+func (x *commit) postpone(n int) {
+	c := x.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.planner.WritesRefused(x.writes[n:])
+	x.writes = x.writes[:n]
+	c.wake()
+}
+
+// logShortened logs when the record of a job begins to lack checkpoints.
+func (x *commit) logShortened(job string, lacking int) {
+	c := x.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if lacking > 0 && !c.shortened[job] {
+		c.config.Events.Emit(c.config.Now(), kqevent.RecordShortened, kqevent.Job(job), "%d checkpoints are not stored, the row would exceed %d bytes", lacking, kqrows.MaxValueBytes)
+	}
+	if lacking > 0 {
+		c.shortened[job] = true
+	} else {
+		delete(c.shortened, job)
+	}
+}
+
 // loseOwnership stops the controller after a transaction whose conditions did not hold:
 // another process has acquired the cell, or rows differ from what this process last wrote.
 // mu is held.
--- a/internal/flow/kqcontrol/controller.go
+++ b/internal/flow/kqcontrol/controller.go
@@ -128,8 +128,10 @@
 	sessions   map[string]*Session
 	agentCount int
 	// lastFeedAt is when the submission feed last answered.
-	lastFeedAt  time.Time
-	writes      writes
+	lastFeedAt time.Time
+	writes     writes
+	// shortened holds the jobs whose latest record lacks checkpoints.
+	shortened   map[string]bool
 	heldCommits []heldCommit
 	// heartbeats counts the heartbeats written.
 	heartbeats atomic.Uint64
@@ -170,7 +172,7 @@
 	}
 	acquiredAt := c.Now()
 	x := &Controller{config: c, row: row, version: o.Version, wakeup: make(chan struct{}, 1), loaded: make(chan struct{}), confirmation: confirmation{confirmedAt: sent}, lastFeedAt: c.Now(),
-		sessions: map[string]*Session{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.WallClock().Round(0))}
+		sessions: map[string]*Session{}, shortened: map[string]bool{}, pending: map[string]int{}, wallOffset: c.Now().Sub(c.WallClock().Round(0))}
 	// Heartbeats are written while the rows are read; without them another process would
 	// acquire the cell.
 	x.tomb.Go(x.run)
--- a/internal/flow/kqcontrol/encoding_test.go
+++ b/internal/flow/kqcontrol/encoding_test.go
@@ -38,7 +38,7 @@
 	for _, tasks := range []int{1, 50, kqflow.MaxTasks} {
 		in := recordWithTasks(tasks)
 		b := kqcontrol.EncodeRecord(in)
-		g.Expect(len(b)).To(BeNumerically("<", kqcontrol.MaxRowBytes), "%d tasks", tasks)
+		g.Expect(len(b)).To(BeNumerically("<", kqrows.MaxValueBytes), "%d tasks", tasks)
 		out, err := kqcontrol.DecodeRecord(kqrows.Row{Value: b})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(out).To(Equal(in))
--- a/internal/flow/kqcontrol/learned.go
+++ b/internal/flow/kqcontrol/learned.go
@@ -64,6 +64,17 @@
 	return false
 }
 
+// encodeEstimates returns the stored form of estimates, of the first of them if a row cannot hold all: the others are
+// learned again by a new owner.
+func encodeEstimates(estimates []kqlearn.PairEstimate) []byte {
+	value := kqtable.Encode(estimates)
+	for len(value) > kqrows.MaxValueBytes {
+		estimates = estimates[:len(estimates)/2]
+		value = kqtable.Encode(estimates)
+	}
+	return value
+}
+
 // learnedWrite is one write of the learned interference.
 type learnedWrite struct {
 	controller *Controller
@@ -75,7 +86,7 @@
 	ctx, cancel := c.config.TimedStore.WithTimeout(c.tomb.Context(context.Background()), kqrows.AttemptTimeout)
 	defer cancel()
 	_, _ = c.config.Store.Transact(ctx, kqrows.Tx{Conditions: []kqrows.Condition{{Key: OwnerKey(c.config.Cell), Version: c.version}},
-		Puts: []kqrows.Put{{Key: LearnedKey(c.config.Cell), Value: kqtable.Encode(w.estimates)}}})
+		Puts: []kqrows.Put{{Key: LearnedKey(c.config.Cell), Value: encodeEstimates(w.estimates)}}})
 	c.confirmation.writeAnswered()
 	c.slotFreed()
 	return nil
--- a/internal/seam/kqrows/rows.go
+++ b/internal/seam/kqrows/rows.go
@@ -67,8 +67,15 @@
 	Removes []Key
 }
 
-// MaxEntries is the largest number of entries that a transaction may have.
-const MaxEntries = 100
+const (
+	// MaxEntries is the largest number of entries that a transaction may have.
+	MaxEntries = 100
+	// MaxValueBytes is the largest size of a row's value.
+	MaxValueBytes = 64 << 10
+	// MaxTxBytes is the largest size of the values of a transaction. The platform accepts 1 MB per call, in
+	// which values are in base64; the rest is for the keys and versions of MaxEntries entries.
+	MaxTxBytes = 700_000
+)
 
 // Outcome is the result of a transaction.
 type Outcome struct {
--- a/internal/standin/kqrowstore/store.go
+++ b/internal/standin/kqrowstore/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -205,6 +206,9 @@
 	if err != nil {
 		return kqrows.Outcome{}, err
 	}
+	if isTooLarge(t) {
+		return kqrows.Outcome{}, kqrows.ErrRefused
+	}
 	if c.store.isPartitioned() {
 		return c.transactQueued(ctx, f, t)
 	}
@@ -218,6 +222,21 @@
 	return c.store.applyWithFaults(f, t)
 }
 
+// maxCallBytes is the size of a call that the platform accepts, with values in base64.
+const maxCallBytes = 1_000_000
+
+// isTooLarge reports whether the platform refuses a transaction for its size.
+func isTooLarge(t kqrows.Tx) bool {
+	size := 0
+	for _, p := range t.Puts {
+		if len(p.Value) > kqrows.MaxValueBytes {
+			return true
+		}
+		size += base64.StdEncoding.EncodedLen(len(p.Value)) + len(p.Table) + len(p.Name)
+	}
+	return size > maxCallBytes || len(t.Conditions)+len(t.Puts)+len(t.Removes) > kqrows.MaxEntries
+}
+
 // applyWithFaults applies a transaction, applies it late, or loses its answer; mu is held.
 func (s *Store) applyWithFaults(f Faults, t kqrows.Tx) (kqrows.Outcome, error) {
 	switch x := s.rng.Float64(); {
