Jobs: what no row can hold is refused at submission

Seen: a job that is valid but takes more than a row (64 KiB), for example by dependencies that are repeated, was answered with 503 and a time to try again, for ever: the store refuses its row.

Change: such a job is refused with result code 302 (413 on the platform), and a label, a rack or an image of over 1,000 bytes with 301, since each order names the image. Stored jobs are not checked.

Before, there was no such check.

--- a/internal/flow/kqflow/job.go
+++ b/internal/flow/kqflow/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
 // Step is a stage of a job: a number of identical tasks.
@@ -95,6 +96,11 @@
 	// MaxDuration is the maximum of every duration of a job, and of the time between its first and
 	// its last occurrence.
 	MaxDuration = 365 * 24 * time.Hour
+	// MaxSubmissionBytes is the maximum size of a stored submission: a row holds 64 KiB, of which some are left
+	// for what the entry adds.
+	MaxSubmissionBytes = 63 << 10
+	// MaxNameBytes is the maximum size of a label, a rack and an image: each order of a task names its image.
+	MaxNameBytes = 1000
 	// maxYear is the last year that the stored form of a time can represent.
 	maxYear = 9999
 )
@@ -140,6 +146,20 @@
 	return nil
 }
 
+// CheckSize returns why a job of valid values is too large to be stored and ordered, or nil if it is not. It is
+// checked as the job is submitted, but not for jobs that are stored.
+func (j Job) CheckSize() *kqresult.Error {
+	for n, s := range j.Steps {
+		if len(s.Label) > MaxNameBytes || len(s.Rack) > MaxNameBytes || len(s.Image) > MaxNameBytes {
+			return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: label, rack and image: at most %d bytes each, got %d, %d and %d", n, MaxNameBytes, len(s.Label), len(s.Rack), len(s.Image))
+		}
+	}
+	if n := len(kqtable.Encode(Submission{Job: j, Cancelled: true})); n > MaxSubmissionBytes {
+		return kqresult.Errorf(kqresult.TooLarge, "the job takes %d bytes as it is stored, at most %d are possible: it has too many or too long dependencies, texts or steps", n, MaxSubmissionBytes)
+	}
+	return nil
+}
+
 func (s Step) validate(index int) *kqresult.Error {
 	if s.Count < 1 {
 		return kqresult.Errorf(kqresult.BadRequest, "steps[%d]: count: expected 1 or more, got %d", index, s.Count)
--- a/internal/flow/kqgate/flow.go
+++ b/internal/flow/kqgate/flow.go
@@ -71,7 +71,10 @@
 	if f.Repeat > 0 && f.FirstAt.IsZero() {
 		return kqflow.Job{}, kqresult.Errorf(kqresult.BadRequest, "first_at: required for a flow of %d occurrences", f.Repeat)
 	}
-	return j, j.Validate()
+	if err := j.Validate(); err != nil {
+		return kqflow.Job{}, err
+	}
+	return j, j.CheckSize()
 }
 
 func checkName(field, name string) *kqresult.Error {
