--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -388,7 +388,7 @@
 	switch {
 	case !h.usable(now), !p.isSuitable(now, t, h):
 		return false
-	case h.trial != nil && h.trial.keepsOut(t) && (h.trial.placed || !p.mustYield(now, h.info.Service)):
+	case h.trial != nil && h.trial.keepsOut(t):
 		return false
 	case !t.isRestart() && !p.withinWarmUpLimit(now, t, h):
 		return false
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -104,8 +104,8 @@
 const minClaimGain = 400 * time.Millisecond
 
 // soonestHost returns the host on which a long-running task will fit soonest, besides the tasks that
-// have claimed it already, and after which time; nil if it will fit nowhere within maxClaimWait. The host that it claimed last
-// is left only if another is earlier by minClaimGain; among hosts on which it fits at the same time, the
+// have claimed it already, and after which time; nil if it will fit nowhere within maxClaimWait. The host that
+// it claimed last is left only if another is earlier by minClaimGain; among hosts on which it fits at the same time, the
 // one with the most free processors comes first.
 func (p *Planner) soonestHost(now time.Time, t *task, ps *pass) (best *host, after time.Duration) {
 	for _, h := range p.hosts.All() {
--- a/internal/flow/kqplan/trial.go
+++ b/internal/flow/kqplan/trial.go
@@ -251,7 +251,8 @@
 
 // chooseTrialHost returns the host for a trial on which the crash of the worker would cost the least, or
 // nil if the trials that run are enough, the hosts that can run the task pause between two claims, or no host
-// can; mayWait is true unless no host can. The host need not have capacity at present, since nothing else that starts takes what becomes free.
+// can; mayWait is true unless no host can. The host need not have capacity at present, since nothing else that
+// starts takes what becomes free.
 func (p *Planner) chooseTrialHost(now time.Time, t *task) (best *host, mayWait bool) {
 	if p.onHold || !p.hasFreeTrialHost(t.job.queue.Service) {
 		return nil, true
--- a/internal/flow/kqplan/yield.go
+++ b/internal/flow/kqplan/yield.go
@@ -10,8 +10,9 @@
 )
 
 // mustYield reports whether no capacity of a service may be kept for tasks that cannot start at present.
-// Gangs, restarts and trials keep capacity at the same times, because otherwise that of one would be followed
-// by that of the next, and the tasks that could use it would wait for all of them in turn.
+// Gangs and restarts keep capacity at the same times, because otherwise that of one would be followed by that of
+// the next, and the tasks that could use it would wait for all of them in turn. Trials do not yield: what starts
+// beside a task on trial may be lost with it. Their claims are shorter, see maxStrictClaimTime.
 func (p *Planner) mustYield(now time.Time, service string) bool {
 	return time.Duration(now.UnixNano())%keepPeriod >= keepTime && p.isMostlyIdle(now, service)
 }
