--- a/internal/flow/kqmessage/part.go
+++ b/internal/flow/kqmessage/part.go
@@ -42,51 +42,85 @@
 // Split returns the message as parts in the order in which they are to be sent. If the receiver does not join
 // parts, only lists of which each part is of use by itself are split, and each order has its own payload.
 func (m FromOwner) Split(joins bool) []FromOwner {
-	if !joins && (m.Resync || m.AllStates) {
-		return []FromOwner{m}
-	}
 	isWhole := m.Resync || m.AllStates
-	var out []FromOwner
-	part, size, payloadKeys := FromOwner{Part: isWhole}, 0, map[string]string{}
-	// makeRoom ends the part if an element does not fit into it.
-	makeRoom := func(n int) {
-		if size > 0 && size+n > partBytes {
-			out = append(out, part)
-			part, size, payloadKeys = FromOwner{Part: isWhole}, 0, map[string]string{}
-		}
-		size += n
+	if isWhole && !joins {
+		return []FromOwner{m}
 	}
+	s := splitter{isWhole: isWhole}
+	s.begin()
 	for _, o := range m.Orders {
-		if !joins || o.Payload == "" {
-			makeRoom(orderBytes(o))
-			part.Orders = append(part.Orders, o)
-			continue
-		}
-		short := *o
-		short.Payload = ""
-		makeRoom(orderBytes(&short))
-		key, ok := payloadKeys[o.Payload]
-		if !ok {
-			key = strconv.Itoa(len(payloadKeys))
-			payloadKeys[o.Payload] = key
-			size += elementBytes + textBytes(o.Payload)
-			if part.Payloads == nil {
-				part.Payloads = map[string]string{}
-			}
-			part.Payloads[key] = o.Payload
-		}
-		short.PayloadKey = key
-		part.Orders = append(part.Orders, &short)
+		s.addOrder(o, joins)
 	}
-	for id, s := range m.States {
-		makeRoom(elementBytes + textBytes(id, string(s)))
-		if part.States == nil {
-			part.States = map[string]kqflow.State{}
-		}
-		part.States[id] = s
+	for id, state := range m.States {
+		s.addState(id, state)
 	}
-	m.Orders, m.Payloads, m.States = part.Orders, part.Payloads, part.States
-	return append(out, m)
+	m.Orders, m.Payloads, m.States = s.part.Orders, s.part.Payloads, s.part.States
+	return append(s.done, m)
+}
+
+// splitter splits the lists of a message of the owner.
+type splitter struct {
+	// isWhole is true if the lists are only of use as a whole.
+	isWhole bool
+	// done holds the parts that are full, part the current one, and size an upper bound of its size.
+	done []FromOwner
+	part FromOwner
+	size int
+	// payloadKeys holds the keys of the payloads of the current part.
+	payloadKeys map[string]string
+}
+
+// begin begins a part.
+func (s *splitter) begin() {
+	s.part, s.size, s.payloadKeys = FromOwner{Part: s.isWhole}, 0, map[string]string{}
+}
+
+// makeRoom ends the current part if an element of a size does not fit into it, and adds the size.
+func (s *splitter) makeRoom(size int) {
+	if s.size > 0 && s.size+size > partBytes {
+		s.done = append(s.done, s.part)
+		s.begin()
+	}
+	s.size += size
+}
+
+// addOrder adds an order, whose payload the part holds once for several orders if sharesPayload is true.
+func (s *splitter) addOrder(o *kqplan.Order, sharesPayload bool) {
+	if !sharesPayload || o.Payload == "" {
+		s.makeRoom(orderBytes(o))
+		s.part.Orders = append(s.part.Orders, o)
+		return
+	}
+	short := *o
+	short.Payload = ""
+	s.makeRoom(orderBytes(&short))
+	short.PayloadKey = s.payloadKey(o.Payload)
+	s.part.Orders = append(s.part.Orders, &short)
+}
+
+// payloadKey returns the key of a payload in the current part, to which it is added if necessary.
+func (s *splitter) payloadKey(payload string) string {
+	key, ok := s.payloadKeys[payload]
+	if ok {
+		return key
+	}
+	key = strconv.Itoa(len(s.payloadKeys))
+	s.payloadKeys[payload] = key
+	if s.part.Payloads == nil {
+		s.part.Payloads = map[string]string{}
+	}
+	s.part.Payloads[key] = payload
+	s.size += elementBytes + textBytes(payload)
+	return key
+}
+
+// addState adds the state of a job.
+func (s *splitter) addState(id string, state kqflow.State) {
+	s.makeRoom(elementBytes + textBytes(id, string(state)))
+	if s.part.States == nil {
+		s.part.States = map[string]kqflow.State{}
+	}
+	s.part.States[id] = state
 }
 
 // Messages returns parts as the messages that a stream sends.
@@ -137,49 +171,62 @@
 // Split returns the message as parts in the order in which they are to be sent. If the receiver does not join
 // parts, only the ends of earlier incarnations are split from the rest.
 func (m ToOwner) Split(joins bool) []ToOwner {
-	var out []ToOwner
+	out := m.splitWorkerEnds()
+	if joins && m.Report != nil {
+		parts := splitReport(*m.Report)
+		last := len(parts) - 1
+		for _, r := range parts[:last] {
+			out = append(out, ToOwner{Part: true, Report: r})
+		}
+		m.Report = parts[last]
+	}
+	return append(out, m)
+}
+
+// splitWorkerEnds moves the ends of earlier incarnations to messages of their own if they are large. These come first,
+// since the ends are applied before the rest of the message.
+func (m *ToOwner) splitWorkerEnds() (out []ToOwner) {
 	size := 0
 	for _, e := range m.WorkerEnds {
-		size += elementBytes
 		for _, r := range e.Runs {
 			size += elementBytes + textBytes(r.Run.Task)
 		}
 	}
-	if size > partBytes && len(m.WorkerEnds) > 1 {
-		// They are applied before the rest of the message.
-		for _, e := range m.WorkerEnds {
-			out = append(out, ToOwner{WorkerEnds: []kqplan.WorkerEnd{e}})
-		}
-		m.WorkerEnds, size = nil, 0
-	}
-	if !joins || m.Report == nil {
-		return append(out, m)
-	}
-	report := *m.Report
-	rest := kqplan.Report{Worker: report.Worker, Complete: report.Complete}
-	makeRoom := func(n int) {
-		if size > 0 && size+n > partBytes && len(rest.Running)+len(rest.Ended)+len(rest.Slowed) > 0 {
-			part := rest
-			out = append(out, ToOwner{Part: true, Report: &part})
-			rest, size = kqplan.Report{Worker: report.Worker, Complete: report.Complete}, 0
+	if size <= partBytes {
+		return nil
+	}
+	for _, e := range m.WorkerEnds {
+		out = append(out, ToOwner{WorkerEnds: []kqplan.WorkerEnd{e}})
+	}
+	m.WorkerEnds = nil
+	return out
+}
+
+// splitReport returns a report in parts, at least one. Each says whether the whole report is complete.
+func splitReport(r kqplan.Report) (out []*kqplan.Report) {
+	size := 0
+	// part returns the part to which an element of a size is added.
+	part := func(n int) *kqplan.Report {
+		if len(out) == 0 || size+n > partBytes {
+			out, size = append(out, &kqplan.Report{Worker: r.Worker, Complete: r.Complete}), 0
 		}
 		size += n
+		return out[len(out)-1]
 	}
-	for _, r := range report.Running {
-		makeRoom(elementBytes + textBytes(r.Task, r.Checkpoint))
-		rest.Running = append(rest.Running, r)
+	for _, x := range r.Running {
+		p := part(elementBytes + textBytes(x.Task, x.Checkpoint))
+		p.Running = append(p.Running, x)
 	}
-	for _, r := range report.Slowed {
-		makeRoom(elementBytes + textBytes(r.Run.Task))
-		rest.Slowed = append(rest.Slowed, r)
+	for _, x := range r.Slowed {
+		p := part(elementBytes + textBytes(x.Run.Task))
+		p.Slowed = append(p.Slowed, x)
 	}
-	for _, e := range report.Ended {
-		makeRoom(elementBytes + textBytes(e.Run.Task, e.Checkpoint, string(e.Reason)))
-		rest.Ended = append(rest.Ended, e)
+	for _, x := range r.Ended {
+		p := part(elementBytes + textBytes(x.Run.Task, x.Checkpoint, string(x.Reason)))
+		p.Ended = append(p.Ended, x)
 	}
-	rest.Paces = report.Paces
-	m.Report = &rest
-	return append(out, m)
+	part(0).Paces = r.Paces
+	return out
 }
 
 // ToOwner returns a message to the owner with the parts of its report before it, if it is the last of them. Of any
--- a/internal/flow/kqplan/hold.go
+++ b/internal/flow/kqplan/hold.go
@@ -75,10 +75,14 @@
 func (p *Planner) updateGangHolds(now time.Time, ps *pass) {
 	for service, x := range p.gangHolds {
 		waiting := ps.waitingGangs[service]
-		if x.isActive() && (!slices.ContainsFunc(waiting, func(t *task) bool { return t.stepKey() == x.gang }) || x.isOver(now) || p.mustYield(now, service)) {
-			x.endedAt, p.passRequested = now, true
-		}
-		if len(waiting) > 0 && !x.isActive() && now.Sub(x.endedAt) >= gangPauseTime && !p.mustYield(now, service) {
+		yields := p.mustYield(now, service)
+		stillWaits := slices.ContainsFunc(waiting, func(t *task) bool { return t.stepKey() == x.gang })
+		switch {
+		case x.isActive():
+			if x.isOver(now) || yields || !stillWaits {
+				x.endedAt, p.passRequested = now, true
+			}
+		case len(waiting) > 0 && now.Sub(x.endedAt) >= gangPauseTime && !yields:
 			p.beginGangHold(now, x, waiting, ps)
 		}
 	}
