--- a/internal/flow/kqplan/commit.go
+++ b/internal/flow/kqplan/commit.go
@@ -16,8 +16,8 @@
 	Version uint64
 }
 
-// maxTasksPerTransaction is the number of tasks from which on no more records are added to a
-// transaction, which keeps it below the size limit of the store.
+// maxTasksPerTransaction is the number of tasks from which on no more records are added to a batch, since
+// a transaction holds about as many. The owner returns those that it does not hold.
 const maxTasksPerTransaction = 6000
 
 // TakeWrites returns up to limit records to store in one transaction and marks them as in
--- a/internal/flow/kqplan/place.go
+++ b/internal/flow/kqplan/place.go
@@ -187,17 +187,8 @@
 	if ps.fitsNoWorker[key] {
 		return false
 	}
-	missing := 1
-	if t.step.Gang {
-		missing = t.step.Count
-	}
-	for _, h := range p.hosts.All() {
-		if h.acceptsWork(now) && p.isSuitable(now, t, h) && !p.isDenied(t, h) {
-			missing -= t.countFitting(h.availableTo(t, h.info.Capacity))
-		}
-		if missing <= 0 {
-			return true
-		}
+	if p.couldFit(now, t, func(h *host) (kqmodel.Resources, bool) { return h.info.Capacity, true }) {
+		return true
 	}
 	ps.fitsNoWorker[key] = !t.hasBarredHosts(now)
 	return false
--- a/internal/flow/kqplan/quarantine.go
+++ b/internal/flow/kqplan/quarantine.go
@@ -163,15 +163,24 @@
 
 // findAlternative is couldRunElsewhere without its results for other tasks that the same hosts accept.
 func (p *Planner) findAlternative(now time.Time, t *task) bool {
+	return p.couldFit(now, t, func(h *host) (room kqmodel.Resources, ok bool) {
+		return h.freeOfFinite(), !h.health.isQuarantined() && !h.info.Unresponsive
+	})
+}
+
+// couldFit reports whether a task, or its whole gang, fits on the workers that it may run on and that accept work,
+// given what each has room for; a host that is not ok is left out.
+func (p *Planner) couldFit(now time.Time, t *task, roomOn func(*host) (room kqmodel.Resources, ok bool)) bool {
 	missing := 1
 	if t.step.Gang {
 		missing = t.step.Count
 	}
 	for _, h := range p.hosts.All() {
-		if h.health.isQuarantined() || !h.acceptsWork(now) || h.info.Unresponsive || p.isDenied(t, h) || !p.isSuitable(now, t, h) {
+		room, ok := roomOn(h)
+		if !ok || !h.acceptsWork(now) || p.isDenied(t, h) || !p.isSuitable(now, t, h) {
 			continue
 		}
-		missing -= t.countFitting(h.availableTo(t, h.freeOfFinite()))
+		missing -= t.countFitting(h.availableTo(t, room))
 		if missing <= 0 {
 			return true
 		}
--- a/internal/flow/kqplan/relocate.go
+++ b/internal/flow/kqplan/relocate.go
@@ -169,7 +169,7 @@
 func (p *Planner) keepsCapacityFree(now time.Time, t *task, count int) bool {
 	var capacity, finite, free int64
 	for _, h := range p.hosts.All() {
-		if h.info.Service != t.job.queue.Service || p.inEvacuatedZone(h) || !h.usable(now) {
+		if !p.serves(now, h, t.job.queue.Service) {
 			continue
 		}
 		capacity += h.info.Capacity.MilliProcessors
--- a/internal/flow/kqplan/restart.go
+++ b/internal/flow/kqplan/restart.go
@@ -139,7 +139,7 @@
 	q := t.job.queue
 	longRunning, capacity := t.step.Resources.MilliProcessors, int64(0)
 	for _, h := range p.hosts.All() {
-		if h.info.Service == q.Service && !p.inEvacuatedZone(h) && h.usable(now) {
+		if p.serves(now, h, q.Service) {
 			longRunning += h.usage.longRunning + h.longRunningClaims.MilliProcessors
 			capacity += h.info.Capacity.MilliProcessors
 		}
--- a/internal/flow/kqplan/yield.go
+++ b/internal/flow/kqplan/yield.go
@@ -17,12 +17,17 @@
 	return time.Duration(now.UnixNano())%keepPeriod >= keepTime && p.isMostlyIdle(now, service)
 }
 
+// serves reports whether a host has a usable worker of a service outside the evacuated zones.
+func (p *Planner) serves(now time.Time, h *host, service string) bool {
+	return h.info.Service == service && !p.inEvacuatedZone(h) && h.usable(now)
+}
+
 // isMostlyIdle reports whether less than half of the processors of the usable workers of a service outside
 // the evacuated zones are reserved.
 func (p *Planner) isMostlyIdle(now time.Time, service string) bool {
 	var capacity, reserved int64
 	for _, h := range p.hosts.All() {
-		if h.info.Service == service && h.usable(now) && !p.inEvacuatedZone(h) {
+		if p.serves(now, h, service) {
 			capacity += h.info.Capacity.MilliProcessors
 			reserved += h.usage.reserved.MilliProcessors
 		}
