Jobs and flows: a list of more than 64 steps is refused before the rest is decoded

Cause: a job may have 64 steps, which was checked after all of them were decoded. A step takes 3 bytes in a document and about 200 in memory, and twice: as it is sent and as it is stored. 256 KiB make 87,000 of them.

Change: the steps are decoded one by one, and the 65th ends it.

--- a/internal/flow/kqgate/flow.go
+++ b/internal/flow/kqgate/flow.go
@@ -1,9 +1,11 @@
 package kqgate
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
+	"github.com/kumquatswitch/kumquatswitch/internal/core/kqdecode"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/fleet/kqconfig"
@@ -37,6 +39,17 @@
 		LongRunning: s.LongRunning, MaxUnavailable: s.MaxUnavailable, Image: s.Image, TailTarget: s.TailTarget.Std(), Fills: s.Fills}
 }
 
+// StepSpecs is the list of steps of a flow.
+type StepSpecs []StepSpec
+
+// UnmarshalJSON decodes at most as many steps as a flow may have. An unknown field is an error.
+func (s *StepSpecs) UnmarshalJSON(b []byte) (err error) {
+	if *s, err = kqdecode.BoundedList[StepSpec](b, kqflow.MaxSteps, true); err != nil {
+		return fmt.Errorf("steps: %w", err)
+	}
+	return nil
+}
+
 // FlowSpec is a flow, which is a job of steps, in the form that callers send.
 type FlowSpec struct {
 	// ID is the caller's name for the flow. Submitting the same ID again is idempotent.
@@ -46,7 +59,7 @@
 	// Payload is passed to every task.
 	Payload string `json:"payload,omitempty"`
 	// Steps is the list of steps; a step can depend only on earlier ones.
-	Steps []StepSpec `json:"steps"`
+	Steps StepSpecs `json:"steps"`
 	// Repeat is the number of occurrences of a timed flow; 0 means one occurrence that starts at
 	// once.
 	Repeat int `json:"repeat,omitempty"`
