Servers: limits on what all clients of a process hold together

Cause: all limits held for one request or one connection. Nothing added up bodies, headers, connections and the bytes that the kernel holds for a process, and a body that did not arrive was waited for without end.

Change: kqserver has a guard for each process, which all its listeners use (docs/design/clients.md). Bytes of requests are charged to a budget as they are read; the number of connections, their receive buffers and the backlog are limited. All limits follow from the memory and descriptors of the process. Who makes room is the request or connection that has held most for longest without progress, never a request that has arrived in full. An answer to a body that was not read is sent at once, and its connection is half-closed and read for a second, so that the answer is not lost. Declared lengths above the limit are refused before the body arrives. Codes 113 and 114, events 814 to 816 (10 lines a second each), counters.

Why it works: an ordinary request holds little and for a short time, so it displaces a stalled one and is not displaced; what a victim holds is released without any input from its client, and those that need the room wait for that.

--- a/cmd/kumquatswitch/crowd_test.go
+++ b/cmd/kumquatswitch/crowd_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
@@ -23,6 +24,7 @@
 	crowdDescriptors    = 1500
 	fewCrowdDescriptors = 700
 	crowdClients        = 800
+	manyStepsClients    = 200
 	callClients         = 40
 	callBytes           = 8 << 20
 	rpcClients          = 200
@@ -65,6 +67,8 @@
 		{"connections without a request to an agent", agent, fewCrowdDescriptors, crowdClients, kqcrowd.Config{}, "/healthz"},
 		{"flows, declared length, short of the end", flows, crowdDescriptors, crowdClients, post("/v1/flows", declared, flowBytes), "/v1/queues"},
 		{"flows, large chunks, finished", flows, crowdDescriptors, crowdClients, post("/v1/flows", kqcrowd.Shape{Chunk: 64 << 10, Finish: true}, flowBytes), "/v1/queues"},
+		{"flows of many small steps, finished", flows, crowdDescriptors, manyStepsClients, kqcrowd.Shape{Finish: true}.Config(func(int) string { return "/v1/flows" }, "Host: a.example\r\n",
+			[]byte(`{"id":"f","queue":"q","steps":[`+strings.Repeat("{},", flowBytes/3-20)+"{}]}")), "/v1/queues"},
 		{"connections without a request to the flows", flows, fewCrowdDescriptors, crowdClients, kqcrowd.Config{}, "/v1/queues"},
 	}
 }
--- a/internal/command/kqcommand/docs_test.go
+++ b/internal/command/kqcommand/docs_test.go
@@ -11,6 +11,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/command/kqcommand"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 )
 
 // TestReferencePages guards against reference pages in docs that differ from the code. The flag
@@ -73,5 +74,11 @@
 			fmt.Fprintf(&b, "| `--%s` | `%s` | %s | %s | %s |\n", s.Name, s.Env, def, s.Expected, s.Usage)
 		}
 	}
+	b.WriteString("\n## Limits on clients\n\nThey follow from the memory and the descriptors that a process has: `limits.memoryMb` and `limits.maxFds` in the\n" +
+		"users' settings file, else `--memory-megabytes` and the kernel's limit (RLIMIT_NOFILE); without a value, the memory of the host.\n\n" +
+		"| limit | value | when it is reached |\n|---|---|---|\n")
+	for _, l := range kqserver.Catalogue {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", l.Name, l.Value, l.Reached)
+	}
 	return b.String()
 }
--- a/internal/command/kqcommand/flow.go
+++ b/internal/command/kqcommand/flow.go
@@ -15,6 +15,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 	"github.com/kumquatswitch/kumquatswitch/internal/trial/kqflowdemo"
 )
 
@@ -179,6 +180,8 @@
 	lingerTime   time.Duration
 	injectFaults bool
 	seed         int
+	// memoryMegabytes is the memory limit of the process; 0 means the memory of the host.
+	memoryMegabytes int
 }
 
 func (a *app) flowDemo() *cobra.Command {
@@ -190,8 +193,13 @@
 	c.settings.Duration(&s.lingerTime, "hold", 0, 0, time.Hour, "how long the cell keeps serving other callers after the flows of the demo have ended")
 	c.settings.Bool(&s.injectFaults, "faults", false, "inject faults: kill the owner, restart a worker, make the store unavailable")
 	c.settings.Int(&s.seed, "seed", 1, 0, 1<<30, "seed of the random behavior of the stand-ins")
+	declareMemory(c.settings, &s.memoryMegabytes)
 	c.cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		r, err := kqflowdemo.Run(cmd.Context(), kqflowdemo.Config{Workers: s.workers, ListenAddress: s.listen, LingerTime: s.lingerTime, InjectFaults: s.injectFaults,
+		limits, err := limitMemory(s.memoryMegabytes, kqgate.MaxBodyBytes)
+		if err != nil {
+			return wrap(err)
+		}
+		r, err := kqflowdemo.Run(cmd.Context(), kqflowdemo.Config{Guard: kqserver.NewGuard(kqserver.GuardConfig{Limits: limits}), Workers: s.workers, ListenAddress: s.listen, LingerTime: s.lingerTime, InjectFaults: s.injectFaults,
 			Seed: uint64(s.seed), Progress: a.out})
 		if err != nil {
 			return wrap(err)
--- a/internal/command/kqcommand/process.go
+++ b/internal/command/kqcommand/process.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -49,6 +50,8 @@
 	logLevel     string
 	traceOutput  string
 	drainTimeout time.Duration
+	// memoryMegabytes is the memory limit of the process; 0 means the memory of the host.
+	memoryMegabytes int
 }
 
 func (p *processSettings) declare(s *kqsettings.Set, drain time.Duration) {
@@ -63,8 +66,32 @@
 	s.Choice(&p.logLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "lowest level that is logged")
 	s.Choice(&p.traceOutput, "trace", "off", []string{"off", "stderr"}, "where traces are written")
 	s.Duration(&p.drainTimeout, "drain-bound", drain, time.Second, time.Hour, "timeout of a graceful shutdown")
+	declareMemory(s, &p.memoryMegabytes)
 }
 
+// declareMemory declares the setting from which the limits on clients follow.
+func declareMemory(s *kqsettings.Set, megabytes *int) {
+	s.Int(megabytes, "memory-megabytes", 0, 0, 1<<24, "memory limit of this process, from which the limits on connections and requests of clients follow; 0 means the memory of the host")
+}
+
+// limitMemory lets the Go runtime collect garbage before the process reaches its memory limit, and returns the limits
+// on clients. The largest request body is in bytes.
+func limitMemory(megabytes int, largestRequest int64) (kqserver.Limits, error) {
+	memory := int64(megabytes) << 20
+	if memory > 0 {
+		debug.SetMemoryLimit(memory / 100 * softLimitPercent)
+	}
+	limits := kqserver.Resources{MemoryBytes: memory, LargestRequest: largestRequest}.Limits()
+	if !limits.Admits(largestRequest) {
+		return limits, kqresult.Errorf(kqresult.BadSettings, "memory-megabytes: %d do not suffice for a request body of %d bytes", megabytes, largestRequest)
+	}
+	return limits, nil
+}
+
+// softLimitPercent is the part of the memory limit that the Go runtime gets as its soft limit. The rest is for what the
+// kernel holds for the process.
+const softLimitPercent = 70
+
 // dependencies holds what entries and agents build from their shared settings.
 type dependencies struct {
 	logger *zap.Logger
@@ -103,6 +130,11 @@
 		table: kqtable.Remote(kqwire.NewTableServiceClient(kqlink.NewClient(), kqlink.URL(p.table), kqlink.ClientOptions()...))}, nil
 }
 
+// newGuard returns what limits the clients of the process.
+func (d *dependencies) newGuard(id string, limits kqserver.Limits) *kqserver.Guard {
+	return kqserver.NewGuard(kqserver.GuardConfig{Limits: limits, Process: id, Events: d.events})
+}
+
 func (d *dependencies) close() {
 	_ = d.tracer.Close(context.Background())
 	_ = d.logger.Sync()
@@ -132,13 +164,17 @@
 		if err := operators.Validate(); err != nil {
 			return wrap(kqresult.Errorf(kqresult.BadSettings, "operator-token-file: %v", err))
 		}
+		limits, err := limitMemory(s.memoryMegabytes, int64(maxBody))
+		if err != nil {
+			return wrap(err)
+		}
 		d, err := s.newDependencies()
 		if err != nil {
 			return wrap(err)
 		}
 		defer d.close()
 		e, err := kqentry.Start(kqentry.Config{ID: s.id, Zone: s.zone, Listen: s.listen, Advertise: s.advertise, Cells: s.cells,
-			Seeds: s.entries, Identity: d.identity, OperatorToken: operators, Table: d.table, CrossZoneDelay: kqentry.DefaultCrossZoneDelay, Hedge: kqretry.DefaultHedgeBudget,
+			Seeds: s.entries, Identity: d.identity, Guard: d.newGuard(s.id, limits), OperatorToken: operators, Table: d.table, CrossZoneDelay: kqentry.DefaultCrossZoneDelay, Hedge: kqretry.DefaultHedgeBudget,
 			DefaultDeadline: deadline, MaxBody: int64(maxBody), DrainTimeout: s.drainTimeout, Seed: uint64(time.Now().UnixNano()),
 			Now: time.Now, Events: d.events, Tracer: d.tracer, Counter: &kqinvariant.Counter{}})
 		if err != nil {
@@ -162,13 +198,17 @@
 		if err := c.settings.Require("id", "zone", "rack", "listen", "table", "runtime"); err != nil {
 			return err
 		}
+		limits, err := limitMemory(s.memoryMegabytes, kqentry.DefaultMaxBody)
+		if err != nil {
+			return wrap(err)
+		}
 		d, err := s.newDependencies()
 		if err != nil {
 			return wrap(err)
 		}
 		defer d.close()
 		agent, err := kqagent.Start(kqagent.Config{Worker: s.id, Zone: s.zone, Rack: rack, Listen: s.listen, Advertise: s.advertise,
-			Cells: s.cells, Seeds: s.entries, Identity: d.identity, Table: d.table,
+			Cells: s.cells, Seeds: s.entries, Identity: d.identity, Guard: d.newGuard(s.id, limits), Table: d.table,
 			Runtime:    kqruntime.Remote(kqwire.NewRuntimeServiceClient(kqlink.NewClient(), kqlink.URL(runtime), kqlink.ClientOptions()...)),
 			Throttling: true, Interference: true, DrainTimeout: s.drainTimeout, Now: time.Now, Events: d.events, Tracer: d.tracer,
 			Counter: &kqinvariant.Counter{}})
--- a/internal/core/kqevent/catalogue.go
+++ b/internal/core/kqevent/catalogue.go
@@ -104,6 +104,9 @@
 	EntryOmitted          Number = 811
 	MessageTooLarge       Number = 812
 	RecordShortened       Number = 813
+	RequestRefused        Number = 814
+	ConnectionClosed      Number = 815
+	ServerError           Number = 816
 	WorkerSuperseded      Number = 820
 	IncarnationStale      Number = 821
 	BirthInvalid          Number = 822
@@ -216,6 +219,9 @@
 	{EntryOmitted, "entry_left_out", "An entry of a list or a part of a message cannot be decoded or is out of range, and was left out; the rest is in use."},
 	{MessageTooLarge, "message_too_large", "The connection to a process of the system has ended over the size of its messages."},
 	{RecordShortened, "record_shortened", "The progress of a job is stored without the checkpoints of some tasks, since its row would be too large; a new owner lets these tasks resume from an earlier one or from the beginning."},
+	{RequestRefused, "request_refused", "A request was refused before it had arrived in full, because there was no room for it or its time was over."},
+	{ConnectionClosed, "connection_closed", "The connection of a client was closed without an answer: there was no room for it, or the client has not sent a whole header or not read an answer in time."},
+	{ServerError, "server_error", "The HTTP library reports a failed handshake of a client or a panic of a handler."},
 	{WorkerSuperseded, "worker_reborn", "A later incarnation of a worker has started under the same id; the earlier one has ended."},
 	{IncarnationStale, "incarnation_over", "A message of an incarnation of a worker that has ended was ignored."},
 	{BirthInvalid, "birth_refused", "A message of a worker has no birth time although the id had one before, or a birth time that cannot be decoded; it identifies no worker. It was ignored; after a leave message the worker is polled to learn whether it has ended."},
@@ -236,6 +242,12 @@
 	FlowRunPlaced: true, FlowRunEnded: true, FlowRunLost: true, FlowRunMoved: true, FlowRunPreempted: true, FlowSuspected: true, FlowTrial: true, FlowClaim: true, FlowHold: true,
 }
 
+// clientEvents holds the events that any client can bring about as often as it likes.
+var clientEvents = map[Number]bool{RequestRefused: true, ConnectionClosed: true, ServerError: true}
+
+// isCausedByClients reports whether any client can bring n about as often as it likes.
+func (n Number) isCausedByClients() bool { return clientEvents[n] }
+
 // isDecision reports whether n records a decision on a request, a task or a run.
 func (n Number) isDecision() bool { return decisions[n] }
 
--- a/internal/core/kqevent/log.go
+++ b/internal/core/kqevent/log.go
@@ -74,7 +74,12 @@
 	total          uint64
 }
 
-const defaultMaxEvents = 4096
+const (
+	defaultMaxEvents = 4096
+	// clientEventsPerSecond limits the events of each kind that clients cause. The others are counted and not kept,
+	// so that clients cannot displace what explains the work of others.
+	clientEventsPerSecond = 10
+)
 
 // Log keeps the latest events in memory and writes events to the logger.
 type Log struct {
@@ -120,6 +125,9 @@
 	if n.isDecision() {
 		limit = l.decisionsPerSecond
 	}
+	if n.isCausedByClients() {
+		limit = clientEventsPerSecond
+	}
 	if limit > 0 && r.loggedInSecond >= limit {
 		r.leftOut++
 		return 0, false
@@ -151,8 +159,12 @@
 		return
 	}
 	e := Event{Number: n, At: now, Process: l.process, Subject: s, Text: fmt.Sprintf(format, args...)}
-	if leftOut, logged := l.admit(now, n); logged {
+	leftOut, logged := l.admit(now, n)
+	switch {
+	case logged:
 		l.write(e, leftOut, fields)
+	case n.isCausedByClients():
+		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/core/kqresult/code.go
+++ b/internal/core/kqresult/code.go
@@ -29,6 +29,8 @@
 	NotRunUnknownClass     Code = 110
 	NotRunBusy             Code = 111
 	NotRunRejected         Code = 112
+	NotRunMemoryLimit      Code = 113
+	NotRunBodyTimeout      Code = 114
 	OutcomeUnknown         Code = 201
 	AnswerIncomplete       Code = 202
 	KeyInUse               Code = 203
@@ -80,6 +82,8 @@
 	{NotRunUnknownClass, "not_run_unknown_class", http.StatusNotFound, "There is no latency-critical class of this name; the call did not run.", "Check the class name."},
 	{NotRunBusy, "not_run_busy", http.StatusServiceUnavailable, "All slots of the endpoint are busy and the call may be sent to another one; the call did not run.", "Retry after the time in Retry-After."},
 	{NotRunRejected, "not_run_rejected", http.StatusTooManyRequests, "So much work is scheduled before the flow that it could not end while its result has any value; it will not run.", "Submit it again after the time in Retry-After, or drop it."},
+	{NotRunMemoryLimit, "not_run_memory_limit", http.StatusServiceUnavailable, "The requests of all clients occupy as much memory as they may, and this one had not arrived in full; it did not run.", "Send the whole request without delay, after the time in Retry-After."},
+	{NotRunBodyTimeout, "not_run_body_timeout", http.StatusServiceUnavailable, "The request did not arrive in the time that it has; it did not run.", "Send the whole request without delay, after the time in Retry-After."},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, "The call was dispatched and its answer was lost; it may have run.", "Query the service for the outcome before retrying."},
 	{AnswerIncomplete, "answer_incomplete", http.StatusBadGateway, "The answer was cut off after its header was sent; the call ran.", "Discard the partial answer; query the service for the outcome."},
 	{KeyInUse, "key_in_use", http.StatusConflict, "The idempotency key belongs to another request, or to a call whose answer is not available; that call may have run.", "Query the service for the outcome, or retry with the same key."},
--- a/internal/entry/kqentry/call.go
+++ b/internal/entry/kqentry/call.go
@@ -21,6 +21,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/call/kqroute"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqmodel"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqresult"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqlink"
 )
 
 const (
@@ -140,6 +141,16 @@
 	return d, nil
 }
 
+// bodyTimeout returns the time in which the body of a request must arrive: until the deadline of a call, or as long as
+// another process waits.
+func (e *Entry) bodyTimeout(r *http.Request) time.Duration {
+	d, err := e.parseDeadline(r.Header.Get(headerDeadline))
+	if err != nil {
+		d = e.config.DefaultDeadline
+	}
+	return kqlink.Timeout(r, d)
+}
+
 // isIdempotent reports whether a call may run more than once: as the Kq-Idempotent header
 // says, or by the HTTP method if the header is absent.
 func isIdempotent(q *http.Request) (bool, *kqresult.Error) {
@@ -159,15 +170,20 @@
 }
 
 func (e *Entry) readBody(w http.ResponseWriter, q *http.Request) ([]byte, *kqresult.Error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, e.config.MaxBody))
+	var b []byte
+	var err error
+	// A body whose declared length exceeds the limit is rejected before it arrives.
+	if q.ContentLength <= e.config.MaxBody {
+		b, err = io.ReadAll(http.MaxBytesReader(w, q.Body, e.config.MaxBody))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &tooLarge):
+	case q.ContentLength > e.config.MaxBody || errors.As(err, &tooLarge):
 		return nil, kqresult.Errorf(kqresult.TooLarge, "the request body is larger than %d bytes", e.config.MaxBody)
+	case err != nil:
+		return nil, kqresult.Errorf(kqresult.BadRequest, "reading the request body failed: %v", err)
 	}
-	return nil, kqresult.Errorf(kqresult.BadRequest, "reading the request body failed: %v", err)
+	return b, nil
 }
 
 // unforwardedHeaders is the set of headers that are not passed to the endpoint: they
--- a/internal/entry/kqentry/entry.go
+++ b/internal/entry/kqentry/entry.go
@@ -53,6 +53,8 @@
 	Identity *kqtls.Identity
 	// OperatorToken guards the configuration and the views of the fleet.
 	OperatorToken kqtoken.File
+	// Guard limits what clients hold; nil derives the limits from the host.
+	Guard *kqserver.Guard
 	// Table is the platform's table.
 	Table kqtable.Table
 	// CrossZoneDelay is the extra round-trip time of a call to another availability zone.
@@ -126,7 +128,7 @@
 		Routes:    kqroute.Config{Zone: c.Zone, CrossZoneDelay: c.CrossZoneDelay, Seed: c.Seed, Policy: c.Policy, Counter: c.Counter, OnChange: e.endpointChanged},
 		Transport: kqremote.NewClient(e.pool).Transport(), Retry: kqretry.DefaultRetryBudget, Hedge: c.Hedge,
 		Now: c.Now, Events: c.Events, Counter: c.Counter})
-	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen, TLS: c.Identity.ServerConfig()})
+	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen, TLS: c.Identity.ServerConfig(), Guard: c.Guard, Timeout: e.bodyTimeout})
 	if err != nil {
 		e.pool.Close()
 		e.claimer.Close()
@@ -309,6 +311,7 @@
 	monitor.AddGauge("config_sequence", "Configuration sequence in force.", func() float64 { return float64(e.configHolder.Sequence()) })
 	monitor.AddGauge("calls_open", "Calls that are under way.", func() float64 { return float64(e.openCalls()) })
 	e.metrics = newMetrics(monitor.Registry)
+	monitor.Registry.MustRegister(e.server.Guard())
 	r := bunrouter.New(bunrouter.WithNotFoundHandler(notFound))
 	monitor.AddRoutes(r)
 	e.routes(r)
--- a/internal/flow/kqgate/gate.go
+++ b/internal/flow/kqgate/gate.go
@@ -38,7 +38,8 @@
 }
 
 const (
-	maxBodyBytes   = 256 << 10
+	// MaxBodyBytes is the maximum size of a request body.
+	MaxBodyBytes   = 256 << 10
 	requestTimeout = 5 * time.Second
 )
 
@@ -72,12 +73,12 @@
 }
 
 // jsonHandler returns a handler that writes the result of h as JSON. It limits the request body to
-// maxBodyBytes and the time to requestTimeout.
+// MaxBodyBytes and the time to requestTimeout.
 func jsonHandler(h func(ctx context.Context, q bunrouter.Request) (any, *kqresult.Error)) bunrouter.HandlerFunc {
 	return func(w http.ResponseWriter, q bunrouter.Request) error {
 		ctx, cancel := context.WithTimeout(q.Context(), requestTimeout)
 		defer cancel()
-		q.Body = http.MaxBytesReader(w, q.Body, maxBodyBytes)
+		q.Body = http.MaxBytesReader(w, q.Body, MaxBodyBytes)
 		v, err := h(ctx, q)
 		if err != nil {
 			return kqresult.WriteHTTP(w, err)
@@ -98,7 +99,7 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &tooLarge):
-		return kqresult.Errorf(kqresult.TooLarge, "the body is larger than %d bytes", maxBodyBytes)
+		return kqresult.Errorf(kqresult.TooLarge, "the body is larger than %d bytes", MaxBodyBytes)
 	}
 	return kqresult.Errorf(kqresult.BadRequest, "the body is not a valid %s: %v", kind, err)
 }
--- a/internal/host/kqagent/agent.go
+++ b/internal/host/kqagent/agent.go
@@ -59,7 +59,8 @@
 	a.latencyMonitor = &latencyMonitor{dispatcher: a.dispatcher, class: a.configHolder.Class, baselines: map[string]*baseline{}}
 	dialer := kqlink.Dialer{TLS: c.Identity.ClientConfig()}
 	a.ownerClients = &ownerClients{dialer: dialer, http: dialer.NewClient(), options: kqlink.ClientOptions(c.Tracer.ClientOptions()...), clients: map[netip.AddrPort]kqwire.AgentServiceClient{}}
-	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen, TLS: c.Identity.ServerConfig()})
+	server, err := kqserver.Listen(kqserver.Config{Listen: c.Listen, TLS: c.Identity.ServerConfig(), Guard: c.Guard,
+		Timeout: func(r *http.Request) time.Duration { return kqlink.Timeout(r, kqserver.DefaultTimeout) }})
 	if err != nil {
 		a.dispatcher.Close()
 		return nil, err
@@ -148,6 +149,7 @@
 	monitor.AddGauge("config_sequence", "Configuration sequence in force.", func() float64 { return float64(a.configHolder.Sequence()) })
 	monitor.AddGauge("cell_owned", "1 if this process owns its cell.", a.ownsCell)
 	monitor.AddGauge("tasks_held", "Attempts that the worker's runtime holds.", func() float64 { return float64(len(a.driver.Inventory().Tasks)) })
+	monitor.Registry.MustRegister(a.server.Guard())
 	r := bunrouter.New()
 	monitor.AddRoutes(r)
 	r.PUT("/v1/endpoints/:id", a.putEndpoint)
--- a/internal/host/kqagent/config.go
+++ b/internal/host/kqagent/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqevent"
 	"github.com/kumquatswitch/kumquatswitch/internal/core/kqinvariant"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtls"
 	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqtrace"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqruntime"
@@ -35,6 +36,8 @@
 	// Identity secures the connections with entries, owners and endpoints; if it is nil, they
 	// are not encrypted.
 	Identity *kqtls.Identity
+	// Guard limits what clients hold; nil derives the limits from the host.
+	Guard *kqserver.Guard
 	// Table is the platform's table.
 	Table kqtable.Table
 	// Runtime is the host's task runtime.
--- a/internal/trial/kqflowdemo/cell.go
+++ b/internal/trial/kqflowdemo/cell.go
@@ -54,6 +54,8 @@
 	Service string
 	// ListenAddress is the address of the API; port 0 takes a free port.
 	ListenAddress netip.AddrPort
+	// Guard limits what clients of the API hold; nil derives the limits from the host.
+	Guard *kqserver.Guard
 	// Seed seeds the random faults of the stand-ins.
 	Seed uint64
 	// Events receives the events of all processes; may be nil.
@@ -105,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	x.server, err = kqserver.Start(x.config.ListenAddress, kqgate.New(kqgate.Config{Front: front, Policies: x.policies, Store: store, Events: x.config.Events}).Handler())
+	x.server, err = kqserver.StartWith(kqserver.Config{Listen: x.config.ListenAddress, Guard: x.config.Guard}, kqgate.New(kqgate.Config{Front: front, Policies: x.policies, Store: store, Events: x.config.Events}).Handler())
 	return err
 }
 
--- a/internal/trial/kqflowdemo/demo.go
+++ b/internal/trial/kqflowdemo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatswitch/kumquatswitch/internal/entry/kqclient"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqflow"
 	"github.com/kumquatswitch/kumquatswitch/internal/flow/kqgate"
+	"github.com/kumquatswitch/kumquatswitch/internal/plumb/kqserver"
 	"github.com/kumquatswitch/kumquatswitch/internal/seam/kqtable"
 )
 
@@ -24,6 +25,8 @@
 type Config struct {
 	// Workers is the number of workers.
 	Workers int
+	// Guard limits what clients of the API hold; nil derives the limits from the host.
+	Guard *kqserver.Guard
 	// ListenAddress is the address of the API; port 0 takes a free port.
 	ListenAddress netip.AddrPort
 	// LingerTime is how long the cell stays up after the demo's flows have ended.
@@ -102,7 +105,7 @@
 
 // Run runs a demo and returns its report.
 func Run(ctx context.Context, c Config) (Report, error) {
-	x, err := NewCell(CellConfig{Workers: c.Workers, Capacity: kqmodel.Resources{MilliProcessors: workerMilliProcessors, MemoryBytes: workerMemory},
+	x, err := NewCell(CellConfig{Guard: c.Guard, Workers: c.Workers, Capacity: kqmodel.Resources{MilliProcessors: workerMilliProcessors, MemoryBytes: workerMemory},
 		Service: service, ListenAddress: c.ListenAddress, Seed: c.Seed, Events: kqevent.New(kqevent.Config{Process: "demo"})})
 	if err != nil {
 		return Report{}, err
