--- a/cmd/kumquatswitch/crowd_test.go
+++ b/cmd/kumquatswitch/crowd_test.go
@@ -30,6 +30,8 @@
 	rpcClients          = 200
 	rpcBytes            = 1 << 20
 	flowBytes           = 256 << 10
+	http2Streams        = 15
+	http2StreamBytes    = 64 << 10
 
 	crowdStoreAddress = "127.78.0.1:17100"
 	crowdIP           = "127.78.0.2"
@@ -62,6 +64,7 @@
 		{"calls to an entry, declared length, short of the end", entry, crowdDescriptors, callClients, post("/v1/call/lockdesk/x", declared, callBytes), "/v1/jobs"},
 		{"calls to an entry, large chunks, short of the end", entry, crowdDescriptors, callClients, post("/v1/call/lockdesk/x", chunked, callBytes), "/v1/jobs"},
 		{"announcements to an entry, short of the end", entry, crowdDescriptors, rpcClients, post(announcePath, declared, rpcBytes), "/v1/jobs"},
+		{"HTTP/2 streams to an entry, short of the end", entry, crowdDescriptors, crowdClients, kqcrowd.Config{Body: kqcrowd.HTTP2Streams("/v1/call/lockdesk/%d", "a.example", http2Streams, http2StreamBytes)}, "/v1/jobs"},
 		{"connections without a request to an entry", entry, fewCrowdDescriptors, crowdClients, kqcrowd.Config{}, "/v1/jobs"},
 		{"heartbeats to an agent, short of the end", agent, crowdDescriptors, rpcClients, post(heartbeatPath, declared, rpcBytes), "/healthz"},
 		{"connections without a request to an agent", agent, fewCrowdDescriptors, crowdClients, kqcrowd.Config{}, "/healthz"},
--- a/internal/plumb/kqserver/conn.go
+++ b/internal/plumb/kqserver/conn.go
@@ -123,7 +123,7 @@
 		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
 	}
 	err := c.Conn.Close()
-	c.server.forget(c)
+	c.server.removeConn(c)
 	c.server.guard.release(time.Now(), &c.header)
 	return err
 }
--- a/internal/plumb/kqserver/exchange.go
+++ b/internal/plumb/kqserver/exchange.go
@@ -19,6 +19,9 @@
 	// suffices for what has already arrived, after which the connection can be used again.
 	leftoverTimeout  = time.Millisecond
 	maxLeftoverBytes = 4 << 10
+	// maxReadBytes limits a read of a body. A read of a chunk returns only once it has filled its buffer, and what it
+	// has stored there until then is not charged.
+	maxReadBytes = 16 << 10
 )
 
 // exchange is a request until it is answered.
@@ -80,7 +83,7 @@
 	}
 	x.conn.readsHeader.Store(false)
 	x.server.guard.release(now, &x.conn.header)
-	x.server.begin(x)
+	x.server.addExchange(x)
 	if refusal := x.server.guard.charge(now, &x.holder, 0, x.headerBytes()); refusal != nil {
 		x.server.recordRefused(now, x, refusal)
 		return refusal
@@ -93,7 +96,7 @@
 
 // end releases what the request holds.
 func (x *exchange) end(now time.Time) {
-	x.server.end(x)
+	x.server.removeExchange(x)
 	x.server.guard.release(now, &x.holder)
 	// The connection is idle from now on.
 	x.server.guard.release(now, &x.conn.header)
@@ -153,7 +156,7 @@
 	if b.exchange.refusal != nil {
 		return 0, b.exchange.refusal
 	}
-	n, err := b.exchange.body.Read(p)
+	n, err := b.exchange.body.Read(p[:min(len(p), maxReadBytes)])
 	return n, b.exchange.received(time.Now(), n, err)
 }
 
--- a/internal/plumb/kqserver/limits.go
+++ b/internal/plumb/kqserver/limits.go
@@ -20,8 +20,8 @@
 var Catalogue = []LimitInfo{
 	{"memory of requests that are not answered yet, over all listeners", fmt.Sprintf("%d/%d of the memory, at least for one request of the largest size (up to %d/%d); a byte of a body counts as %d, a byte of an incomplete header as %d",
 		requestParts, memoryParts, maxRequestParts, memoryParts, bodyCost, headerCost), "the request that has held most for longest without progress is refused (113); one whose body has arrived never is"},
-	{"connections of a listener", fmt.Sprintf("%d/%d of the memory, each at %d bytes and %d times its receive buffer; at most the descriptors less %d, at least %d; %s",
-		connectionParts, memoryParts, connectionBytes, kernelFactor, fileDescriptors+ownDescriptors, minConnections, "on the users' platform 32 for readiness checks and for metrics"), "the connection that has held most for longest without progress is closed (815), never one whose request is being worked on"},
+	{"connections of a listener", fmt.Sprintf("%d/%d of the memory, each at %d bytes and %d times its receive buffer; at most the descriptors less %d, at least %d; on the users' platform %d for readiness checks and for metrics",
+		connectionParts, memoryParts, connectionBytes, kernelFactor, fileDescriptors+ownDescriptors, minConnections, MinorConnections), "the connection that has held most for longest without progress is closed (815), never one whose request is being worked on"},
 	{"connections that wait to be accepted", fmt.Sprintf("%d/%d of the memory for their receive buffers; at most %d", backlogParts, memoryParts, maxBacklog), "the kernel drops the opening packet, which the client sends again"},
 	{"receive buffer of a connection", fmt.Sprintf("1/%d of the memory, from %d to %d bytes", memoryPerReceiveByte, minReceiveBuffer, maxReceiveBuffer), "the client waits until the process reads"},
 	{"time in which a body arrives", fmt.Sprintf("as long as the client waits: X-Timeout-Ms, Kq-Deadline or Connect-Timeout-Ms; without one the default of the API, else %s", DefaultTimeout), "the request is refused (114)"},
--- a/internal/plumb/kqserver/listener.go
+++ b/internal/plumb/kqserver/listener.go
@@ -60,7 +60,7 @@
 // admit adds a connection. At the limit, the connection that has held most for longest without progress is closed
 // for it; if there is none that may be, the new one is not admitted.
 func (s *Server) admit(now time.Time, c *conn) bool {
-	victim, ok := s.add(now, c)
+	victim, ok := s.addConn(now, c)
 	switch {
 	case victim != nil:
 		s.recordClosed(now, victim, closedConnectionLimit, kqresult.NotRunMemoryLimit)
@@ -71,15 +71,15 @@
 	return ok
 }
 
-// add adds a connection if there is room for it, and returns the one that has to make room.
-func (s *Server) add(now time.Time, c *conn) (victim *conn, ok bool) {
+// addConn adds a connection if there is room for it, and returns the one that has to make room.
+func (s *Server) addConn(now time.Time, c *conn) (victim *conn, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.maxConnections {
 		if victim = s.victim(now); victim == nil {
 			return nil, false
 		}
-		s.drop(victim)
+		s.dropConn(victim)
 	}
 	s.conns[c] = struct{}{}
 	s.guard.countConnections(1)
@@ -106,30 +106,30 @@
 	return victim
 }
 
-// drop removes a connection, which then no longer counts toward the limit.
-func (s *Server) drop(c *conn) {
+// dropConn removes a connection, which then no longer counts toward the limit. The caller holds the mutex.
+func (s *Server) dropConn(c *conn) {
 	if _, ok := s.conns[c]; ok {
 		delete(s.conns, c)
 		s.guard.countConnections(-1)
 	}
 }
 
-// forget removes a connection that was closed.
-func (s *Server) forget(c *conn) {
+// removeConn removes a connection that was closed.
+func (s *Server) removeConn(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.drop(c)
+	s.dropConn(c)
 }
 
-// begin adds an open request to its connection.
-func (s *Server) begin(x *exchange) {
+// addExchange adds an open request to its connection.
+func (s *Server) addExchange(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x.conn.exchanges[x] = struct{}{}
 }
 
-// end removes an answered request from its connection.
-func (s *Server) end(x *exchange) {
+// removeExchange removes an answered request from its connection.
+func (s *Server) removeExchange(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(x.conn.exchanges, x)
--- a/internal/plumb/kqserver/server.go
+++ b/internal/plumb/kqserver/server.go
@@ -23,6 +23,8 @@
 	pingTimeout          = 2 * time.Second
 	// minBacklog is the backlog of a listener for few connections, so that a burst of them need not try again.
 	minBacklog = 128
+	// MinorConnections is the limit on the connections of a listener that only the platform or operators use.
+	MinorConnections = 32
 	// minReceiveWindow is the smallest window that HTTP/2 allows.
 	minReceiveWindow = 64 << 10
 )
--- a/internal/trial/kqcrowd/crowd.go
+++ b/internal/trial/kqcrowd/crowd.go
@@ -87,8 +87,8 @@
 
 // run is the life of one client.
 func (w *Crowd) run(n int) {
-	leaveSent := sync.OnceFunc(w.sent.Done)
-	defer leaveSent()
+	reportSent := sync.OnceFunc(w.sent.Done)
+	defer reportSent()
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(w.ctx, "tcp", w.config.Address.String())
 	if err != nil {
 		return
@@ -104,7 +104,7 @@
 		w.ended.Add(1)
 		return
 	}
-	leaveSent()
+	reportSent()
 	if w.config.Finish {
 		select {
 		case <-w.finish:
