Servers: nobody waits for a request that is being answered

Cause: a request that has to make room counts until its handler returns, and others wait for that. A handler that answers without reading the body returns only when its client has read the answer, up to 30 s for each part of it. So a client that declares a body, sends none of it and reads nothing of a large answer kept others waiting.

Change: a request that is being answered is not chosen, and one that was chosen before no longer counts.

kqevent ClientsDisplaceTheEvents: the bound of the events that clients cause.

--- a/internal/core/kqevent/log_test.go
+++ b/internal/core/kqevent/log_test.go
@@ -102,3 +102,17 @@
 	defer x.mu.Unlock()
 	return bytes.Clone(x.b.Bytes())
 }
+
+// Clients bring about more events than are kept in memory. Guards against a log that then no longer has the events that
+// explain the work of others.
+func TestClientsDisplaceTheEventsOfOthers(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1_800_000_000, 0)
+	l := kqevent.New(kqevent.Config{MaxEvents: 20})
+	l.Emit(now, kqevent.FlowAccepted, kqevent.Job("j"), "")
+	for range 1000 {
+		l.Emit(now, kqevent.RequestRefused, kqevent.Process("p"), "")
+	}
+	g.Expect(l.BySubject(kqevent.Job("j"))).To(HaveLen(1))
+	g.Expect(l.Counts()).To(HaveKeyWithValue("request_refused", uint64(1000)))
+}
--- a/internal/plumb/kqserver/exchange.go
+++ b/internal/plumb/kqserver/exchange.go
@@ -191,6 +191,7 @@
 	}
 	x.answered = true
 	x.settleBody(w.Header())
+	x.server.guard.answer(&x.holder)
 	if x.refusal == nil {
 		w.ResponseWriter.WriteHeader(status)
 		return
--- a/internal/plumb/kqserver/guard.go
+++ b/internal/plumb/kqserver/guard.go
@@ -71,7 +71,7 @@
 	// progressAt is the time of the latest progress, received the number of bytes since then.
 	progressAt time.Time
 	received   int64
-	// complete is true for a request that was read to its end. It is answered, whatever it holds.
+	// complete is true for a request that was read to its end or that is being answered. It does not make room.
 	complete bool
 	// refusal is why the holder has to end.
 	refusal *kqresult.Error
@@ -162,7 +162,22 @@
 	return h.refusal
 }
 
-// isComplete reports whether a request was read to its end.
+// answer records that a request is being answered. It does not make room any more, and if it had to, others do not wait
+// for it any longer: its client may not read the answer.
+func (g *Guard) answer(h *holder) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if h.refusal == nil {
+		h.complete = true
+		return
+	}
+	g.held -= h.held
+	g.releasing -= h.held
+	h.held = 0
+	g.released.Broadcast()
+}
+
+// isComplete reports whether a request was read to its end or is being answered.
 func (g *Guard) isComplete(h *holder) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/plumb/kqserver/guard_test.go
+++ b/internal/plumb/kqserver/guard_test.go
@@ -25,9 +25,12 @@
 	// lastRead is the part of a body that an incomplete read may hold uncharged.
 	lastRead    = 16 << 10
 	connections = 3
+	// largeAnswer exceeds what the kernel takes from a process whose client does not read.
+	largeAnswer = 32 << 20
 )
 
-// start starts a server with small limits. Its handler answers /read after the body, and other paths at once.
+// start starts a server with small limits. Its handler answers /read after the body, and other paths at once, /large
+// with a large answer.
 func start(g Gomega, c kqserver.Config) *kqserver.Server {
 	c.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 	c.Guard = kqserver.NewGuard(kqserver.GuardConfig{Limits: kqserver.Limits{RequestBytes: budget, Connections: connections, ReceiveBuffer: 32 << 10, Backlog: 16}})
@@ -38,6 +41,10 @@
 				return
 			}
 		}
+		if r.URL.Path == "/large" {
+			_, _ = io.WriteString(w, strings.Repeat("x", largeAnswer))
+			return
+		}
 		_, _ = io.WriteString(w, "done")
 	}))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -225,3 +232,21 @@
 		})
 	}
 }
+
+// A client declares a body that it does not send, and reads nothing of a large answer to it. Guards against another one
+// that waits for the little that its request holds until it has read the answer.
+func TestAClientWaitsForAnotherThatDoesNotReadItsAnswer(t *testing.T) {
+	g := NewWithT(t)
+	s := start(g, kqserver.Config{})
+	defer s.Kill()
+	silent, other := dial(g, s), dial(g, s)
+	defer silent.Close()
+	defer other.Close()
+	const header = 16 << 10
+	_ = silent.post("/large", 1, 0, "Padding: "+strings.Repeat("x", header)+"\r\n")
+	g.Eventually(func() float64 { return requestBytes(g, s) }).Should(BeNumerically("~", header, 1<<10))
+	// What the body occupies exceeds the budget only together with that header. It is refused, or admitted if the first
+	// request had to make room before its answer began.
+	_ = other.post("/read", (budget-header/2)/3, (budget-header/2)/3, "")
+	g.Expect(other.answer()).To(BeElementOf("113", "200 OK"))
+}
