--- a/internal/plumb/kqserver/server.go
+++ b/internal/plumb/kqserver/server.go
@@ -1,4 +1,5 @@
-// Package kqserver serves HTTP/1.1 and HTTP/2 on one address.
+// Package kqserver serves HTTP/1.1 and HTTP/2 on one address, and limits what the clients of a process can make it
+// hold.
 package kqserver
 
 import (
