Servers: one place sets the soft limit of memory, one gives back what a request holds

The product's processes set the soft limit of the Go runtime as the platform's do, with a constant of their own: both now call kqprocess.LimitMemory. Guard.answer and Guard.release each subtracted what a holder holds: both now call free. A read of a header locked the guard twice.

--- a/internal/command/kqcommand/process.go
+++ b/internal/command/kqcommand/process.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -78,9 +77,7 @@
 // on clients. The largest request body is in bytes.
 func limitMemory(megabytes int, largestRequest int64) (kqserver.Limits, error) {
 	memory := int64(megabytes) << 20
-	if memory > 0 {
-		debug.SetMemoryLimit(memory / 100 * softLimitPercent)
-	}
+	kqprocess.LimitMemory(memory)
 	limits := kqserver.Resources{MemoryBytes: memory, LargestRequest: largestRequest}.Limits()
 	if !limits.Admits(largestRequest) {
 		return limits, kqresult.Errorf(kqresult.BadSettings, "memory-megabytes: %d do not suffice for a request body of %d bytes", megabytes, largestRequest)
@@ -88,10 +85,6 @@
 	return limits, nil
 }
 
-// softLimitPercent is the part of the memory limit that the Go runtime gets as its soft limit. The rest is for what the
-// kernel holds for the process.
-const softLimitPercent = 70
-
 // dependencies holds what entries and agents build from their shared settings.
 type dependencies struct {
 	logger *zap.Logger
--- a/internal/plumb/kqprocess/process.go
+++ b/internal/plumb/kqprocess/process.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -21,6 +22,18 @@
 	return hex.EncodeToString(b)
 }
 
+// softLimitPercent is the part of the memory limit of a process that the Go runtime gets as its soft limit. The rest is
+// for what the kernel holds for the process.
+const softLimitPercent = 70
+
+// LimitMemory lets the Go runtime collect garbage before the process reaches its memory limit, in bytes. It does nothing
+// if there is no limit, 0.
+func LimitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(bytes / 100 * softLimitPercent)
+	}
+}
+
 // Config configures a Monitor.
 type Config struct {
 	// Ready reports whether the process accepts work.
--- a/internal/plumb/kqserver/conn.go
+++ b/internal/plumb/kqserver/conn.go
@@ -71,9 +71,11 @@
 // room for others.
 func (c *conn) chargeHeader(now time.Time, n int, err error) (int, error) {
 	g := c.server.guard
-	refusal := g.refusal(&c.header)
+	var refusal *kqresult.Error
 	if n > 0 {
 		refusal = g.charge(now, &c.header, int64(n), int64(n)*headerCost)
+	} else {
+		refusal = g.refusal(&c.header)
 	}
 	switch {
 	case refusal != nil:
--- a/internal/plumb/kqserver/guard.go
+++ b/internal/plumb/kqserver/guard.go
@@ -171,10 +171,7 @@
 		h.complete = true
 		return
 	}
-	g.held -= h.held
-	g.releasing -= h.held
-	h.held = 0
-	g.released.Broadcast()
+	g.free(h)
 }
 
 // isComplete reports whether a request was read to its end or is being answered.
@@ -188,12 +185,18 @@
 func (g *Guard) release(now time.Time, h *holder) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.free(h)
+	delete(g.holders, h)
+	*h = holder{interrupt: h.interrupt, progressAt: now}
+}
+
+// free gives back what a holder holds and wakes those that wait for it.
+func (g *Guard) free(h *holder) {
 	g.held -= h.held
 	if h.refusal != nil {
 		g.releasing -= h.held
 	}
-	delete(g.holders, h)
-	*h = holder{interrupt: h.interrupt, progressAt: now}
+	h.held = 0
 	g.released.Broadcast()
 }
 
