Servers: connections of HTTP/2 count with their windows and buffers

Cause: the limit on connections counted 32 KiB and the receive buffer for each. A connection of HTTP/2 also has a window of 64 KiB or more that the process receives before a handler reads it, tables and buffers of frames: 512 of them can hold 64 MB beside the budget, and the garbage collector cannot keep the process below its soft limit.

Change: a listener that serves HTTP/2 has a limit of its own, with 64 KiB and the window more for each connection. The platform's listeners speak HTTP/1.1 and keep theirs.

--- a/internal/plumb/kqserver/guard_test.go
+++ b/internal/plumb/kqserver/guard_test.go
@@ -33,7 +33,7 @@
 // with a large answer.
 func start(g Gomega, c kqserver.Config) *kqserver.Server {
 	c.Listen = netip.MustParseAddrPort("127.0.0.1:0")
-	c.Guard = kqserver.NewGuard(kqserver.GuardConfig{Limits: kqserver.Limits{RequestBytes: budget, Connections: connections, ReceiveBuffer: 32 << 10, Backlog: 16}})
+	c.Guard = kqserver.NewGuard(kqserver.GuardConfig{Limits: kqserver.Limits{RequestBytes: budget, Connections: connections, HTTP2Connections: connections, ReceiveBuffer: 32 << 10, Backlog: 16}})
 	s, err := kqserver.StartWith(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/read" {
 			if _, err := io.ReadAll(r.Body); err != nil {
--- a/internal/plumb/kqserver/limits.go
+++ b/internal/plumb/kqserver/limits.go
@@ -30,7 +30,7 @@
 	{"time without a request on a connection", idleTimeout.String(), "the connection is closed"},
 	{"time in which a part of an answer is read", fmt.Sprintf("%s for each %d bytes", writeTimeout, writePart), "the connection is closed (815)"},
 	{"rest of a body after its answer", fmt.Sprintf("%s and %d bytes", lingerTimeout, maxLingerBytes), "the connection is closed"},
-	{"HTTP/2, where it is served", fmt.Sprintf("%d streams a connection, each at %d bytes; windows of the receive buffer, at least %d bytes; not served on the users' platform", maxConcurrentStreams, streamBytes, minReceiveWindow), "further streams are refused"},
+	{"HTTP/2, where it is served", fmt.Sprintf("%d streams a connection, each at %d bytes; windows of the receive buffer, at least %d bytes; a connection at %d bytes and its window more; not served on the users' platform", maxConcurrentStreams, streamBytes, minReceiveWindow, http2Bytes), "further streams are refused"},
 }
 
 // Resources is what the machine grants a process.
@@ -49,6 +49,8 @@
 	RequestBytes int64
 	// Connections limits the open connections of a listener.
 	Connections int
+	// HTTP2Connections is the same for a listener that serves HTTP/2, whose connections hold more.
+	HTTP2Connections int
 	// ReceiveBuffer is the receive buffer of a connection in bytes. The kernel takes up to twice as much.
 	ReceiveBuffer int
 	// Backlog limits the connections of a listener that wait to be accepted. They have receive buffers too.
@@ -95,6 +97,8 @@
 	headerLineBytes = 128
 	// streamBytes is the memory of an HTTP/2 stream, whose connection has others.
 	streamBytes = 16 << 10
+	// http2Bytes is what an HTTP/2 connection occupies besides its window: tables, buffers of frames and goroutines.
+	http2Bytes = 64 << 10
 )
 
 // Limits returns the limits that follow from the resources.
@@ -108,8 +112,11 @@
 	part := r.MemoryBytes / memoryParts
 	l := Limits{RequestBytes: max(requestParts*part, min(maxRequestParts*part, requestBytes(r.LargestRequest))), ReceiveBuffer: int(min(maxReceiveBuffer, max(minReceiveBuffer, r.MemoryBytes/memoryPerReceiveByte)))}
 	l.Backlog = int(max(minConnections, min(maxBacklog, backlogParts*part/int64(kernelFactor*l.ReceiveBuffer))))
-	byMemory := connectionParts * part / int64(connectionBytes+kernelFactor*l.ReceiveBuffer)
-	l.Connections = max(minConnections, min(int(byMemory), r.Descriptors-fileDescriptors-ownDescriptors))
+	byDescriptors := r.Descriptors - fileDescriptors - ownDescriptors
+	perConnection := connectionBytes + kernelFactor*l.ReceiveBuffer
+	l.Connections = max(minConnections, min(int(connectionParts*part)/perConnection, byDescriptors))
+	perConnection += http2Bytes + receiveWindow(l.ReceiveBuffer)
+	l.HTTP2Connections = max(minConnections, min(int(connectionParts*part)/perConnection, byDescriptors))
 	return l
 }
 
--- a/internal/plumb/kqserver/server.go
+++ b/internal/plumb/kqserver/server.go
@@ -87,8 +87,12 @@
 		c.Guard = defaultGuard()
 	}
 	limits := c.Guard.config.Limits
-	if c.MaxConnections == 0 {
+	switch {
+	case c.MaxConnections != 0:
+	case c.HTTP1Only:
 		c.MaxConnections = limits.Connections
+	default:
+		c.MaxConnections = limits.HTTP2Connections
 	}
 	if c.Timeout == nil {
 		c.Timeout = func(*http.Request) time.Duration { return DefaultTimeout }
