--- a/review/kit3/deployment.go
+++ b/review/kit3/deployment.go
@@ -23,9 +23,6 @@
 // host is the Host header of all routes.
 const host = "lockers.example"
 
-// restartDelay is the short delay after which the platform restarts a process that has ended.
-const restartDelay = time.Second
-
 // machine is a machine of the deployment with one process of the project.
 type machine struct {
 	name, class, zone, ip string
@@ -45,12 +42,16 @@
 	program string
 	folder  string
 	store   *store
+	advice  *advice
 	fronts  []*machine
 	sides   []*machine
 
 	mu        sync.Mutex
 	durations map[string]time.Duration // by job; 0: its tasks last
 	starts    map[string][]start
+	advised   map[string]bool // the jobs of queues with advice
+	// advisedQueues holds the queues with advice.
+	advisedQueues map[string]bool
 }
 
 // start is a start of a task of a job, as its worker has seen it.
@@ -65,7 +66,7 @@
 	if err != nil {
 		unable("%v", err)
 	}
-	d := &deployment{program: program, folder: folder, store: newStore(), durations: map[string]time.Duration{}, starts: map[string][]start{}}
+	d := &deployment{program: program, folder: folder, store: newStore(), advice: newAdvice(), durations: map[string]time.Duration{}, starts: map[string][]start{}, advised: map[string]bool{}, advisedQueues: map[string]bool{}}
 	for n := range 4 {
 		d.fronts = append(d.fronts, d.newMachine("front", n, zones[n]))
 	}
@@ -86,6 +87,7 @@
 	fmt.Fprintf(&b, "node = %q\nrole = %q\nclass = %q\nip = %q\nzone = %q\nregion = \"khomas\"\nportRange = [%d,%d]\nseeds = []\nbootstrap = true\nlossCounts = false\ndiscovery = \"local\"\nentry = \"vip\"\nheartbeatMs = 1500\n",
 		m.name, map[string]string{"front": "entry", "side": "agent"}[class], class, m.ip, zone, ports[0], ports[1])
 	b.WriteString("contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\"platform\",\"advice\",\"upkeep\",\"sharing\"]\norders = \"rpc\"\n")
+	fmt.Fprintf(&b, "advice = %q\n", d.advice.serve())
 	if class == "front" {
 		m.front, m.ready = at(2), at(3)
 		fmt.Fprintf(&b, "serves = [\"front\"]\n[listen]\nfront = %q\nready = %q\n[limits]\ncpuShare = 0.4\ncores = 1\nmemoryMb = 284\nmaxFds = 4100\n", m.front, m.ready)
@@ -95,7 +97,7 @@
 	}
 	b.WriteString("[zones]\nausspan = \"khomas\"\nklein-wh = \"khomas\"\neros = \"khomas\"\nkatutura = \"khomas\"\n")
 	b.WriteString("[bounds]\ncontactMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\ngraceS = 6\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nmaxSkewMs = 5000\nrecoveryS = 12\nholdMaxMs = 10000\nstopTimeoutMs = 900\ngangTimeoutMs = 3000\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120\nfarX = 1.5\ncheckpointS = 1\nrestoreMs = 600\nnoticeMs = 4500\n")
-	fmt.Fprintf(&b, "[platform]\naddress = %q\nform = \"table\"\nwritesPerS = 800\nreadsPerS = 2000\ntxnMs = 4.0\npartWritesPerS = 250\nrowBytes = 65536\nacross = true\nhistoryS = 20\n", d.store.serve(m.name))
+	fmt.Fprintf(&b, "[platform]\naddress = %q\nform = \"table\"\nwritesPerS = 800\nreadsPerS = 2000\ntxnMs = 4.0\npartWritesPerS = 250\nrowBytes = 65536\nacross = true\nhistoryS = 20\n", d.store.address)
 	m.settings = filepath.Join(d.folder, m.name+".toml")
 	if err := os.WriteFile(m.settings, []byte(b.String()), 0o600); err != nil {
 		unable("%v", err)
@@ -184,10 +186,11 @@
 	Attempts   int     `json:"attempts"`
 	Stretch    float64 `json:"stretch"`
 	Target     int64   `json:"targetLatencyMs"`
+	Advice     *policy `json:"advice,omitempty"`
 }
 
 func newRoute(name string, priority, attempts int) route {
-	return route{name, host, "/" + name + "/", "lockdesk", priority, attempts, 1.5, 1000}
+	return route{name, host, "/" + name + "/", "lockdesk", priority, attempts, 1.5, 1000, nil}
 }
 
 // apply writes a manifest as the operator.
@@ -196,6 +199,7 @@
 	var names []string
 	for _, r := range routes {
 		names = append(names, r.Name)
+		d.advisedQueues[r.Name] = r.Advice != nil
 	}
 	record("the operator's manifest %d is acknowledged, queues %s", version, strings.Join(names, ", "))
 }
@@ -230,6 +234,7 @@
 		m.worker.crash()
 	}
 	d.store.close()
+	d.advice.close()
 	_ = os.RemoveAll(d.folder)
 }
 
@@ -253,6 +258,9 @@
 	Constraints string `json:"constraints,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
 	After       []int  `json:"after,omitempty"`
+	Gang        bool   `json:"gang,omitempty"`
+	SameRack    bool   `json:"sameRack,omitempty"`
+	PerWorker   int    `json:"antiAffinity,omitempty"`
 }
 
 // job is the body of a submission.
@@ -297,6 +305,7 @@
 func (d *deployment) submit(queue, id string, duration time.Duration, j job) time.Time {
 	d.mu.Lock()
 	d.durations[id] = duration
+	d.advised[id] = d.advisedQueues[queue]
 	d.mu.Unlock()
 	for n := range 8 {
 		if status, _ := d.call(d.fronts[n%len(d.fronts)], http.MethodPost, "/"+queue+"/"+id, j); status == http.StatusOK {
@@ -319,6 +328,12 @@
 	return ""
 }
 
+func (d *deployment) isAdvised(job string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.advised[job]
+}
+
 func (d *deployment) durationOf(job string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -338,18 +353,3 @@
 	defer d.mu.Unlock()
 	return slices.Clone(d.starts[job])
 }
-
-// leader is the side machine that last wrote to the store under a condition.
-func (d *deployment) leader() *machine {
-	for range 100 {
-		name := d.store.writer()
-		for _, m := range d.sides {
-			if m.name == name {
-				return m
-			}
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	unable("no side machine writes to the store")
-	return nil
-}
--- a/review/kit3/store.go
+++ b/review/kit3/store.go
@@ -42,32 +42,25 @@
 	version uint64
 	changed chan struct{}
 	parts   map[string]*sync.Mutex
-	// lastWriter is the machine that last wrote under a condition.
-	lastWriter string
-	servers    []*http.Server
+	address string
+	server  *http.Server
 }
 
+// newStore starts a store on a free port.
 func newStore() *store {
-	return &store{began: time.Now().Add(-time.Minute), rows: map[string]row{}, changed: make(chan struct{}), parts: map[string]*sync.Mutex{}}
-}
-
-// serve opens an address of the store for one machine, by which the store tells the machines apart.
-func (s *store) serve(machine string) string {
+	s := &store{began: time.Now().Add(-time.Minute), rows: map[string]row{}, changed: make(chan struct{}), parts: map[string]*sync.Mutex{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		unable("the store cannot listen: %v", err)
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", func(w http.ResponseWriter, r *http.Request) { s.transact(machine, w, r) })
+	mux.HandleFunc("POST /rows-tx", s.transact)
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-parts", s.listParts)
 	mux.HandleFunc("GET /rows-feed", s.feed)
-	server := &http.Server{Handler: mux}
-	s.mu.Lock()
-	s.servers = append(s.servers, server)
-	s.mu.Unlock()
-	go func() { _ = server.Serve(l) }()
-	return l.Addr().String()
+	s.address, s.server = l.Addr().String(), &http.Server{Handler: mux}
+	go func() { _ = s.server.Serve(l) }()
+	return s
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -87,7 +80,7 @@
 	return s.parts[part]
 }
 
-func (s *store) transact(machine string, w http.ResponseWriter, r *http.Request) {
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Across   bool  `json:"across"`
 		Expected []row `json:"expected"`
@@ -119,6 +112,8 @@
 	if len(parts) > 1 {
 		took *= 2
 	}
+	// In one order for all transactions, so that none waits for another in a circle.
+	slices.Sort(parts)
 	for _, part := range parts {
 		l := s.lock(part)
 		l.Lock()
@@ -138,9 +133,6 @@
 		reply(w, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": s.version, "nowMs": s.nowMS()})
 		return
 	}
-	if len(body.Expected) > 0 {
-		s.lastWriter = machine
-	}
 	s.apply(body.Puts, body.Remove)
 	reply(w, http.StatusOK, map[string]any{"ver": s.version, "nowMs": s.nowMS()})
 }
@@ -244,18 +236,7 @@
 	}
 }
 
-// writer returns the machine that last wrote under a condition.
-func (s *store) writer() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastWriter
-}
-
 // close ends the addresses of the store.
 func (s *store) close() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, x := range s.servers {
-		_ = x.Close()
-	}
+	_ = s.server.Close()
 }
--- a/review/kit3/worker.go
+++ b/review/kit3/worker.go
@@ -22,6 +22,7 @@
 	number   uint64
 	began    time.Time
 	duration time.Duration // 0: the task lasts
+	fails    time.Duration // when it fails; 0: it does not
 }
 
 // percent is the progress of a run. A task that lasts is at work after a short startup.
@@ -64,7 +65,9 @@
 	changed  chan struct{}
 	sequence uint64
 	draining time.Duration // the least time left, while the worker drains
-	hung     chan struct{} // closed when the worker answers again; nil while it does
+	// fails returns when the run of a task that starts now fails, or 0; nil while the worker is sound.
+	fails func(task string) time.Duration
+	hung  chan struct{} // closed when the worker answers again; nil while it does
 }
 
 // start begins a life of the worker.
@@ -190,7 +193,9 @@
 			switch {
 			case w.clock() > w.deadline:
 				w.finish(r, "lapsed")
-			case r.duration > 0 && time.Since(r.began) >= r.duration:
+			case r.fails > 0 && time.Since(r.began) >= r.fails:
+				w.finish(r, "failed")
+			case r.fails == 0 && r.duration > 0 && time.Since(r.began) >= r.duration:
 				w.finish(r, "done")
 			}
 		}
@@ -221,6 +226,7 @@
 	FencingToken uint64 `json:"fencingToken"`
 	LastSeen     uint64 `json:"lastSeen"`
 	WaitMS       int64  `json:"waitMs"`
+	Ticket       string `json:"ticket"`
 }
 
 // call serves a call. While the worker hangs, the call has no effect and no answer.
@@ -272,7 +278,13 @@
 		return http.StatusConflict, map[string]any{"reason": "old"}
 	}
 	job, _, _ := strings.Cut(o.Task, ".")
+	if w.d.isAdvised(job) && !w.d.advice.isValid(o.Task, w.id, o.Ticket) {
+		return http.StatusConflict, map[string]any{"reason": "ticket"}
+	}
 	r = run{task: o.Task, number: o.Run, began: time.Now(), duration: w.d.durationOf(job)}
+	if w.fails != nil {
+		r.fails = w.fails(o.Task)
+	}
 	w.runs[o.Task] = r
 	record("worker %s: %s run %d starts", w.id, o.Task, o.Run)
 	w.d.started(job, w.id, r.began)
